--- /dev/null
+++ b/Program/Main.cpp
@@ -0,0 +1,7 @@
+#include <cstdio>
+
+int main()
+{
+    std::puts("celeryswitch " CELERYSWITCH_VERSION);
+    return 0;
+}
--- /dev/null
+++ b/cmake/EmbedFiles.cmake
@@ -0,0 +1,16 @@
+# Generates a C++ source that holds text files as string constants, so that the program ships as one binary.
+# embed_files(OUTPUT_VARIABLE NAME file...) defines celeryswitch::<NAME>::embeddedFile(std::string_view name).
+function(embed_files OUTPUT_VARIABLE NAME)
+    set(GENERATED "${CMAKE_CURRENT_BINARY_DIR}/Embedded${NAME}.cpp")
+    set(CONTENT "#include <string_view>\nnamespace celeryswitch::${NAME} {\n")
+    string(APPEND CONTENT "std::string_view embeddedFile(std::string_view name)\n{\n")
+    foreach(FILE ${ARGN})
+        set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${FILE})
+        get_filename_component(FILE_NAME ${FILE} NAME)
+        file(READ ${FILE} TEXT)
+        string(APPEND CONTENT "    if (name == \"${FILE_NAME}\")\n        return R\"embedded(${TEXT})embedded\";\n")
+    endforeach()
+    string(APPEND CONTENT "    static_cast<void>(name);\n    return {};\n}\n}\n")
+    file(CONFIGURE OUTPUT ${GENERATED} CONTENT "${CONTENT}" @ONLY)
+    set(${OUTPUT_VARIABLE} ${GENERATED} PARENT_SCOPE)
+endfunction()
