Let an entry forward fetch and cancel requests, and let lease grants name the configuration version

Cause: a job is fetched and cancelled through any entry, and an entry learns from each lease renewal whether its configuration is current. Ruled out: a second message type for each operation.

--- a/celeryswitch/Messages/StateMessages.h
+++ b/celeryswitch/Messages/StateMessages.h
@@ -218,14 +218,19 @@
     template <typename Archive> void serialize(Archive& archive) { archive(this->requestId, this->body); }
 };
 
-/// Answer to AcquirePartitions, RenewLeases and ReleasePartitions.
+/// Answer to AcquirePartitions, RenewLeases and ReleasePartitions; given by the leader while its own lease holds.
 struct LeaseGrant {
     /// Partitions that the requester holds, with their epochs.
     std::map<Core::PartitionId, PartitionOwner> held;
     /// Length of the lease in milliseconds, counted by the holder from before it sent the request.
     std::uint32_t leaseMilliseconds = 0;
+    /// Newest accepted configuration; a holder with an older one fetches the view before it starts more work.
+    Core::ConfigurationVersion configurationVersion = 0;
 
-    template <typename Archive> void serialize(Archive& archive) { archive(this->held, this->leaseMilliseconds); }
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->held, this->leaseMilliseconds, this->configurationVersion);
+    }
 };
 
 /// Answer to ProposeChange.
--- a/celeryswitch/Messages/TaskMessages.h
+++ b/celeryswitch/Messages/TaskMessages.h
@@ -218,12 +218,26 @@
     template <typename Archive> void serialize(Archive& archive) { archive(this->version, this->document); }
 };
 
-/// Entry to the owner of a partition: handle this submission and answer under `requestId`.
+/// What a caller asks of a job.
+enum class JobOperation : std::uint8_t {
+    Submit,
+    Fetch,
+    Cancel,
+};
+
+/// Entry to the owner of a partition: handle this request and answer under `requestId`.
 struct ForwardSubmission {
     std::uint64_t requestId = 0;
+    JobOperation operation = JobOperation::Submit;
+    /// Time that the caller waits for the answer, in milliseconds.
+    std::uint32_t waitMilliseconds = 0;
+    /// Whole for Submit; for Fetch and Cancel only team, caller and idempotencyKey.
     Submission submission;
 
-    template <typename Archive> void serialize(Archive& archive) { archive(this->requestId, this->submission); }
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->requestId, this->operation, this->waitMilliseconds, this->submission);
+    }
 };
 
 /// Answer to ForwardSubmission: HTTP status and JSON body to relay to the caller.
