--- a/celeryswitch/Ownership/PartitionRecovery.cpp
+++ b/celeryswitch/Ownership/PartitionRecovery.cpp
@@ -1,6 +1,7 @@
 #include "celeryswitch/Ownership/PartitionRecovery.h"
 
 #include "celeryswitch/Ownership/OwnershipTiming.h"
+#include <utility>
 
 namespace celeryswitch::Ownership {
 
@@ -47,7 +48,7 @@
         return false;
     answer.isWhole = true;
     for (Messages::FenceRecord& record : answer.records)
-        this->tasks[record.task.jobId].push_back({ sidecarId, std::move(record) });
+        this->found.push_back({ sidecarId, std::move(record) });
     answer.records.clear();
     return true;
 }
@@ -95,22 +96,6 @@
     return this->isWhole() && !this->wasLostSince(createdAt);
 }
 
-std::vector<RecoveredJob> PartitionRecovery::takeNewJobs()
-{
-    std::vector<RecoveredJob> jobs;
-    for (const auto& [jobId, found] : this->tasks) {
-        if (!this->returned.insert(jobId).second)
-            continue;
-        const Messages::FenceRecord& record = found.front().record;
-        jobs.push_back({ jobId, record.jobTaskCount, record.createdAt, record.team, record.kind });
-    }
-    return jobs;
-}
-
-std::vector<RecoveredTask> PartitionRecovery::tasksOf(const Core::JobId& jobId) const
-{
-    const auto found = this->tasks.find(jobId);
-    return found == this->tasks.end() ? std::vector<RecoveredTask> {} : found->second;
-}
+std::vector<RecoveredTask> PartitionRecovery::takeRecords() { return std::exchange(this->found, {}); }
 
 }
--- a/celeryswitch/Ownership/PartitionRecovery.h
+++ b/celeryswitch/Ownership/PartitionRecovery.h
@@ -9,15 +9,6 @@
 
 namespace celeryswitch::Ownership {
 
-/// A job that a recovery found at sidecars.
-struct RecoveredJob {
-    Core::JobId jobId;
-    std::uint32_t taskCount = 0;
-    std::int64_t createdAt = 0;
-    std::string team;
-    std::string kind;
-};
-
 /// One sidecar's record of a task.
 struct RecoveredTask {
     Core::InstanceId sidecarId;
@@ -42,10 +33,8 @@
     bool isRefused(std::int64_t createdAt) const;
     /// Whether a task without a record provably never started, for a job created at this time.
     bool isAbsenceProof(std::int64_t createdAt) const;
-    /// Jobs found so far that were not returned before.
-    std::vector<RecoveredJob> takeNewJobs();
-    /// Records found so far of one job; a task recorded twice is listed twice.
-    std::vector<RecoveredTask> tasksOf(const Core::JobId& jobId) const;
+    /// Records of whole answers that were not taken before, in the order of arrival.
+    std::vector<RecoveredTask> takeRecords();
     /// The partition concerned.
     Core::PartitionId partition() const { return this->partitionId; }
     /// Epoch of this entry's ownership.
@@ -72,8 +61,7 @@
     // Incarnations that are gone, with the time at which the member table learned it.
     std::map<SidecarIncarnation, std::int64_t> lost;
     std::map<SidecarIncarnation, Answer> answers;
-    std::map<Core::JobId, std::vector<RecoveredTask>> tasks;
-    std::set<Core::JobId> returned;
+    std::vector<RecoveredTask> found;
 };
 
 }
