Decode messages without trusting announced lengths

cereal resizes texts and vectors to the length that stands in the message, so eight forged bytes could ask for any amount of memory.

--- a/celeryswitch/Network/MessageCodec.h
+++ b/celeryswitch/Network/MessageCodec.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "celeryswitch/Core/Result.h"
-#include <cereal/archives/portable_binary.hpp>
-#include <sstream>
+#include "celeryswitch/Network/MessageArchive.h"
+#include <exception>
 #include <string>
 #include <string_view>
 
@@ -42,15 +42,27 @@
 /// Serializes a message into the bytes of a frame's payload.
 template <typename Message> std::string encodeMessage(const Message& message)
 {
-    std::ostringstream stream(std::ios::binary);
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(message);
-    }
-    return std::move(stream).str();
+    std::string bytes;
+    MessageOutputArchive archive(bytes);
+    archive(message);
+    return bytes;
 }
 
 /// Reads a message from the bytes of a frame's payload. Errors: TooLarge, Malformed, TrailingBytes.
-template <typename Message> Core::Result<Message> decodeMessage(std::string_view bytes);
+template <typename Message> Core::Result<Message> decodeMessage(std::string_view bytes)
+{
+    if (bytes.size() > maximumFrameBytes)
+        return Core::Error(CodecError::TooLarge, std::to_string(bytes.size()) + " bytes");
+    MessageInputArchive archive(bytes);
+    Message message;
+    try {
+        archive(message);
+    } catch (const std::exception& failure) {
+        return Core::Error(CodecError::Malformed, failure.what());
+    }
+    if (archive.remaining() != 0)
+        return Core::Error(CodecError::TrailingBytes, std::to_string(archive.remaining()) + " bytes");
+    return message;
+}
 
 }
