Add the authenticated peer transport

The source address of a datagram is not authenticated, since a listener bound to 0.0.0.0 doesn't know the address it was reached by.

--- /dev/null
+++ b/UnitTests/Network/PeerTransportTest.cpp
@@ -0,0 +1,169 @@
+#include "celeryswitch/Network/PeerTransport.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace celeryswitch;
+using Network::PeerConnectionPointer;
+using Network::PeerTransport;
+
+namespace {
+
+const Network::AuthenticationKeys keys { 1,
+    { { 1, "first secret of the fleet" }, { 2, "second secret of the fleet" } } };
+
+// Two transports on one event loop.
+struct Pair {
+    boost::asio::io_context context;
+    PeerTransport listener { this->context, keys };
+    PeerTransport connector { this->context, keys };
+    std::vector<PeerConnectionPointer> accepted;
+    std::string address;
+
+    Pair()
+    {
+        const auto bound = this->listener.listen(
+            "127.0.0.1:0", [this](PeerConnectionPointer connection) { this->accepted.push_back(connection); });
+        REQUIRE(bound);
+        this->address = bound.value();
+    }
+    // Runs the event loop until the condition holds, at most 10 s.
+    template <typename F> bool runUntil(F condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            this->context.restart();
+            this->context.run_one_for(std::chrono::milliseconds(50));
+        }
+        return condition();
+    }
+    PeerConnectionPointer connect()
+    {
+        PeerConnectionPointer connection;
+        this->connector.connect(this->address, [&](auto result) {
+            REQUIRE(result);
+            connection = std::move(result).value();
+        });
+        const std::size_t before = this->accepted.size();
+        REQUIRE(this->runUntil([&] { return connection && this->accepted.size() > before; }));
+        return connection;
+    }
+};
+
+}
+
+// Guards against frames lost or reordered, small, empty and of the largest size, in both directions.
+TEST_CASE("frames arrive whole and in order", "[Network]")
+{
+    Pair pair;
+    const PeerConnectionPointer client = pair.connect();
+    std::vector<std::string> atClient;
+    std::vector<std::string> atListener;
+    client->start([&](std::string payload) { atClient.push_back(std::move(payload)); }, {});
+    pair.accepted[0]->start([&](std::string payload) { atListener.push_back(std::move(payload)); }, {});
+    const std::vector<std::string> payloads { "", "a", std::string(8 * 1024 * 1024, 'b'), "c",
+        std::string(70000, 'd') };
+    for (const std::string& payload : payloads) {
+        REQUIRE(client->send(payload));
+        REQUIRE(pair.accepted[0]->send(payload));
+    }
+    REQUIRE_FALSE(client->send(std::string(8 * 1024 * 1024 + 1, 'x')));
+    REQUIRE(pair.runUntil([&] { return atClient.size() == 5 && atListener.size() == 5; }));
+    REQUIRE(atClient == payloads);
+    REQUIRE(atListener == payloads);
+}
+
+// Guards against a sender that takes memory without bound while its peer does not read.
+TEST_CASE("a full send queue refuses", "[Network]")
+{
+    Pair pair;
+    const PeerConnectionPointer client = pair.connect();
+    std::size_t taken = 0;
+    while (taken < 100 && client->send(std::string(1024 * 1024, 'x')))
+        ++taken;
+    REQUIRE(taken <= 40);
+    REQUIRE(taken >= 31);
+}
+
+// Guards against answers that a closing side has queued but that never reach the peer.
+TEST_CASE("closing sends what was queued, and the peer is told", "[Network]")
+{
+    Pair pair;
+    const PeerConnectionPointer client = pair.connect();
+    std::size_t received = 0;
+    std::string reason;
+    pair.accepted[0]->start(
+        [&](std::string payload) { received += payload.size(); }, [&](std::string text) { reason = text; });
+    for (int index = 0; index < 20; ++index)
+        REQUIRE(client->send(std::string(1'000'000, 'x')));
+    client->close();
+    REQUIRE_FALSE(client->send("late"));
+    REQUIRE(pair.runUntil([&] { return !reason.empty(); }));
+    REQUIRE(received == 20'000'000);
+}
+
+// Guards against a peer without the key, or sending rubbish, that gets a connection or stops the listener.
+TEST_CASE("peers without the key and rubbish are rejected and counted", "[Network]")
+{
+    Pair pair;
+    PeerTransport stranger(pair.context, { 1, { { 1, "a secret that is not the fleet's" } } });
+    bool isRefused = false;
+    stranger.connect(pair.address, [&](auto result) { isRefused = !result; });
+    REQUIRE(pair.runUntil([&] { return isRefused; }));
+
+    std::mt19937 random(7);
+    const auto colon = pair.address.rfind(':');
+    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"),
+        static_cast<std::uint16_t>(std::stoi(pair.address.substr(colon + 1))));
+    const std::uint64_t before = pair.listener.rejectedCount();
+    for (int round = 0; round < 50; ++round) {
+        boost::asio::ip::tcp::socket socket(pair.context);
+        socket.connect(endpoint);
+        std::string rubbish(20 + random() % 200, '\0');
+        for (char& byte : rubbish)
+            byte = static_cast<char>(random());
+        boost::asio::write(socket, boost::asio::buffer(rubbish));
+        REQUIRE(pair.runUntil([&] { return pair.listener.rejectedCount() > before + static_cast<unsigned>(round); }));
+    }
+    REQUIRE(pair.accepted.empty());
+    REQUIRE(pair.connect());
+}
+
+// Guards against a connect that waits without end for a silent or missing peer.
+TEST_CASE("connecting to a silent or missing peer ends with an error", "[Network]")
+{
+    Pair pair;
+    boost::asio::ip::tcp::acceptor silent(pair.context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    std::vector<std::string> errors;
+    const auto note = [&](auto result) { errors.push_back(result ? "" : std::string(result.error().code())); };
+    pair.connector.connect("127.0.0.1:" + std::to_string(silent.local_endpoint().port()), note);
+    pair.connector.connect("127.0.0.1:1", note);
+    pair.connector.connect("not an address", note);
+    REQUIRE(pair.runUntil([&] { return errors.size() == 3; }));
+    REQUIRE(errors == std::vector<std::string> { "BadAddress", "ConnectFailed", "ConnectFailed" });
+}
+
+// Guards against datagrams that are lost between two transports of the fleet or accepted from others.
+TEST_CASE("datagrams pass between peers with a key only", "[Network]")
+{
+    Pair pair;
+    PeerTransport stranger(pair.context, { 1, { { 1, "a secret that is not the fleet's" } } });
+    std::vector<std::string> received;
+    std::string from;
+    const auto bound = pair.listener.bindDatagram("127.0.0.1:0", [&](std::string payload, std::string address) {
+        received.push_back(std::move(payload));
+        from = std::move(address);
+    });
+    const auto other = pair.connector.bindDatagram("127.0.0.1:0", [](auto, auto) {});
+    REQUIRE(bound);
+    REQUIRE(other);
+    REQUIRE(stranger.bindDatagram("127.0.0.1:0", [](auto, auto) {}));
+    stranger.sendDatagram(bound.value(), "rubbish");
+    pair.connector.sendDatagram(bound.value(), "heartbeat");
+    pair.connector.sendDatagram(bound.value(), std::string(1201, 'x'));
+    REQUIRE(pair.runUntil([&] { return received.size() == 1 && pair.listener.rejectedCount() == 1; }));
+    REQUIRE(received[0] == "heartbeat");
+    REQUIRE(from == other.value());
+}
--- /dev/null
+++ b/celeryswitch/Network/PeerTransport.cpp
@@ -0,0 +1,237 @@
+#include "celeryswitch/Network/PeerTransport.h"
+
+#include "celeryswitch/Network/DatagramCodec.h"
+#include "celeryswitch/Network/HandshakeSession.h"
+#include <boost/asio/ip/udp.hpp>
+#include <charconv>
+
+namespace celeryswitch::Network {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+// Connections whose handshake is not done; a flood of silent connections can't use up the process's files.
+constexpr std::size_t maximumHandshakes = 256;
+// Wait before accepting again after a failure such as too many open files.
+constexpr std::chrono::milliseconds acceptRetryDelay { 100 };
+
+// Splits "address:port".
+template <typename Protocol> Core::Result<typename Protocol::endpoint> parseAddress(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    std::string address = text.substr(0, colon);
+    if (address.size() > 2 && address.front() == '[' && address.back() == ']')
+        address = address.substr(1, address.size() - 2);
+    error_code error;
+    const auto parsed = asio::ip::make_address(address, error);
+    std::uint16_t port = 0;
+    if (colon == std::string::npos || error
+        || std::from_chars(text.data() + colon + 1, text.data() + text.size(), port).ptr != text.data() + text.size()
+        || colon + 1 == text.size())
+        return Core::Error(TransportError::BadAddress, text);
+    return typename Protocol::endpoint(parsed, port);
+}
+
+}
+
+/// Sockets of a transport.
+class PeerTransport::Implementation : public std::enable_shared_from_this<PeerTransport::Implementation> {
+public:
+    Implementation(asio::io_context& context, AuthenticationKeys keys)
+        : context(context)
+        , keys(std::move(keys))
+        , datagramCodec(this->keys)
+        , acceptor(context)
+        , acceptTimer(context)
+        , datagramSocket(context)
+    {
+    }
+
+    Core::Result<std::string> listen(const std::string& address, AcceptHandler handler)
+    {
+        BOOST_OUTCOME_TRY(const auto endpoint, parseAddress<tcp>(address));
+        error_code error;
+        this->acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        if (!error)
+            this->acceptor.bind(endpoint, error);
+        if (!error)
+            this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+        if (error)
+            return Core::Error(TransportError::ListenFailed, address + ": " + error.message());
+        this->onAccept = std::move(handler);
+        this->accept();
+        return toAddress(this->acceptor.local_endpoint());
+    }
+
+    void connect(const std::string& address, ConnectHandler handler)
+    {
+        const auto endpoint = parseAddress<tcp>(address);
+        if (!endpoint) {
+            asio::post(this->context, [handler = std::move(handler), error = endpoint.error()] { handler(error); });
+            return;
+        }
+        HandshakeSession::connect(this->context, endpoint.value(), this->keys, this->rejected,
+            [handler = std::move(handler)](auto result) { handler(std::move(result)); });
+    }
+
+    Core::Result<std::string> bindDatagram(const std::string& address, DatagramHandler handler)
+    {
+        BOOST_OUTCOME_TRY(const auto endpoint, parseAddress<udp>(address));
+        error_code error;
+        this->datagramSocket.open(endpoint.protocol(), error);
+        if (!error)
+            this->datagramSocket.bind(endpoint, error);
+        if (!error)
+            this->datagramSocket.non_blocking(true, error);
+        if (error)
+            return Core::Error(TransportError::ListenFailed, address + ": " + error.message());
+        this->onDatagram = std::move(handler);
+        this->receive();
+        return toAddress(this->datagramSocket.local_endpoint());
+    }
+
+    void sendDatagram(const std::string& address, const std::string& payload)
+    {
+        const auto endpoint = parseAddress<udp>(address);
+        if (!endpoint || payload.size() > maximumDatagramBytes || !this->datagramSocket.is_open()) {
+            ++this->unsentDatagrams;
+            return;
+        }
+        error_code error;
+        this->datagramSocket.send_to(
+            asio::buffer(this->datagramCodec.seal(this->clock.wallNow(), payload)), endpoint.value(), 0, error);
+        if (error)
+            ++this->unsentDatagrams;
+    }
+
+    void stop()
+    {
+        error_code ignored;
+        this->isStopped = true;
+        this->acceptor.close(ignored);
+        this->acceptTimer.cancel();
+        this->datagramSocket.close(ignored);
+        this->onAccept = nullptr;
+        this->onDatagram = nullptr;
+    }
+
+    const RejectCounter& rejectCounter() const { return this->rejected; }
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept([self = this->shared_from_this()](const error_code& error, tcp::socket socket) {
+            if (self->isStopped)
+                return;
+            if (error)
+                return self->acceptLater();
+            self->startHandshake(std::move(socket));
+            self->accept();
+        });
+    }
+
+    void acceptLater()
+    {
+        this->acceptTimer.expires_after(acceptRetryDelay);
+        this->acceptTimer.async_wait([self = this->shared_from_this()](const error_code& error) {
+            if (!error && !self->isStopped)
+                self->accept();
+        });
+    }
+
+    void startHandshake(tcp::socket socket)
+    {
+        if (this->handshakes >= maximumHandshakes) {
+            this->rejected->fetch_add(1, std::memory_order_relaxed);
+            return;
+        }
+        ++this->handshakes;
+        HandshakeSession::accept(
+            std::move(socket), this->keys, this->rejected, [self = this->shared_from_this()](auto result) {
+                --self->handshakes;
+                if (result && self->onAccept)
+                    self->onAccept(std::move(result).value());
+            });
+    }
+
+    void receive()
+    {
+        this->datagramSocket.async_receive_from(asio::buffer(this->datagramBuffer), this->datagramSender,
+            [self = this->shared_from_this()](const error_code& error, std::size_t count) {
+                if (self->isStopped)
+                    return;
+                if (!error)
+                    self->datagramReceived(count);
+                if (!self->isStopped)
+                    self->receive();
+            });
+    }
+
+    void datagramReceived(std::size_t count)
+    {
+        auto payload = this->datagramCodec.open(this->clock.wallNow(), { this->datagramBuffer.data(), count });
+        if (payload)
+            this->onDatagram(std::move(payload).value(), toAddress(this->datagramSender));
+        else
+            this->rejected->fetch_add(1, std::memory_order_relaxed);
+    }
+
+    asio::io_context& context;
+    AuthenticationKeys keys;
+    Core::SystemClock clock;
+    DatagramCodec datagramCodec;
+    tcp::acceptor acceptor;
+    asio::steady_timer acceptTimer;
+    udp::socket datagramSocket;
+    udp::endpoint datagramSender;
+    // One byte more than the largest datagram, so that a longer one is recognized.
+    std::array<char, DatagramCodec::headBytes + maximumDatagramBytes + 1> datagramBuffer {};
+    AcceptHandler onAccept;
+    DatagramHandler onDatagram;
+    std::size_t handshakes = 0;
+    std::uint64_t unsentDatagrams = 0;
+    RejectCounter rejected = std::make_shared<std::atomic<std::uint64_t>>(0);
+    bool isStopped = false;
+};
+
+PeerTransport::PeerTransport(asio::io_context& context, AuthenticationKeys keys)
+    : implementation(std::make_shared<Implementation>(context, std::move(keys)))
+{
+}
+
+PeerTransport::~PeerTransport() { this->implementation->stop(); }
+
+Core::Result<std::string> PeerTransport::listen(const std::string& address, AcceptHandler onAccept)
+{
+    return this->implementation->listen(address, std::move(onAccept));
+}
+
+void PeerTransport::connect(const std::string& address, ConnectHandler onConnect)
+{
+    this->implementation->connect(address, std::move(onConnect));
+}
+
+Core::Result<std::string> PeerTransport::bindDatagram(const std::string& address, DatagramHandler onDatagram)
+{
+    return this->implementation->bindDatagram(address, std::move(onDatagram));
+}
+
+void PeerTransport::sendDatagram(const std::string& address, const std::string& payload)
+{
+    this->implementation->sendDatagram(address, payload);
+}
+
+void PeerTransport::stop() { this->implementation->stop(); }
+
+std::uint64_t PeerTransport::rejectedCount() const
+{
+    return this->implementation->rejectCounter()->load(std::memory_order_relaxed);
+}
+
+}
--- a/celeryswitch/Network/PeerTransport.h
+++ b/celeryswitch/Network/PeerTransport.h
@@ -16,6 +16,13 @@
     std::map<std::uint8_t, std::string> keys;
 };
 
+/// Why a socket could not be opened or connected.
+enum class TransportError : std::uint8_t {
+    BadAddress,
+    ListenFailed,
+    ConnectFailed,
+};
+
 /// Opens listeners, connections and datagram sockets on one io_context.
 class PeerTransport {
 public:
@@ -44,7 +51,20 @@
 
 private:
     class Implementation;
-    std::unique_ptr<Implementation> implementation;
+    std::shared_ptr<Implementation> implementation;
+};
+
+}
+
+namespace celeryswitch::Core {
+
+template <> struct EnumTable<Network::TransportError> {
+    static constexpr std::string_view type = "TransportError";
+    static constexpr std::array<std::pair<Network::TransportError, std::string_view>, 3> names { {
+        { Network::TransportError::BadAddress, "BadAddress" },
+        { Network::TransportError::ListenFailed, "ListenFailed" },
+        { Network::TransportError::ConnectFailed, "ConnectFailed" },
+    } };
 };
 
 }
