--- a/celeryswitch/Dispatch/Dispatcher.h
+++ b/celeryswitch/Dispatch/Dispatcher.h
@@ -2,6 +2,9 @@
 
 #include "celeryswitch/Configuration/ConfigurationDocument.h"
 #include "celeryswitch/Core/Clock.h"
+#include "celeryswitch/Dispatch/AdmissionControl.h"
+#include "celeryswitch/Dispatch/FairQueue.h"
+#include "celeryswitch/Dispatch/PlacementPolicy.h"
 #include "celeryswitch/Messages/TaskMessages.h"
 #include <memory>
 #include <optional>
@@ -18,6 +21,8 @@
     std::string dataCentre;
     std::string rack;
     std::uint32_t slots = 0;
+    /// Memory of the worker that one task may use; 0 means unknown.
+    std::int64_t memoryBytes = 0;
 };
 
 /// Settings of a dispatcher; fixed for its life.
@@ -29,6 +34,10 @@
     Core::Duration crossDataCentreDelay = std::chrono::microseconds(1500);
     /// Seed of every random choice.
     std::uint64_t seed = 1;
+    /// Order of waiting tasks.
+    FairQueueSettings queue;
+    /// Choice of the sidecar for a task; near first when empty.
+    PlacementPolicy placement;
 };
 
 /// Tasks of one accepted job, as the dispatcher sees them.
@@ -45,14 +54,6 @@
     bool isIdempotent = false;
 };
 
-/// Answer of admission: accepted, or refused as not run with the reason and an estimate of when to retry.
-struct AdmissionVerdict {
-    bool isAccepted = true;
-    Messages::TaskReason reason = Messages::TaskReason::None;
-    /// Zero when a retry can never succeed.
-    Core::Duration retryAfter {};
-};
-
 /// Start these tasks of one job at a sidecar.
 struct StartDecision {
     Core::InstanceId sidecarId;
@@ -63,7 +64,7 @@
     Messages::Backlog backlog;
 };
 
-/// Give idle credits back to a sidecar.
+/// Give idle credits back to a sidecar; zero credits only report the backlog.
 struct CreditReturnDecision {
     Core::InstanceId sidecarId;
     std::uint32_t credits = 0;
@@ -78,6 +79,8 @@
 
 using Decision = std::variant<StartDecision, CreditReturnDecision, RefuseDecision>;
 
+class DispatcherState;
+
 /// Decides at one entry what is admitted, what waits, and which task starts at which sidecar. Pure: it has no threads,
 /// sockets or clocks; the same calls give the same decisions.
 class Dispatcher {
@@ -124,9 +127,11 @@
     /// What waits for a service, for heartbeats.
     Messages::Backlog backlog(const std::string& service) const;
 
+    /// Health of the endpoint beside a sidecar; Active when it is unknown.
+    EndpointHealth health(const Core::InstanceId& sidecarId) const;
+
 private:
-    class Implementation;
-    std::unique_ptr<Implementation> implementation;
+    std::unique_ptr<DispatcherState> state;
 };
 
 }
