--- a/celeryswitch/Entry/EntryContext.h
+++ b/celeryswitch/Entry/EntryContext.h
@@ -55,7 +55,12 @@
 
 /// What the parts of an entry's core share: settings, the current time, and the actions of the current step.
 struct EntryContext {
-    EntryCoreSettings settings;
+    explicit EntryContext(EntryCoreSettings settings)
+        : settings(std::move(settings))
+    {
+    }
+
+    const EntryCoreSettings settings;
     /// Steady time of the current step.
     Core::SteadyTime now {};
     /// Wall clock of the current step in milliseconds since 1970; never falls.
