--- /dev/null
+++ b/celeryswitch/Entry/HttpSession.cpp
@@ -0,0 +1,198 @@
+#include "celeryswitch/Entry/HttpSession.h"
+
+#include "celeryswitch/Entry/Problem.h"
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace celeryswitch::Entry {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+/// Session over a Beast stream.
+class StreamSession final : public HttpSession, public std::enable_shared_from_this<StreamSession> {
+public:
+    StreamSession(
+        boost::asio::ip::tcp::socket socket, const HttpLimits& limits, RequestHandler onRequest, CloseHandler onClose)
+        : stream(std::move(socket))
+        , limits(limits)
+        , onRequest(std::move(onRequest))
+        , onClose(std::move(onClose))
+    {
+    }
+    ~StreamSession() override { this->onClose(); }
+    StreamSession(const StreamSession&) = delete;
+    StreamSession& operator=(const StreamSession&) = delete;
+
+    // Waits for the first bytes of the next request.
+    void readNext()
+    {
+        this->isBusy = false;
+        if (this->isFinishing) {
+            this->shutDown();
+            return;
+        }
+        this->parser.emplace();
+        this->parser->body_limit(this->limits.bodyBytes);
+        this->parser->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
+        this->stream.expires_after(this->limits.idleTime);
+        http::async_read_some(this->stream, this->buffer, *this->parser,
+            [self = this->shared_from_this()](error_code error, std::size_t) { self->firstBytesRead(error); });
+    }
+
+    void respond(const Messages::ForwardedAnswer& answer, const std::string& location) override
+    {
+        this->response = {};
+        this->response.version(11);
+        this->response.result(answer.statusCode);
+        this->response.set(http::field::content_type, answer.contentType);
+        if (answer.retryAfterSeconds > 0)
+            this->response.set(http::field::retry_after, std::to_string(answer.retryAfterSeconds));
+        if (!location.empty())
+            this->response.set(http::field::location, location);
+        this->response.keep_alive(this->isKeptAlive && !this->isFinishing);
+        this->response.body() = answer.body;
+        this->response.prepare_payload();
+        this->stream.expires_after(this->limits.bodyTime);
+        http::async_write(this->stream, this->response,
+            [self = this->shared_from_this()](error_code error, std::size_t) { self->written(error); });
+    }
+
+    void finish() override
+    {
+        this->isFinishing = true;
+        if (!this->isBusy)
+            this->stream.cancel();
+    }
+
+private:
+    void firstBytesRead(error_code error)
+    {
+        if (error) {
+            this->refuseMalformed(error);
+            return;
+        }
+        this->isBusy = true;
+        if (this->parser->is_done()) {
+            this->requestRead(error);
+            return;
+        }
+        if (this->parser->is_header_done()) {
+            this->readBody();
+            return;
+        }
+        this->stream.expires_after(this->limits.headerTime);
+        http::async_read_header(this->stream, this->buffer, *this->parser,
+            [self = this->shared_from_this()](error_code failure, std::size_t) {
+                if (failure)
+                    self->refuseMalformed(failure);
+                else
+                    self->readBody();
+            });
+    }
+
+    // Reads the body, after the interim response that the caller may wait for.
+    void readBody()
+    {
+        this->stream.expires_after(this->limits.bodyTime);
+        if (!beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
+            this->readRest();
+            return;
+        }
+        this->interim = {};
+        this->interim.version(11);
+        this->interim.result(http::status::continue_);
+        http::async_write(
+            this->stream, this->interim, [self = this->shared_from_this()](error_code error, std::size_t) {
+                if (!error)
+                    self->readRest();
+            });
+    }
+
+    void readRest()
+    {
+        http::async_read(this->stream, this->buffer, *this->parser,
+            [self = this->shared_from_this()](error_code error, std::size_t) { self->requestRead(error); });
+    }
+
+    void requestRead(error_code error)
+    {
+        if (error) {
+            this->refuseMalformed(error);
+            return;
+        }
+        http::request<http::string_body> message = this->parser->release();
+        this->isKeptAlive = message.keep_alive();
+        // No time limit while the request waits for its answer.
+        this->stream.expires_never();
+        this->onRequest(this->shared_from_this(),
+            { std::string(message.method_string()), std::string(message.target()), std::move(message.body()),
+                std::string(message[http::field::authorization]), std::string(message["Prefer"]) });
+    }
+
+    // Answers a request that can't be read, if the caller is still there, and ends the connection.
+    void refuseMalformed(error_code error)
+    {
+        std::uint16_t status = 0;
+        if (error == http::error::body_limit)
+            status = 413;
+        else if (error == http::error::header_limit || error == http::error::buffer_overflow)
+            status = 431;
+        else if (error.category() == http::make_error_code(http::error::bad_method).category()
+            && error != http::error::end_of_stream && error != http::error::partial_message)
+            status = 400;
+        if (status == 0) {
+            this->shutDown();
+            return;
+        }
+        this->isKeptAlive = false;
+        this->isBusy = true;
+        this->respond(
+            makeAnswer({ status, "malformed-request", "The HTTP request can't be read", error.message() }), {});
+    }
+
+    void written(error_code error)
+    {
+        if (error || !this->response.keep_alive()) {
+            this->shutDown();
+            return;
+        }
+        this->readNext();
+    }
+
+    void shutDown()
+    {
+        error_code ignored;
+        this->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+    beast::tcp_stream stream;
+    HttpLimits limits;
+    RequestHandler onRequest;
+    CloseHandler onClose;
+    beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    http::response<http::string_body> response;
+    http::response<http::empty_body> interim;
+    bool isBusy = false;
+    bool isKeptAlive = false;
+    bool isFinishing = false;
+};
+
+}
+
+std::shared_ptr<HttpSession> HttpSession::start(
+    boost::asio::ip::tcp::socket socket, const HttpLimits& limits, RequestHandler onRequest, CloseHandler onClose)
+{
+    error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    auto session = std::make_shared<StreamSession>(std::move(socket), limits, std::move(onRequest), std::move(onClose));
+    session->readNext();
+    return session;
+}
+
+}
