--- /dev/null
+++ b/celeryswitch/Consensus/Replica.cpp
@@ -0,0 +1,246 @@
+#include "celeryswitch/Consensus/Replica.h"
+
+#include "celeryswitch/Core/Assert.h"
+#include "celeryswitch/Network/MessageCodec.h"
+#include <random>
+
+namespace celeryswitch::Consensus {
+
+using Messages::ReplicaInfo;
+
+namespace {
+
+// The snapshot that a replica without one starts from.
+SnapshotPointer firstSnapshot(const RecoveredState& recovered)
+{
+    if (recovered.snapshot)
+        return recovered.snapshot;
+    Snapshot snapshot;
+    snapshot.group = recovered.initialGroup;
+    return std::make_shared<const Snapshot>(std::move(snapshot));
+}
+
+}
+
+Replica::Replica(ReplicaSettings settings, RecoveredState recovered, Core::SteadyTime now)
+    : settings(std::move(settings))
+    , replicaLog(firstSnapshot(recovered), std::move(recovered.entries))
+    , durable(this->replicaLog.lastIndex())
+    , currentTerm(recovered.term)
+    , votedFor(std::move(recovered.votedFor))
+    , committedIndex(this->replicaLog.snapshot()->lastIndex)
+    , random(this->settings.seed)
+    , now(now)
+    , leaderSeenAt(now)
+{
+    this->restartElectionTimer();
+    this->fire(RoleEvent::GroupChanged);
+}
+
+ReplicaActions Replica::step(Core::SteadyTime time, ReplicaEvent event)
+{
+    this->now = time;
+    this->actions = {};
+    std::visit([this](auto& alternative) { this->handle(alternative); }, event);
+    if (this->leadership)
+        this->advanceAsLeader();
+    this->actions.storageSequence = this->writtenSequence;
+    return std::move(this->actions);
+}
+
+Core::SteadyTime Replica::nextWakeUp() const
+{
+    switch (this->currentRole) {
+    case ReplicaRole::Leader:
+        return this->heartbeatDue;
+    case ReplicaRole::Learner:
+    case ReplicaRole::Stopped:
+        return this->now + std::chrono::seconds(1);
+    default:
+        return this->electionDue;
+    }
+}
+
+bool Replica::isLeaderReady() const
+{
+    return this->leadership && this->committedIndex >= this->leadership->firstIndex();
+}
+
+void Replica::handle(const TimePassed&)
+{
+    if (this->leadership) {
+        const Core::SteadyTime since = this->now - this->settings.electionTimeoutMaximum;
+        if (this->settings.isQuorumChecked && !this->leadership->hasQuorumSince(since, this->replicaLog.group()))
+            this->fire(RoleEvent::QuorumLost);
+        else if (this->now >= this->heartbeatDue)
+            this->broadcast();
+    } else if (this->now >= this->electionDue) {
+        this->fire(RoleEvent::ElectionTimeout);
+    }
+}
+
+void Replica::handle(MessageReceived& event)
+{
+    if (this->currentRole != ReplicaRole::Stopped)
+        std::visit([this](auto& message) { this->receive(message); }, event.message);
+}
+
+void Replica::handle(Propose& event)
+{
+    if (!this->leadership) {
+        this->actions.notLeader.push_back(event.token);
+        return;
+    }
+    if (this->replicaLog.lastIndex() - this->committedIndex >= this->settings.uncommittedEntriesLimit) {
+        this->actions.busy.push_back(event.token);
+        return;
+    }
+    const LogIndex index = this->appendAsLeader(Messages::EntryKind::Command, std::move(event.command));
+    this->actions.placed.push_back({ event.token, index, this->currentTerm });
+}
+
+void Replica::handle(const Read& event)
+{
+    if (!this->leadership) {
+        this->actions.notLeader.push_back(event.token);
+        return;
+    }
+    if (!this->settings.isReadConfirmed) {
+        this->actions.confirmedReads.push_back(event.token);
+        return;
+    }
+    this->leadership->addRead(event.token);
+}
+
+void Replica::handle(Replace& event)
+{
+    if (!this->leadership) {
+        this->actions.notLeader.push_back(event.token);
+        return;
+    }
+    const ReplicaGroup& group = this->replicaLog.group();
+    if (!group.hasVoter(event.oldId) && !group.hasVoter(event.replacement.id)) {
+        this->actions.unknownReplica.push_back(event.token);
+        return;
+    }
+    // A request that is sent again takes the place of the earlier one.
+    if (this->leadership->replacement)
+        this->actions.notLeader.push_back(this->leadership->replacement->token);
+    this->leadership->replacement = { event.token, std::move(event.oldId), std::move(event.replacement) };
+}
+
+void Replica::handle(const StorageSynced& event)
+{
+    this->syncedSequence = std::max(this->syncedSequence, event.sequence);
+    this->durable.synced(event.sequence);
+    while (!this->held.empty() && this->held.front().first <= event.sequence) {
+        this->actions.messages.push_back(std::move(this->held.front().second));
+        this->held.pop_front();
+    }
+    if (this->currentRole == ReplicaRole::Candidate)
+        this->countVotes();
+}
+
+void Replica::handle(const StorageFailed& event)
+{
+    this->stoppedBecause = event.detail;
+    this->held.clear();
+    this->fire(RoleEvent::StorageFailed);
+}
+
+void Replica::handle(SnapshotTaken& event)
+{
+    if (event.index <= this->replicaLog.snapshot()->lastIndex || this->currentRole == ReplicaRole::Stopped)
+        return;
+    CELERY_ASSERT(event.index <= this->committedIndex);
+    Snapshot snapshot;
+    snapshot.lastIndex = event.index;
+    snapshot.lastTerm = *this->replicaLog.termAt(event.index);
+    snapshot.group = this->replicaLog.groupAt(event.index);
+    snapshot.data = std::move(event.data);
+    this->installSnapshot(std::make_shared<const Snapshot>(std::move(snapshot)));
+}
+
+void Replica::fire(RoleEvent event)
+{
+    const Charts::StateChart::Transition* transition
+        = replicaChart().find(static_cast<std::size_t>(this->currentRole), static_cast<std::size_t>(event),
+            [this](std::size_t) { return this->replicaLog.group().hasVoter(this->settings.id); });
+    if (!transition)
+        return;
+    this->currentRole = static_cast<ReplicaRole>(transition->target);
+    for (std::size_t action : transition->actions)
+        this->perform(static_cast<RoleAction>(action));
+}
+
+void Replica::perform(RoleAction action)
+{
+    switch (action) {
+    case RoleAction::ForgetLeader:
+        this->leader.clear();
+        break;
+    case RoleAction::RestartElectionTimer:
+        this->restartElectionTimer();
+        break;
+    case RoleAction::RequestPreVotes:
+        this->requestPreVotes();
+        break;
+    case RoleAction::RequestVotes:
+        this->requestVotes();
+        break;
+    case RoleAction::BeginLeadership:
+        this->beginLeadership();
+        break;
+    case RoleAction::EndLeadership:
+        this->endLeadership();
+        break;
+    }
+}
+
+void Replica::restartElectionTimer()
+{
+    this->electionDue = this->now
+        + Core::Duration(std::uniform_int_distribution<std::int64_t>(this->settings.electionTimeoutMinimum.count(),
+            this->settings.electionTimeoutMaximum.count())(this->random));
+}
+
+void Replica::adoptTerm(Term term, const ReplicaId& vote)
+{
+    const bool isHigher = term > this->currentTerm;
+    this->currentTerm = term;
+    this->votedFor = vote;
+    this->write(SaveTerm { term, vote });
+    if (isHigher) {
+        // An acknowledgement of the old term could make its leader count an entry that this replica may now replace.
+        this->held.clear();
+        this->fire(RoleEvent::HigherTerm);
+    }
+}
+
+void Replica::commitTo(LogIndex index)
+{
+    while (this->committedIndex < index)
+        this->actions.committed.push_back(this->replicaLog.at(++this->committedIndex));
+}
+
+void Replica::write(StorageOperation operation)
+{
+    ++this->writtenSequence;
+    this->durable.written(this->writtenSequence, this->replicaLog.lastIndex());
+    this->actions.storage.push_back(std::move(operation));
+}
+
+void Replica::reply(const ReplicaId& to, Messages::ConsensusMessage message)
+{
+    this->actions.messages.push_back({ { to, "" }, std::move(message) });
+}
+
+void Replica::replyOnceSynced(const ReplicaId& to, Messages::ConsensusMessage message, bool isSyncNeeded)
+{
+    if (isSyncNeeded && this->syncedSequence < this->writtenSequence)
+        this->held.emplace_back(this->writtenSequence, Outgoing { { to, "" }, std::move(message) });
+    else
+        this->reply(to, std::move(message));
+}
+
+}
--- /dev/null
+++ b/celeryswitch/Consensus/ReplicaElection.cpp
@@ -0,0 +1,118 @@
+// Elections: the candidate's and the voter's side of Replica.
+#include "celeryswitch/Consensus/Replica.h"
+
+namespace celeryswitch::Consensus {
+
+using Messages::VoteReply;
+using Messages::VoteRequest;
+
+void Replica::requestPreVotes()
+{
+    this->leader.clear();
+    this->votes = { this->settings.id };
+    if (!this->settings.isPreVoteUsed) {
+        this->fire(RoleEvent::PreVoteWon);
+        return;
+    }
+    this->sendToVoters(VoteRequest {
+        this->settings.id, this->currentTerm + 1, this->replicaLog.lastIndex(), this->replicaLog.lastTerm(), true });
+    this->countVotes();
+}
+
+void Replica::requestVotes()
+{
+    this->votes = { this->settings.id };
+    ++this->currentTerm;
+    this->votedFor = this->settings.id;
+    this->held.clear();
+    this->write(SaveTerm { this->currentTerm, this->votedFor });
+    const VoteRequest request { this->settings.id, this->currentTerm, this->replicaLog.lastIndex(),
+        this->replicaLog.lastTerm(), false };
+    // The own vote counts once it is synced; no other can arrive before the requests leave.
+    for (const Messages::ReplicaInfo& voter : this->replicaLog.group().voters) {
+        if (voter.id == this->settings.id)
+            continue;
+        if (this->settings.isSyncedBeforeVote)
+            this->held.emplace_back(this->writtenSequence, Outgoing { voter, request });
+        else
+            this->actions.messages.push_back({ voter, request });
+    }
+    if (!this->settings.isSyncedBeforeVote)
+        this->countVotes();
+}
+
+void Replica::countVotes()
+{
+    if (this->settings.isSyncedBeforeVote && this->currentRole == ReplicaRole::Candidate
+        && this->syncedSequence < this->writtenSequence)
+        return;
+    std::size_t granted = 0;
+    for (const Messages::ReplicaInfo& voter : this->replicaLog.group().voters)
+        granted += this->votes.count(voter.id);
+    if (granted * 2 <= this->replicaLog.group().voters.size())
+        return;
+    this->fire(this->currentRole == ReplicaRole::PreCandidate ? RoleEvent::PreVoteWon : RoleEvent::VoteWon);
+}
+
+bool Replica::isLogAtLeast(Term lastTerm, LogIndex lastIndex) const
+{
+    if (!this->settings.isLogComparedBeforeVote)
+        return true;
+    const Term ownTerm = this->replicaLog.lastTerm();
+    return lastTerm > ownTerm || (lastTerm == ownTerm && lastIndex >= this->replicaLog.lastIndex());
+}
+
+void Replica::receive(const VoteRequest& request)
+{
+    const bool isLogGood = this->isLogAtLeast(request.lastTerm, request.lastIndex);
+    if (request.isPreVote) {
+        // One heartbeat is subtracted because both replicas heard the lost leader at slightly different times.
+        const bool hasLeader = this->leadership
+            || (!this->leader.empty()
+                && this->now - this->leaderSeenAt
+                    < this->settings.electionTimeoutMinimum - this->settings.heartbeatInterval);
+        const bool isGranted = request.term > this->currentTerm && isLogGood && !hasLeader;
+        this->reply(request.from,
+            VoteReply { this->settings.id, isGranted ? request.term : this->currentTerm, isGranted, true });
+        return;
+    }
+    if (request.term > this->currentTerm)
+        this->adoptTerm(request.term, "");
+    const bool isGranted
+        = request.term == this->currentTerm && isLogGood && (this->votedFor.empty() || this->votedFor == request.from);
+    if (isGranted && this->votedFor.empty())
+        this->adoptTerm(this->currentTerm, request.from);
+    if (isGranted)
+        this->restartElectionTimer();
+    this->replyOnceSynced(request.from, VoteReply { this->settings.id, this->currentTerm, isGranted, false },
+        this->settings.isSyncedBeforeVote);
+}
+
+void Replica::receive(const VoteReply& reply)
+{
+    if (reply.isPreVote && reply.isGranted) {
+        if (this->currentRole == ReplicaRole::PreCandidate && reply.term == this->currentTerm + 1) {
+            this->votes.insert(reply.from);
+            this->countVotes();
+        }
+        return;
+    }
+    if (reply.term > this->currentTerm) {
+        this->adoptTerm(reply.term, "");
+        return;
+    }
+    if (reply.isGranted && this->currentRole == ReplicaRole::Candidate && reply.term == this->currentTerm) {
+        this->votes.insert(reply.from);
+        this->countVotes();
+    }
+}
+
+void Replica::sendToVoters(const Messages::ConsensusMessage& message)
+{
+    for (const Messages::ReplicaInfo& voter : this->replicaLog.group().voters) {
+        if (voter.id != this->settings.id)
+            this->actions.messages.push_back({ voter, message });
+    }
+}
+
+}
