--- a/celeryswitch/Configuration/ConfigurationChange.cpp
+++ b/celeryswitch/Configuration/ConfigurationChange.cpp
@@ -181,8 +181,9 @@
         return Error(ChangeError::Malformed, "operations must be a JSON array with at least one operation");
     ChangeChecker checker(document);
     std::size_t position = 0;
-    for (const json::value& operation : parsed.get_array())
+    for (const json::value& operation : parsed.get_array()) {
         BOOST_OUTCOME_TRY(checker.apply(operation, ++position));
+    }
     checker.document.version = document.version + 1;
     return CheckedChange { std::move(checker.document), json::serialize(checker.before),
         json::serialize(checker.after) };
--- /dev/null
+++ b/celeryswitch/Membership/PartitionTable.cpp
@@ -0,0 +1,50 @@
+#include "celeryswitch/Membership/PartitionTable.h"
+
+namespace celeryswitch::Membership {
+
+using Messages::PartitionOwner;
+
+bool PartitionTable::grant(std::int64_t time, const GrantPartitions& grant)
+{
+    bool hasMoved = false;
+    for (const auto& [partition, expectedEpoch] : grant.expectedEpochs) {
+        if (partition >= Core::partitionCount || this->owner(partition).epoch != expectedEpoch)
+            continue;
+        this->partitions[partition] = { grant.owner, grant.ownerIncarnation, expectedEpoch + 1, time };
+        hasMoved = true;
+    }
+    return hasMoved;
+}
+
+bool PartitionTable::release(const Messages::ReleasePartitions& release)
+{
+    bool isFreed = false;
+    for (Core::PartitionId partition : release.partitions) {
+        const auto found = this->partitions.find(partition);
+        if (found == this->partitions.end() || found->second.owner != release.owner
+            || found->second.ownerIncarnation != release.ownerIncarnation)
+            continue;
+        found->second.owner.clear();
+        found->second.ownerIncarnation = 0;
+        isFreed = true;
+    }
+    return isFreed;
+}
+
+PartitionOwner PartitionTable::owner(Core::PartitionId partition) const
+{
+    const auto found = this->partitions.find(partition);
+    return found != this->partitions.end() ? found->second : PartitionOwner {};
+}
+
+PartitionTable::Partitions PartitionTable::heldBy(const Core::InstanceId& owner, Core::Incarnation incarnation) const
+{
+    Partitions held;
+    for (const auto& [partition, holder] : this->partitions) {
+        if (holder.owner == owner && holder.ownerIncarnation == incarnation)
+            held.emplace(partition, holder);
+    }
+    return held;
+}
+
+}
