Add a virtual-clock experiment over the real dispatchers

The experiment runs tasks, slots, credits and delays on one event queue, with a stand-in for the sidecar's credit allocator until the sidecar side exists.

--- /dev/null
+++ b/celeryswitch/Experiment/CreditStrategy.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "celeryswitch/Dispatch/Dispatcher.h"
+#include "celeryswitch/Experiment/Fleet.h"
+#include "celeryswitch/Experiment/SlotAllocator.h"
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace celeryswitch::Experiment {
+
+/// Slot credits: real dispatchers at the entries and a credit allocator with a batch queue at each worker.
+class CreditStrategy {
+public:
+    explicit CreditStrategy(Fleet& fleet);
+
+    /// A job reached its entry.
+    void jobArrived(JobIndex job);
+
+private:
+    // Tasks of one start message; those that have no slot yet wait.
+    struct Batch {
+        std::size_t entry = 0;
+        JobIndex job = 0;
+        std::deque<std::uint32_t> queued;
+        std::uint32_t running = 0;
+        std::vector<Messages::TaskResult> results;
+    };
+    struct Worker {
+        std::unique_ptr<SlotAllocator> allocator;
+        std::uint32_t running = 0;
+    };
+    struct Entry {
+        std::unique_ptr<Dispatch::Dispatcher> dispatcher;
+        std::optional<Core::SteadyTime> wakeUp;
+        std::uint64_t wakeUpNumber = 0;
+    };
+    void connect();
+    void configure(Dispatch::Dispatcher& dispatcher) const;
+    void scheduleHeartbeats(std::size_t entry);
+    void scheduleUsage();
+    void detectDeaths();
+    void poll(std::size_t entry);
+    void act(std::size_t entry, const Dispatch::StartDecision& decision);
+    void act(std::size_t entry, const Dispatch::CreditReturnDecision& decision);
+    void act(std::size_t entry, const Dispatch::RefuseDecision& decision);
+    void startArrived(
+        std::size_t worker, std::shared_ptr<Batch> batch, std::uint32_t credits, const Messages::Backlog& backlog);
+    void runNext(std::size_t worker, const std::shared_ptr<Batch>& batch);
+    void taskEnded(std::size_t worker, const std::shared_ptr<Batch>& batch, std::uint32_t task, bool isSuccess,
+        Core::Duration run);
+    void backlogArrived(std::size_t worker, std::size_t entry, const Messages::Backlog& backlog);
+    void grant(std::size_t worker, std::size_t entry, std::uint32_t credits);
+    void resultsArrived(std::size_t worker, std::size_t entry, JobIndex job,
+        const std::vector<Messages::TaskResult>& results, std::uint32_t credits);
+    static Core::InstanceId workerName(std::size_t worker);
+
+    Fleet& fleet;
+    std::vector<Entry> entries;
+    std::vector<Worker> workers;
+    // Tasks sent to each worker, to settle those of a dead one.
+    std::vector<std::vector<std::shared_ptr<Batch>>> sentTo;
+};
+
+}
