--- /dev/null
+++ b/celeryswitch/Load/HttpConnection.cpp
@@ -0,0 +1,199 @@
+#include "celeryswitch/Load/HttpConnection.h"
+
+#include "celeryswitch/Core/Assert.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <optional>
+
+namespace celeryswitch::Load {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::size_t maximumBodyBytes = 256 * 1024 * 1024;
+constexpr std::chrono::seconds connectTimeout { 2 };
+
+std::optional<asio::ip::tcp::endpoint> endpointOf(const std::string& address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    std::string number = address.substr(0, colon);
+    if (number.size() > 2 && number.front() == '[' && number.back() == ']')
+        number = number.substr(1, number.size() - 2);
+    boost::system::error_code error;
+    const asio::ip::address ip = asio::ip::make_address(number, error);
+    std::uint16_t port = 0;
+    const char* end = address.data() + address.size();
+    const auto [next, failure] = std::from_chars(address.data() + colon + 1, end, port);
+    if (error || failure != std::errc {} || next != end)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(ip, port);
+}
+
+std::uint32_t secondsOf(std::string_view text)
+{
+    std::uint32_t seconds = 0;
+    const auto [next, failure] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return failure == std::errc {} ? seconds : 0;
+}
+
+}
+
+class HttpConnection::Implementation : public std::enable_shared_from_this<Implementation> {
+public:
+    Implementation(asio::io_context& context, std::string address)
+        : context(context)
+        , address(std::move(address))
+    {
+    }
+
+    void request(HttpRequest request, Core::Duration timeout, Handler handler)
+    {
+        CELERY_ASSERT(!this->handler);
+        this->handler = std::move(handler);
+        this->timeout = std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+        this->outgoing = {};
+        this->outgoing.version(11);
+        this->outgoing.method_string(request.method);
+        this->outgoing.target(request.path);
+        this->outgoing.set(http::field::host, this->address);
+        for (const auto& [name, value] : request.headers)
+            this->outgoing.set(name, value);
+        this->outgoing.body() = std::move(request.body);
+        this->outgoing.prepare_payload();
+        this->isReused = this->stream.has_value();
+        asio::post(
+            this->context, [self = this->shared_from_this()] { self->isReused ? self->write() : self->connect(); });
+    }
+
+    void close()
+    {
+        this->handler = {};
+        this->stream.reset();
+    }
+
+    asio::io_context& context;
+    const std::string address;
+
+private:
+    void connect()
+    {
+        const std::optional<asio::ip::tcp::endpoint> endpoint = endpointOf(this->address);
+        if (!endpoint)
+            return this->fail(HttpError::BadAddress, "no IP number and port");
+        this->buffer.clear();
+        this->stream.emplace(this->context);
+        this->stream->expires_after(std::min<std::chrono::milliseconds>(connectTimeout, this->timeout));
+        this->stream->async_connect(*endpoint, [self = this->shared_from_this()](beast::error_code error) {
+            if (error)
+                return self->fail(HttpError::ConnectFailed, error.message());
+            boost::system::error_code ignored;
+            self->stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void write()
+    {
+        if (!this->stream)
+            return;
+        this->stream->expires_after(this->timeout);
+        http::async_write(
+            *this->stream, this->outgoing, [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                if (error)
+                    return self->lost(error);
+                self->read();
+            });
+    }
+
+    void read()
+    {
+        this->parser.emplace();
+        this->parser->body_limit(maximumBodyBytes);
+        http::async_read(*this->stream, this->buffer, *this->parser,
+            [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                if (error)
+                    return self->lost(error);
+                self->answer();
+            });
+    }
+
+    void answer()
+    {
+        HttpAnswer answer;
+        http::response<http::string_body> response = this->parser->release();
+        answer.statusCode = response.result_int();
+        answer.retryAfterSeconds = secondsOf(response[http::field::retry_after]);
+        answer.body = std::move(response.body());
+        if (response.keep_alive())
+            this->stream->expires_never();
+        else
+            this->stream.reset();
+        this->finish(std::move(answer));
+    }
+
+    // A server may close an idle connection while a request is on its way; the caller decides whether to send it again.
+    void lost(beast::error_code error)
+    {
+        if (error == beast::error::timeout)
+            return this->fail(HttpError::TimedOut, "no answer in " + std::to_string(this->timeout.count()) + " ms");
+        this->fail(HttpError::ConnectionLost, error.message());
+    }
+
+    void fail(HttpError code, const std::string& detail)
+    {
+        this->stream.reset();
+        this->finish(Core::Error(code, this->address + ": " + detail));
+    }
+
+    void finish(Core::Result<HttpAnswer> result)
+    {
+        const Handler waiting = std::exchange(this->handler, {});
+        if (waiting)
+            waiting(std::move(result));
+    }
+
+    std::optional<beast::tcp_stream> stream;
+    beast::flat_buffer buffer;
+    http::request<http::string_body> outgoing;
+    std::optional<http::response_parser<http::string_body>> parser;
+    std::chrono::milliseconds timeout {};
+    bool isReused = false;
+    Handler handler;
+};
+
+HttpConnection::HttpConnection(asio::io_context& context, std::string address)
+    : implementation(std::make_shared<Implementation>(context, std::move(address)))
+{
+}
+
+HttpConnection::~HttpConnection() { this->implementation->close(); }
+
+void HttpConnection::request(HttpRequest request, Core::Duration timeout, Handler handler)
+{
+    this->implementation->request(std::move(request), timeout, std::move(handler));
+}
+
+const std::string& HttpConnection::address() const { return this->implementation->address; }
+
+Core::Result<HttpAnswer> httpCall(const std::string& address, HttpRequest request, Core::Duration timeout)
+{
+    asio::io_context context;
+    HttpConnection connection(context, address);
+    std::optional<Core::Result<HttpAnswer>> result;
+    connection.request(
+        std::move(request), timeout, [&](Core::Result<HttpAnswer> answer) { result = std::move(answer); });
+    context.run();
+    CELERY_ASSERT(result.has_value());
+    return std::move(*result);
+}
+
+}
--- /dev/null
+++ b/celeryswitch/Load/HttpConnection.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "celeryswitch/Core/Clock.h"
+#include "celeryswitch/Core/Result.h"
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace celeryswitch::Load {
+
+/// Why a request has no answer.
+enum class HttpError : std::uint8_t {
+    /// The address is no "address:port" with an IP number.
+    BadAddress,
+    /// No connection was established; the request was not sent.
+    ConnectFailed,
+    /// The connection ended after the request may have been sent.
+    ConnectionLost,
+    /// No answer within the timeout; the request may have been sent.
+    TimedOut,
+};
+
+/// A request to an HTTP server.
+struct HttpRequest {
+    std::string method = "GET";
+    /// Path with query.
+    std::string path = "/";
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+/// A server's answer.
+struct HttpAnswer {
+    unsigned statusCode = 0;
+    /// Seconds of the Retry-After header; 0 when there is none.
+    std::uint32_t retryAfterSeconds = 0;
+    std::string body;
+};
+
+/// A keep-alive HTTP/1.1 connection with one request at a time. It connects when it is first used and again after a
+/// loss. Every function runs on the io_context's thread.
+class HttpConnection {
+public:
+    /// Called once with the answer or the reason that there is none, never from inside `request`.
+    using Handler = std::function<void(Core::Result<HttpAnswer>)>;
+
+    /// `address` is "address:port" with an IP number; `context` outlives the connection.
+    HttpConnection(boost::asio::io_context& context, std::string address);
+    ~HttpConnection();
+    HttpConnection(const HttpConnection&) = delete;
+    HttpConnection& operator=(const HttpConnection&) = delete;
+
+    /// Sends a request; none may be waiting.
+    void request(HttpRequest request, Core::Duration timeout, Handler handler);
+    /// Address of the server.
+    const std::string& address() const;
+
+private:
+    class Implementation;
+    std::shared_ptr<Implementation> implementation;
+};
+
+/// Sends one request on a connection of its own and waits for the answer.
+Core::Result<HttpAnswer> httpCall(const std::string& address, HttpRequest request, Core::Duration timeout);
+
+}
+
+namespace celeryswitch::Core {
+
+template <> struct EnumTable<Load::HttpError> {
+    static constexpr std::string_view type = "HttpError";
+    static constexpr std::array<std::pair<Load::HttpError, std::string_view>, 4> names { {
+        { Load::HttpError::BadAddress, "BadAddress" },
+        { Load::HttpError::ConnectFailed, "ConnectFailed" },
+        { Load::HttpError::ConnectionLost, "ConnectionLost" },
+        { Load::HttpError::TimedOut, "TimedOut" },
+    } };
+};
+
+}
