Add the load tool and the commands on jobs

The tool submits at planned times whatever the answers do, from several callers over keep-alive connections, resubmits lost requests with the same key to another entry, and checks each answer: results that belong to the request, one result a task, sums that agree, and, when fake endpoints are named, that no task started twice and that never started is true.

--- a/Program/ConfigurationOperations.cpp
+++ b/Program/ConfigurationOperations.cpp
@@ -4,24 +4,24 @@
 
 boost::json::object setOperation(Configuration::ConfigurationKey key, std::int64_t value)
 {
-    return { { "op", "setDefault" }, { "key", Core::enumName(key) }, { "value", value } };
+    return { { "operation", "setDefault" }, { "key", Core::enumName(key) }, { "value", value } };
 }
 
 boost::json::object resetOperation(Configuration::ConfigurationKey key)
 {
-    return { { "op", "clearDefault" }, { "key", Core::enumName(key) } };
+    return { { "operation", "unsetDefault" }, { "key", Core::enumName(key) } };
 }
 
 boost::json::object addExceptionOperation(const Configuration::ConfigurationException& exception)
 {
-    return { { "op", "addException" }, { "id", exception.exceptionId },
-        { "scope", Core::enumName(exception.scopeKind) }, { "name", exception.scopeName },
+    return { { "operation", "addException" }, { "exceptionId", exception.exceptionId },
+        { "scopeKind", Core::enumName(exception.scopeKind) }, { "scopeName", exception.scopeName },
         { "key", Core::enumName(exception.key) }, { "value", exception.value }, { "reason", exception.reason } };
 }
 
 boost::json::object removeExceptionOperation(const std::string& exceptionId)
 {
-    return { { "op", "removeException" }, { "id", exceptionId } };
+    return { { "operation", "removeException" }, { "exceptionId", exceptionId } };
 }
 
 boost::json::array drainOperations(const std::string& endpoint, bool isUndo, const std::string& reason)
--- a/Program/Main.cpp
+++ b/Program/Main.cpp
@@ -14,13 +14,15 @@
     std::string_view help;
 };
 
-constexpr std::array<Command, 7> commands { {
+constexpr std::array<Command, 9> commands { {
     { "check", runCheck, "check a settings file and report every problem" },
     { "config", runConfig, "show and change the configuration of the fleet" },
     { "drain", runMembers, "stop new work for an endpoint, or let it come back" },
     { "members", runMembers, "list members and replicas, replace a replica" },
+    { "job", runJob, "show or cancel a job" },
     { "report", runReport, "print what ran, failed and never started" },
     { "audit", runAudit, "list or verify the audit trail" },
+    { "load", runLoad, "put load on entries and check every answer" },
     { "help", nullptr, "print this text" },
 } };
 
--- /dev/null
+++ b/celeryswitch/Load/FleetProbe.cpp
@@ -0,0 +1,76 @@
+#include "celeryswitch/Load/FleetProbe.h"
+
+#include "celeryswitch/Load/HttpConnection.h"
+#include <boost/json.hpp>
+#include <cstdlib>
+#include <sstream>
+
+namespace celeryswitch::Load {
+
+namespace {
+
+constexpr std::chrono::seconds probeTimeout { 5 };
+
+std::optional<std::string> bodyOf(const std::string& address, const std::string& path, const std::string& token)
+{
+    HttpRequest request { "GET", path, {}, {} };
+    if (!token.empty())
+        request.headers["Authorization"] = "Bearer " + token;
+    Core::Result<HttpAnswer> answer = httpCall(address, std::move(request), probeTimeout);
+    if (!answer || answer.value().statusCode != 200)
+        return std::nullopt;
+    return std::move(answer.value().body);
+}
+
+}
+
+std::optional<double> metricSum(const std::string& exposition, const std::string& name)
+{
+    std::optional<double> sum;
+    std::istringstream stream(exposition);
+    for (std::string line; std::getline(stream, line);) {
+        const std::size_t space = line.rfind(' ');
+        const bool isSeries = line.compare(0, name.size(), name) == 0 && space != std::string::npos
+            && (line[name.size()] == ' ' || line[name.size()] == '{');
+        if (isSeries)
+            sum = sum.value_or(0) + std::strtod(line.c_str() + space, nullptr);
+    }
+    return sum;
+}
+
+std::optional<double> metricSumOf(
+    const std::vector<std::string>& entries, const std::vector<std::string>& names, const std::string& token)
+{
+    double sum = 0;
+    for (const std::string& entry : entries) {
+        const std::optional<std::string> exposition = bodyOf(entry, "/metrics", token);
+        if (!exposition)
+            return std::nullopt;
+        for (const std::string& name : names) {
+            const std::optional<double> value = metricSum(*exposition, name);
+            if (!value)
+                return std::nullopt;
+            sum += *value;
+        }
+    }
+    return sum;
+}
+
+std::optional<std::unordered_map<std::string, std::uint64_t>> startsOf(const std::vector<std::string>& endpoints)
+{
+    std::unordered_map<std::string, std::uint64_t> starts;
+    for (const std::string& endpoint : endpoints) {
+        const std::optional<std::string> body = bodyOf(endpoint, "/starts", {});
+        boost::system::error_code error;
+        const boost::json::value value = body ? boost::json::parse(*body, error) : boost::json::value();
+        if (error || !value.is_object())
+            return std::nullopt;
+        for (const auto& start : value.as_object()) {
+            if (start.value().is_int64())
+                starts[std::string(start.key())] += static_cast<std::uint64_t>(start.value().as_int64());
+        }
+    }
+    return starts;
+}
+
+}
