Let tests switch the epoch and clock echo checks of the fence off

The at-most-once explorer has to show that it notices when a mechanism is missing. Both fields default to the checks being on and are read nowhere else.

--- a/celeryswitch/Ownership/TaskFence.cpp
+++ b/celeryswitch/Ownership/TaskFence.cpp
@@ -15,12 +15,13 @@
 
 TaskReason TaskFence::check(Core::SteadyTime now, const Messages::StartTasks& start)
 {
-    if (!this->raise(start.partition, start.epoch))
+    if (!this->raise(start.partition, start.epoch) && this->settings.isEpochChecked)
         return TaskReason::StaleEpoch;
     const std::int64_t age = Core::toClockSample(now) - start.clockEcho;
     const auto validity = std::chrono::duration_cast<std::chrono::microseconds>(this->settings.startValidity).count();
     // A sample from the future was not given by this incarnation.
-    if (start.sidecarIncarnation != this->settings.incarnation || age < 0 || age > validity)
+    const bool isEchoValid = start.sidecarIncarnation == this->settings.incarnation && age >= 0 && age <= validity;
+    if (!isEchoValid && this->settings.isClockEchoChecked)
         return TaskReason::StaleClockEcho;
     return TaskReason::None;
 }
--- a/celeryswitch/Ownership/TaskFence.h
+++ b/celeryswitch/Ownership/TaskFence.h
@@ -23,6 +23,10 @@
     /// Bytes of result bodies that are kept; the oldest bodies are dropped first. Half of the send queue of a
     /// connection, so that all records can be sent to a new owner at once.
     std::size_t resultBytes = 16 * 1024 * 1024;
+    /// Tests only: false accepts starts of replaced owners.
+    bool isEpochChecked = true;
+    /// Tests only: false accepts starts whatever clock sample they echo.
+    bool isClockEchoChecked = true;
 };
 
 /// A sidecar's memory of the tasks it accepted; keeps each task from starting twice here and tells a new owner of a
