--- /dev/null
+++ b/UnitTests/Ownership/AtMostOnceExplorerTest.cpp
@@ -0,0 +1,52 @@
+#include "ExplorerWorld.h"
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+
+using namespace celeryswitch;
+using namespace celeryswitch::Explorer;
+
+namespace {
+
+// Runs schedules until one breaks a promise; returns its seed and what was broken.
+std::optional<std::pair<std::uint64_t, std::string>> explore(
+    std::uint64_t firstSeed, std::uint64_t count, const Mechanisms& mechanisms, Coverage& coverage)
+{
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + count; ++seed) {
+        try {
+            World(seed, mechanisms, coverage).run();
+        } catch (const Violation& violation) {
+            return std::pair(seed, std::string(violation.what()));
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t numberFrom(const char* variable, std::uint64_t fallback)
+{
+    const char* text = std::getenv(variable);
+    return text ? std::stoull(text) : fallback;
+}
+
+}
+
+// Guards against any sequence of delays, losses, freezes, crashes and restarts that starts a task twice, or that makes
+// an answer partial, false or another caller's. CELERYSWITCH_SEED replays one schedule.
+TEST_CASE("no schedule breaks the at-most-once promises", "[Ownership][explorer]")
+{
+    const bool isReplay = std::getenv("CELERYSWITCH_SEED") != nullptr;
+    const std::uint64_t count = isReplay ? 1 : numberFrom("CELERYSWITCH_SCHEDULES", 10000);
+    Coverage coverage;
+    const auto begin = std::chrono::steady_clock::now();
+    const auto broken = explore(numberFrom("CELERYSWITCH_SEED", 1), count, {}, coverage);
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begin;
+    std::cout << "explorer: " << count << " schedules in " << took.count() << " s, " << coverage.starts << " starts, "
+              << coverage.complete << " complete and " << coverage.failed << " failed answers, " << coverage.notRun
+              << " not-run and " << coverage.mayHaveRun << " may-have-run answers, " << coverage.transfers
+              << " transfers, " << coverage.neverStartedTasks << " never started and " << coverage.unconfirmedTasks
+              << " unconfirmed tasks\n";
+    if (broken)
+        FAIL("CELERYSWITCH_SEED=" << broken->first << ": " << broken->second);
+    REQUIRE(coverage.starts > count / 2);
+}
