Notice silent entries, and isolate entries in the explorer

Between entries only a closed connection counted as loss, so that a silent partition kept forwarded requests waiting and partitions in place. Entries now send TeamUsage every second, with or without content, and give up a peer after 3 s of silence.

--- a/UnitTests/Ownership/ExplorerWorld.cpp
+++ b/UnitTests/Ownership/ExplorerWorld.cpp
@@ -6,8 +6,11 @@
 
 namespace {
 
-constexpr Core::Duration scheduleLength = std::chrono::seconds(24);
-constexpr Core::Duration faultsEnd = std::chrono::seconds(17);
+// Faults and new jobs end before the schedule does. One schedule in sixteen is long enough for a takeover and the skew
+// allowance to pass during one isolation.
+constexpr Core::Duration shortFaults = std::chrono::seconds(17);
+constexpr Core::Duration longFaults = std::chrono::seconds(38);
+constexpr Core::Duration settleTime = std::chrono::seconds(7);
 constexpr std::uint32_t slots = 2;
 
 std::string addressOf(std::uint32_t process) { return "process-" + std::to_string(process); }
@@ -56,6 +59,7 @@
               this->toEntry({ entry, this->entries[entry].life }, request);
               return true;
           })
+    , isLong(this->loop.choose(16) == 0)
     , freezePerMille(this->loop.choose(3) == 0 ? 4 : 0)
 {
 }
@@ -70,9 +74,10 @@
             this->startSidecar(process);
         this->tick(process);
     }
+    const Core::Duration faultsEnd = this->isLong ? longFaults : shortFaults;
     this->callers.plan(faultsEnd + std::chrono::seconds(1));
-    this->planFaults(faultsEnd);
-    this->loop.runUntil(scheduleLength);
+    this->planFaults(this->isLong ? std::chrono::seconds(10) : faultsEnd);
+    this->loop.runUntil(faultsEnd + settleTime);
     this->coverage.transfers += this->state.transfers;
 }
 
@@ -365,12 +370,20 @@
         this->entries[entry].cutFromStateUntil = this->loop.now + this->loop.span(4000, 12000);
         return this->network.stall(entry, sidecar, this->loop.span(4000, 12000));
     case 10:
-        this->entries[entry].cutFromStateUntil = this->loop.now + this->loop.span(4000, 12000);
-        for (std::uint32_t process = 0; process < this->entries.size(); ++process) {
-            if (process != entry)
-                this->network.block(process, sidecar, this->loop.span(4000, 12000));
-        }
-        return;
+        return this->isolate(entry, sidecar);
+    }
+}
+
+// An entry loses the state service and the other entries, and keeps a sidecar that the others lose.
+void World::isolate(std::uint32_t entry, std::uint32_t sidecar)
+{
+    const Core::Duration span = this->isLong ? this->loop.span(15000, 30000) : this->loop.span(4000, 12000);
+    this->entries[entry].cutFromStateUntil = this->loop.now + span;
+    for (std::uint32_t process = 0; process < this->entries.size(); ++process) {
+        if (process == entry)
+            continue;
+        this->network.block(process, entry, span);
+        this->network.block(process, sidecar, span);
     }
 }
 
--- a/UnitTests/Ownership/ExplorerWorld.h
+++ b/UnitTests/Ownership/ExplorerWorld.h
@@ -59,6 +59,7 @@
     void tick(std::uint32_t process);
     void planFaults(Core::Duration until);
     void fault();
+    void isolate(std::uint32_t entry, std::uint32_t sidecar);
 
     Loop loop;
     Mechanisms mechanisms;
@@ -68,6 +69,7 @@
     Network network;
     StateService state;
     Callers callers;
+    bool isLong = false;
     // Chance in a thousand that an entry freezes between a decision and its effects.
     std::uint32_t freezePerMille = 0;
 };
--- a/celeryswitch/Entry/EntryCore.cpp
+++ b/celeryswitch/Entry/EntryCore.cpp
@@ -145,6 +145,7 @@
             { forwarded->requestId, forwarded->operation, forwarded->waitMilliseconds,
                 std::move(forwarded->submission) });
     } else if (const auto* usage = std::get_if<Messages::TeamUsage>(&message)) {
+        this->forwarding.heard(peer);
         this->dispatcher.teamUsageReceived(this->context.now, peer, *usage);
     } else if (const auto* fetch = std::get_if<Messages::FetchConfiguration>(&message)) {
         this->deliverConfiguration(connectionId, fetch->knownVersion);
@@ -252,9 +253,8 @@
 void EntryCore::tickSlowly()
 {
     this->table.expire(this->context.wallMilliseconds);
-    const Messages::TeamUsage usage = this->dispatcher.takeTeamUsage(this->context.now);
-    if (!usage.teams.empty())
-        this->forwarding.sendToAll(usage);
+    // Sent without content, too: entries notice each other's silence by it.
+    this->forwarding.sendToAll(this->dispatcher.takeTeamUsage(this->context.now));
     for (const Core::PartitionId partition : this->leases.held()) {
         const Ownership::PartitionRecovery* recovery = this->driver.recovery(partition);
         if (recovery)
--- a/celeryswitch/Entry/Forwarding.cpp
+++ b/celeryswitch/Entry/Forwarding.cpp
@@ -6,6 +6,8 @@
 
 constexpr Core::Duration reconnectInterval = std::chrono::milliseconds(300);
 constexpr Core::Duration helloTimeout = std::chrono::seconds(3);
+// Entries exchange the use of quotas once a second; one that is silent for longer is cut off or gone.
+constexpr Core::Duration silenceLimit = std::chrono::seconds(3);
 // Time beyond the caller's wait after which a forwarded request is taken for lost.
 constexpr Core::Duration answerAllowance = std::chrono::seconds(3);
 
@@ -32,7 +34,7 @@
         link.member = *member;
         if (isNew || isRestarted) {
             this->drop(link);
-            link.lastOpen = this->context.now;
+            link.lastHeard = this->context.now;
             link.nextAttempt = this->context.now;
         }
     }
@@ -73,6 +75,14 @@
         return;
     }
     link.isOpen = true;
+    link.lastHeard = this->context.now;
+}
+
+void Forwarding::heard(const Core::InstanceId& entryId)
+{
+    const auto found = this->links.find(entryId);
+    if (found != this->links.end())
+        found->second.lastHeard = this->context.now;
 }
 
 bool Forwarding::forward(const Core::InstanceId& entryId, const CallerRequest& request)
@@ -111,9 +121,9 @@
 void Forwarding::tick()
 {
     for (auto& [entryId, link] : this->links) {
-        if (link.isOpen)
-            link.lastOpen = this->context.now;
-        else if (link.connectionId != 0 && this->context.now > link.helloDeadline)
+        const bool isSilent = link.isOpen ? this->context.now - link.lastHeard > silenceLimit
+                                          : link.connectionId != 0 && this->context.now > link.helloDeadline;
+        if (isSilent)
             this->drop(link);
         if (link.connectionId != 0 || this->context.now < link.nextAttempt)
             continue;
@@ -137,7 +147,7 @@
 {
     std::vector<Core::InstanceId> entries;
     for (const auto& [entryId, link] : this->links) {
-        if (!link.isOpen && this->context.now - link.lastOpen > span)
+        if (!link.isOpen && this->context.now - link.lastHeard > span)
             entries.push_back(entryId);
     }
     return entries;
--- a/celeryswitch/Entry/Forwarding.h
+++ b/celeryswitch/Entry/Forwarding.h
@@ -34,11 +34,13 @@
     bool forward(const Core::InstanceId& entryId, const CallerRequest& request);
     /// Handles an answer from an entry.
     void answerReceived(const Messages::ForwardedAnswer& answer);
+    /// An entry sent a frame on any connection.
+    void heard(const Core::InstanceId& entryId);
     /// Sends a message to every connected entry.
     void sendToAll(const Messages::PeerMessage& message);
-    /// Opens connections and ends requests without an answer.
+    /// Opens connections, gives up silent ones, and ends requests without an answer.
     void tick();
-    /// Entries that were registered and have had no connection for this long.
+    /// Registered entries without a connection that have been silent for this long.
     std::vector<Core::InstanceId> unreachableFor(Core::Duration span) const;
 
 private:
@@ -46,7 +48,7 @@
         Messages::Member member;
         ConnectionId connectionId = 0;
         bool isOpen = false;
-        Core::SteadyTime lastOpen {};
+        Core::SteadyTime lastHeard {};
         Core::SteadyTime nextAttempt {};
         Core::SteadyTime helloDeadline {};
     };
