--- /dev/null
+++ b/celeryswitch/Sidecar/PeerLoop.cpp
@@ -0,0 +1,201 @@
+#include "celeryswitch/Sidecar/PeerLoop.h"
+
+#include "celeryswitch/Network/MessageCodec.h"
+#include <boost/asio/post.hpp>
+
+namespace celeryswitch::Sidecar {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Actions that may wait for the peer thread.
+constexpr std::size_t ringCapacity = 16 * 1024;
+// Wait before a connection's end is reported again to a decision thread whose ring was full.
+constexpr std::chrono::milliseconds reportRetryDelay { 5 };
+// Time without any entry after which the sidecar registers again: a state replica may have removed it as dead.
+constexpr std::chrono::seconds unheardLimit { 10 };
+// Wait before a failed registration is repeated.
+constexpr std::chrono::milliseconds registrationRetryDelay { 500 };
+constexpr std::chrono::seconds registrationTimeout { 5 };
+
+}
+
+PeerLoop::PeerLoop(Parts parts)
+    : parts(std::move(parts))
+    , context(1)
+    , work(this->context.get_executor())
+    , transport(this->context, this->parts.settings.authentication)
+    , stateClient(this->context, this->transport, { this->parts.identity, this->parts.settings.stateAddresses })
+    , ring(ringCapacity,
+          [this] {
+              if (!this->isDrainPosted.exchange(true))
+                  asio::post(this->context, [this] { this->drainActions(); });
+          })
+    , reportTimer(this->context)
+    , registrationTimer(this->context)
+{
+}
+
+Core::Result<void> PeerLoop::open()
+{
+    this->member.identity = this->parts.identity;
+    BOOST_OUTCOME_TRY(this->member.peerAddress,
+        this->transport.listen(this->parts.settings.peerAddress,
+            [this](Network::PeerConnectionPointer connection) { this->accepted(std::move(connection)); }));
+    BOOST_OUTCOME_TRY(this->member.datagramAddress,
+        this->transport.bindDatagram(
+            this->parts.settings.datagramAddress, [this](std::string payload, std::string fromAddress) {
+                this->datagramReceived(payload, std::move(fromAddress));
+            }));
+    asio::post(this->context, [this] { this->registerMember(); });
+    return Core::success();
+}
+
+std::uint64_t PeerLoop::rejectedCount() const
+{
+    return this->transport.rejectedCount() + this->malformed.load(std::memory_order_relaxed);
+}
+
+void PeerLoop::accepted(Network::PeerConnectionPointer connection)
+{
+    const ConnectionId connectionId = ++this->lastConnectionId;
+    this->connections[connectionId] = connection;
+    this->parts.log("peer connected", connection->remoteAddress());
+    this->report(PeerOpened { connectionId });
+    connection->start([this, connectionId](std::string payload) { this->frameReceived(connectionId, payload); },
+        [this, connectionId](const std::string& reason) { this->drop(connectionId, reason); });
+}
+
+void PeerLoop::frameReceived(ConnectionId connectionId, const std::string& payload)
+{
+    auto message = Network::decodeMessage<Messages::PeerMessage>(payload);
+    if (!message) {
+        this->malformed.fetch_add(1, std::memory_order_relaxed);
+        return this->drop(connectionId, message.error().message());
+    }
+    // A lost frame would leave both sides with different views, so the connection ends and the entry reconciles.
+    if (!this->unreported.empty()
+        || !this->parts.toDecision.tryPush(PeerFrame { connectionId, std::move(message).value() }))
+        this->drop(connectionId, "the decision thread is overloaded");
+}
+
+void PeerLoop::datagramReceived(const std::string& payload, std::string fromAddress)
+{
+    auto datagram = Network::decodeMessage<Messages::PeerDatagram>(payload);
+    auto* heartbeat = datagram ? std::get_if<Messages::EntryHeartbeat>(&datagram.value()) : nullptr;
+    if (!heartbeat) {
+        this->malformed.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    this->lastHeard = std::chrono::steady_clock::now();
+    static_cast<void>(this->parts.toDecision.tryPush(PeerHeartbeat { std::move(*heartbeat), std::move(fromAddress) }));
+}
+
+void PeerLoop::report(PeerEvent event)
+{
+    if (this->unreported.empty() && this->parts.toDecision.tryPush(std::move(event)))
+        return;
+    this->unreported.push_back(std::move(event));
+    this->flushReports();
+}
+
+void PeerLoop::flushReports()
+{
+    while (!this->unreported.empty() && this->parts.toDecision.tryPush(std::move(this->unreported.front())))
+        this->unreported.pop_front();
+    if (this->unreported.empty())
+        return;
+    this->reportTimer.expires_after(reportRetryDelay);
+    this->reportTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            this->flushReports();
+    });
+}
+
+void PeerLoop::drop(ConnectionId connectionId, const std::string& reason)
+{
+    const auto found = this->connections.find(connectionId);
+    if (found == this->connections.end())
+        return;
+    this->parts.log("peer disconnected", found->second->remoteAddress() + ": " + reason);
+    found->second->close();
+    this->connections.erase(found);
+    this->report(PeerClosed { connectionId });
+}
+
+void PeerLoop::drainActions()
+{
+    this->isDrainPosted.store(false);
+    this->ring.drain([this](Action action) { this->handle(action); });
+}
+
+void PeerLoop::handle(Action& action)
+{
+    if (auto* frame = std::get_if<SendFrame>(&action)) {
+        const auto found = this->connections.find(frame->connectionId);
+        if (found != this->connections.end() && !found->second->send(Network::encodeMessage(frame->message)))
+            this->drop(frame->connectionId, "the send queue is full");
+    } else if (const auto* close = std::get_if<CloseConnection>(&action)) {
+        const auto found = this->connections.find(close->connectionId);
+        if (found != this->connections.end()) {
+            found->second->close();
+            this->connections.erase(found);
+        }
+    } else if (const auto* heartbeat = std::get_if<SendHeartbeat>(&action)) {
+        this->transport.sendDatagram(
+            heartbeat->address, Network::encodeMessage(Messages::PeerDatagram(heartbeat->heartbeat)));
+    }
+}
+
+void PeerLoop::registerMember()
+{
+    if (this->parts.registration) {
+        this->parts.registration(this->member);
+        return;
+    }
+    if (this->parts.settings.stateAddresses.empty())
+        return;
+    this->stateClient.request(
+        Messages::RegisterMember { this->member }, registrationTimeout, [this](const auto& reply) {
+            if (!this->work.owns_work())
+                return;
+            const bool isRegistered = reply && reply.value().refusal == Messages::StateRefusal::None;
+            if (isRegistered)
+                this->parts.log("registered", this->member.peerAddress);
+            else
+                this->parts.log("registration failed",
+                    reply ? std::string(Core::enumName(reply.value().refusal)) : reply.error().message());
+            this->scheduleRegistration(isRegistered ? unheardLimit : registrationRetryDelay);
+        });
+}
+
+void PeerLoop::scheduleRegistration(std::chrono::milliseconds delay)
+{
+    this->registrationTimer.expires_after(delay);
+    this->registrationTimer.async_wait([this, delay](const boost::system::error_code& error) {
+        if (error)
+            return;
+        if (delay == unheardLimit && this->lastHeard + unheardLimit > std::chrono::steady_clock::now())
+            this->scheduleRegistration(unheardLimit);
+        else
+            this->registerMember();
+    });
+}
+
+void PeerLoop::finish()
+{
+    asio::post(this->context, [this] {
+        this->drainActions();
+        this->transport.stop();
+        this->work.reset();
+        this->stateClient.stop();
+        this->reportTimer.cancel();
+        this->registrationTimer.cancel();
+        for (const auto& entry : this->connections)
+            entry.second->close();
+        this->connections.clear();
+    });
+}
+
+}
--- a/celeryswitch/Sidecar/SidecarActions.h
+++ b/celeryswitch/Sidecar/SidecarActions.h
@@ -47,6 +47,39 @@
     Messages::TaskResult result;
 };
 
+/// A probe of the endpoint ended.
+struct ProbeResult {
+    bool isAnswering = false;
+};
+
+/// A peer has connected and proved its key.
+struct PeerOpened {
+    ConnectionId connectionId = 0;
+};
+
+/// A connection was lost.
+struct PeerClosed {
+    ConnectionId connectionId = 0;
+};
+
+/// A frame arrived.
+struct PeerFrame {
+    ConnectionId connectionId = 0;
+    Messages::PeerMessage message;
+};
+
+/// A heartbeat arrived from a UDP address.
+struct PeerHeartbeat {
+    Messages::EntryHeartbeat heartbeat;
+    std::string fromAddress;
+};
+
+/// What the peer thread tells the decision thread.
+using PeerEvent = std::variant<PeerOpened, PeerClosed, PeerFrame, PeerHeartbeat>;
+
+/// What the endpoint thread tells the decision thread.
+using EndpointEvent = std::variant<ProbeResult, CallResult>;
+
 /// Counts since the start of the process.
 struct SidecarCounts {
     std::uint64_t accepted = 0;
