--- /dev/null
+++ b/UnitTests/Dispatch/CreditAllocatorTest.cpp
@@ -0,0 +1,151 @@
+#include "celeryswitch/Dispatch/CreditAllocator.h"
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace celeryswitch;
+using Dispatch::CreditAllocator;
+
+namespace {
+
+const Core::SteadyTime start { std::chrono::seconds(100) };
+// A report that nothing waits.
+const Messages::Backlog nothing { 0, 1e6 };
+
+// Credits that a list of changes grants to an entry.
+std::uint32_t granted(const std::vector<Dispatch::CreditChange>& changes, const std::string& entryId)
+{
+    std::uint32_t count = 0;
+    for (const Dispatch::CreditChange& change : changes)
+        count += change.entryId == entryId ? change.granted : 0;
+    return count;
+}
+
+std::uint32_t recalled(const std::vector<Dispatch::CreditChange>& changes, const std::string& entryId)
+{
+    std::uint32_t count = 0;
+    for (const Dispatch::CreditChange& change : changes)
+        count += change.entryId == entryId ? change.recalled : 0;
+    return count;
+}
+
+}
+
+// Guards against a free slot that wanders although its entry has use for it, or stays although another needs it more.
+TEST_CASE("a slot goes back to its entry unless another is more pressing", "[Dispatch]")
+{
+    CreditAllocator allocator(2);
+    allocator.addEntry("a", true);
+    REQUIRE(granted(allocator.assign(start), "a") == 2);
+    allocator.addEntry("b", true);
+    REQUIRE(allocator.use("a", 2) == 2);
+    REQUIRE(allocator.use("a", 1) == 0);
+    allocator.setBacklog(start, "a", { 5, 10 });
+    allocator.setBacklog(start, "b", { 1, 9.5 });
+    allocator.slotFreed("a");
+    REQUIRE(granted(allocator.assign(start), "a") == 1);
+    REQUIRE(allocator.use("a", 1) == 1);
+    allocator.setBacklog(start, "b", { 1, 8 });
+    allocator.slotFreed("a");
+    REQUIRE(granted(allocator.assign(start), "b") == 1);
+    // A report loses its force when the task has long started elsewhere.
+    allocator.slotFreed("a");
+    allocator.setBacklog(start, "a", nothing);
+    REQUIRE(granted(allocator.assign(start + std::chrono::milliseconds(301)), "a") == 1);
+}
+
+// Guards against idle credits that lie at one entry while tasks wait at another.
+TEST_CASE("idle credits are recalled for an entry whose task waits", "[Dispatch]")
+{
+    CreditAllocator allocator(4);
+    allocator.addEntry("a", true);
+    allocator.addEntry("b", false);
+    REQUIRE(granted(allocator.assign(start), "a") == 4);
+    allocator.setBacklog(start, "a", nothing);
+    allocator.setBacklog(start, "b", { 2, 1 });
+    REQUIRE(recalled(allocator.assign(start), "a") == 1);
+    REQUIRE(allocator.assign(start).empty());
+    allocator.creditsReturned("a", 1);
+    REQUIRE(granted(allocator.assign(start), "b") == 1);
+    // An entry that needs its credits itself is not asked.
+    allocator.setBacklog(start, "a", { 9, 1 });
+    allocator.setBacklog(start, "b", { 2, 1 });
+    REQUIRE(allocator.use("b", 1) == 1);
+    REQUIRE(recalled(allocator.assign(start), "a") == 0);
+}
+
+// Guards against a second entry that gets no credits because the first one holds them all.
+TEST_CASE("a new entry gets its share of idle credits", "[Dispatch]")
+{
+    CreditAllocator allocator(8);
+    allocator.addEntry("a", true);
+    REQUIRE(granted(allocator.assign(start), "a") == 8);
+    allocator.addEntry("b", true);
+    REQUIRE(recalled(allocator.assign(start), "a") == 4);
+    allocator.creditsReturned("a", 4);
+    REQUIRE(granted(allocator.assign(start), "b") == 4);
+}
+
+// Guards against credits that are lost or doubled when an entry leaves, comes back or drains.
+TEST_CASE("credits of a lost entry come back, those of running tasks when they end", "[Dispatch]")
+{
+    CreditAllocator allocator(3);
+    allocator.addEntry("a", true);
+    allocator.assign(start);
+    REQUIRE(allocator.use("a", 2) == 2);
+    allocator.removeEntry("a");
+    REQUIRE(allocator.freeSlots() == 1);
+    allocator.addEntry("a", true);
+    REQUIRE(granted(allocator.assign(start), "a") == 1);
+    allocator.slotFreed("a");
+    REQUIRE(granted(allocator.assign(start), "a") == 1);
+    allocator.setAccepting(false);
+    REQUIRE(recalled(allocator.assign(start), "a") == 2);
+    allocator.slotFreed("a");
+    allocator.creditsReturned("a", 9);
+    REQUIRE(allocator.assign(start).empty());
+    REQUIRE(allocator.freeSlots() == 3);
+    allocator.setAccepting(true);
+    REQUIRE(granted(allocator.assign(start), "a") == 3);
+}
+
+// Guards against any order of events that loses or invents a slot; seeded.
+TEST_CASE("the number of slots never changes", "[Dispatch]")
+{
+    std::mt19937 random(11);
+    CreditAllocator allocator(8);
+    const std::vector<std::string> ids { "a", "b", "c" };
+    std::map<std::string, std::uint32_t> running;
+    for (int step = 0; step < 20000; ++step) {
+        const std::string& id = ids[random() % ids.size()];
+        const Core::SteadyTime now = start + std::chrono::milliseconds(step);
+        switch (random() % 8) {
+        case 0:
+            allocator.addEntry(id, random() % 2 == 0);
+            break;
+        case 1:
+            if (random() % 10 == 0)
+                allocator.removeEntry(id);
+            break;
+        case 2:
+            allocator.setBacklog(now, id, { static_cast<std::uint32_t>(random() % 4), double(random() % 20) });
+            break;
+        case 3:
+            allocator.creditsReturned(id, random() % 3);
+            break;
+        case 4:
+            allocator.setQueued(id, random() % 3);
+            break;
+        case 5:
+            running[id] += allocator.use(id, random() % 4);
+            break;
+        default:
+            if (running[id] > 0) {
+                --running[id];
+                allocator.slotFreed(id);
+            }
+        }
+        for (const Dispatch::CreditChange& change : allocator.assign(now))
+            running[change.entryId] += change.forQueue;
+        REQUIRE(allocator.freeSlots() + running["a"] + running["b"] + running["c"] == 8);
+    }
+}
--- a/celeryswitch/Dispatch/CreditAllocator.cpp
+++ b/celeryswitch/Dispatch/CreditAllocator.cpp
@@ -2,14 +2,35 @@
 
 #include "celeryswitch/Core/Assert.h"
 #include <algorithm>
+#include <utility>
 
 namespace celeryswitch::Dispatch {
 
-std::uint32_t CreditAllocator::EntryCredits::waiting() const
+namespace {
+
+// Ranks from here on mean that nothing waits; see DispatcherState::backlogOf.
+constexpr double idleRank = 1e6;
+// Difference of ranks that is worth a message.
+constexpr double moveMargin = 1;
+// Preference for entries in the same data centre, in ranks.
+constexpr double nearBonus = 1;
+// A report that a task waits says nothing after this time, because the task has started elsewhere since.
+constexpr std::chrono::milliseconds waitingValidity { 300 };
+
+}
+
+bool CreditAllocator::EntryCredits::isWaiting(Core::SteadyTime now) const
 {
-    if (!this->isConnected || this->backlog.queuedTasks <= this->idle)
-        return 0;
-    return this->backlog.queuedTasks - this->idle;
+    return this->isConnected && this->backlog.queuedTasks > this->idle && this->backlog.bestRank < idleRank
+        && now - this->reportedAt <= waitingValidity;
+}
+
+double CreditAllocator::EntryCredits::rank(Core::SteadyTime now) const
+{
+    const double bonus = this->isNear ? nearBonus : 0;
+    if (this->isWaiting(now))
+        return this->backlog.bestRank - bonus;
+    return std::max(idleRank, this->backlog.bestRank) - bonus;
 }
 
 CreditAllocator::CreditAllocator(std::uint32_t slots)
@@ -18,12 +39,16 @@
 {
 }
 
-void CreditAllocator::addEntry(const Core::InstanceId& entryId)
+void CreditAllocator::addEntry(const Core::InstanceId& entryId, bool isNear)
 {
     this->removeEntry(entryId);
     EntryCredits& entry = this->entries[entryId];
     entry.isConnected = true;
-    entry.initialShare = std::max<std::uint32_t>(1, this->slots / this->connectedCount());
+    entry.isNear = isNear;
+    const bool hasNear = std::any_of(this->entries.begin(), this->entries.end(),
+        [](const auto& other) { return other.second.isConnected && other.second.isNear; });
+    if (isNear || !hasNear)
+        entry.initialShare = std::max<std::uint32_t>(1, this->slots / this->sharingCount());
 }
 
 void CreditAllocator::removeEntry(const Core::InstanceId& entryId)
@@ -36,15 +61,19 @@
     entry.isConnected = false;
     entry.idle = entry.recalled = entry.initialShare = 0;
     entry.backlog = {};
+    entry.isReportNew = false;
     this->removeIfUnused(entryId);
 }
 
-void CreditAllocator::setBacklog(const Core::InstanceId& entryId, const Messages::Backlog& backlog)
+void CreditAllocator::setBacklog(
+    Core::SteadyTime now, const Core::InstanceId& entryId, const Messages::Backlog& backlog)
 {
     const auto found = this->entries.find(entryId);
     if (found == this->entries.end())
         return;
     found->second.backlog = backlog;
+    found->second.reportedAt = now;
+    found->second.isReportNew = true;
 }
 
 void CreditAllocator::allowRecall(const Core::InstanceId& entryId)
@@ -92,11 +121,11 @@
     this->removeIfUnused(entryId);
 }
 
-std::vector<CreditChange> CreditAllocator::assign()
+std::vector<CreditChange> CreditAllocator::assign(Core::SteadyTime now)
 {
     std::map<Core::InstanceId, CreditChange> changes;
     while (this->isAccepting && !this->free.empty()) {
-        const auto chosen = this->choose(this->free.front());
+        const auto chosen = this->choose(now, this->free.front());
         if (chosen == this->entries.end())
             break;
         this->free.pop_front();
@@ -110,10 +139,10 @@
             ++entry.idle;
             ++change.granted;
         }
-        if (entry.held() >= entry.initialShare)
+        if (entry.idle + entry.running >= entry.initialShare)
             entry.initialShare = 0;
     }
-    this->recall(changes);
+    this->recall(now, changes);
     std::vector<CreditChange> list;
     list.reserve(changes.size());
     for (auto& [entryId, change] : changes) {
@@ -123,75 +152,70 @@
     return list;
 }
 
-CreditAllocator::Entries::iterator CreditAllocator::choose(const Core::InstanceId& preferred)
+CreditAllocator::Entries::iterator CreditAllocator::choose(Core::SteadyTime now, const Core::InstanceId& preferred)
 {
-    const auto wanting = std::count_if(
-        this->entries.begin(), this->entries.end(), [](const auto& entry) { return entry.second.isWanting(); });
-    const std::uint32_t fairShare = this->slots / static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, wanting));
-    auto best = this->entries.end();
+    const auto owner = this->entries.find(preferred);
+    if (owner != this->entries.end() && owner->second.queued > 0)
+        return owner;
+    // Tasks whose partition moved wait in the queue of an entry that has no slot running here.
+    const auto stranded = std::find_if(
+        this->entries.begin(), this->entries.end(), [](const auto& entry) { return entry.second.queued > 0; });
+    if (stranded != this->entries.end())
+        return stranded;
+    auto best = owner != this->entries.end() && owner->second.isConnected ? owner : this->entries.end();
+    double bestRank = best != this->entries.end() ? best->second.rank(now) - moveMargin : 0;
     for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
-        if (!entry->second.isConnected && entry->second.queued == 0)
+        if (!entry->second.isConnected || entry == best)
             continue;
-        if (best == this->entries.end() || this->isMorePressing(*entry, *best, preferred, fairShare))
+        // A new entry's share comes before credits that nobody waits for.
+        const double rank = entry->second.initialShare > 0
+            ? std::min(entry->second.rank(now), idleRank - 2 * moveMargin)
+            : entry->second.rank(now);
+        const bool isTie = best != this->entries.end() && best != owner && rank == bestRank
+            && entry->second.idle < best->second.idle;
+        if (best == this->entries.end() || rank < bestRank || isTie) {
             best = entry;
+            bestRank = rank;
+        }
     }
     return best;
 }
 
-bool CreditAllocator::isMorePressing(const Entries::value_type& candidate, const Entries::value_type& best,
-    const Core::InstanceId& preferred, std::uint32_t fairShare) const
-{
-    const EntryCredits& first = candidate.second;
-    const EntryCredits& second = best.second;
-    if (first.isWanting() != second.isWanting())
-        return first.isWanting();
-    if (first.isWanting()) {
-        // Tasks that an entry which is gone left in the queue take the slots that no one else wants.
-        if (first.isConnected != second.isConnected)
-            return first.isConnected;
-        // Reported ranks are up to a heartbeat old, so they never push an entry below half of its fair share.
-        const bool isFirstShort = 2 * first.held() < fairShare;
-        const bool isSecondShort = 2 * second.held() < fairShare;
-        if (isFirstShort != isSecondShort)
-            return isFirstShort;
-        if (first.backlog.bestRank != second.backlog.bestRank)
-            return first.backlog.bestRank < second.backlog.bestRank;
-    } else if ((first.initialShare > 0) != (second.initialShare > 0)) {
-        return first.initialShare > 0;
+void CreditAllocator::recall(Core::SteadyTime now, std::map<Core::InstanceId, CreditChange>& changes)
+{
+    if (!this->isAccepting) {
+        this->recallFor(now, {}, 0, this->slots, changes);
+        return;
+    }
+    const std::uint32_t share = this->slots / std::max<std::uint32_t>(1, this->sharingCount());
+    for (auto& [entryId, entry] : this->entries) {
+        const std::uint32_t held = entry.idle + entry.running;
+        if (entry.initialShare > held)
+            this->recallFor(now, entryId, share, entry.initialShare - held, changes);
+        if (std::exchange(entry.isReportNew, false) && entry.isWaiting(now) && entry.idle == 0)
+            this->recallFor(now, entryId, 0, 1, changes);
     }
-    if ((candidate.first == preferred) != (best.first == preferred))
-        return candidate.first == preferred;
-    return first.held() < second.held();
 }
 
-void CreditAllocator::recall(std::map<Core::InstanceId, CreditChange>& changes)
+void CreditAllocator::recallFor(Core::SteadyTime now, const Core::InstanceId& waitingId, std::uint32_t keep,
+    std::uint32_t count, std::map<Core::InstanceId, CreditChange>& changes)
 {
-    std::uint32_t needed = 0;
-    std::uint32_t initial = 0;
-    std::uint32_t outstanding = 0;
-    for (const auto& [entryId, entry] : this->entries) {
-        needed += entry.queued + entry.waiting();
-        if (entry.initialShare > entry.held())
-            initial += entry.initialShare - entry.held();
-        outstanding += entry.recalled;
-    }
-    needed -= std::min(needed, outstanding);
-    initial -= std::min(initial, outstanding);
-    const std::uint32_t fairShare = this->slots / std::max<std::uint32_t>(1, this->connectedCount());
-    for (auto& [entryId, entry] : this->entries) {
-        if (entry.idle == 0 || entry.recalled != 0 || (this->isAccepting && entry.isWanting()))
-            continue;
-        std::uint32_t count = entry.idle;
-        if (this->isAccepting) {
-            const std::uint32_t surplus = entry.idle > fairShare ? entry.idle - fairShare : 0;
-            count = std::min(entry.idle, std::max(needed, std::min(initial, surplus)));
-            needed -= std::min(needed, count);
-            initial -= std::min(initial, count);
+    while (count > 0) {
+        auto victim = this->entries.end();
+        for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
+            const EntryCredits& candidate = entry->second;
+            const bool isSpared = this->isAccepting && candidate.isWaiting(now);
+            if (entry->first == waitingId || candidate.idle <= keep || candidate.recalled != 0 || isSpared)
+                continue;
+            if (victim == this->entries.end() || candidate.rank(now) > victim->second.rank(now))
+                victim = entry;
         }
-        if (count == 0)
-            continue;
-        entry.recalled = count;
-        changes[entryId].recalled = count;
+        if (victim == this->entries.end())
+            return;
+        EntryCredits& lender = victim->second;
+        lender.recalled = std::min(count, lender.idle - keep);
+        changes[victim->first].recalled = lender.recalled;
+        count -= lender.recalled;
     }
 }
 
@@ -203,10 +227,15 @@
         this->entries.erase(found);
 }
 
-std::uint32_t CreditAllocator::connectedCount() const
+std::uint32_t CreditAllocator::sharingCount() const
 {
-    return static_cast<std::uint32_t>(std::count_if(
-        this->entries.begin(), this->entries.end(), [](const auto& entry) { return entry.second.isConnected; }));
+    std::uint32_t near = 0;
+    std::uint32_t connected = 0;
+    for (const auto& [entryId, entry] : this->entries) {
+        connected += entry.isConnected ? 1 : 0;
+        near += entry.isConnected && entry.isNear ? 1 : 0;
+    }
+    return near > 0 ? near : connected;
 }
 
 std::uint32_t CreditAllocator::idle(const Core::InstanceId& entryId) const
@@ -215,10 +244,10 @@
     return found != this->entries.end() ? found->second.idle : 0;
 }
 
-std::uint32_t CreditAllocator::waiting(const Core::InstanceId& entryId) const
+bool CreditAllocator::isWaiting(Core::SteadyTime now, const Core::InstanceId& entryId) const
 {
     const auto found = this->entries.find(entryId);
-    return found != this->entries.end() ? found->second.waiting() : 0;
+    return found != this->entries.end() && found->second.isWaiting(now);
 }
 
 std::uint32_t CreditAllocator::freeSlots() const
--- a/celeryswitch/Dispatch/CreditAllocator.h
+++ b/celeryswitch/Dispatch/CreditAllocator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "celeryswitch/Core/Clock.h"
 #include "celeryswitch/Messages/TaskMessages.h"
 #include <deque>
 #include <map>
@@ -18,18 +19,20 @@
     std::uint32_t recalled = 0;
 };
 
-/// Gives the slots of one sidecar to entries as credits. A free slot goes back to the entry whose task ended unless
-/// another entry's backlog is more pressing; idle credits are asked back when another entry has tasks waiting. Pure.
+/// Gives the slots of one sidecar to entries as credits. A free slot goes to the queued tasks of the entry whose task
+/// ended, else to that entry as a credit, unless the rank that another entry reported is lower by more than the price
+/// of a message. Idle credits are asked back, one a report, when an entry has a task waiting and no credit here. Pure.
 class CreditAllocator {
 public:
     explicit CreditAllocator(std::uint32_t slots);
 
-    /// Adds an entry without credits. A known one loses its idle credits; its running tasks stay counted.
-    void addEntry(const Core::InstanceId& entryId);
+    /// Adds an entry without credits; `isNear` tells whether it is in the sidecar's data centre. A known one loses its
+    /// idle credits; its running tasks stay counted.
+    void addEntry(const Core::InstanceId& entryId, bool isNear);
     /// An entry is gone: its idle credits come back now, those of its running tasks when they end.
     void removeEntry(const Core::InstanceId& entryId);
     /// Newest backlog reported by an entry.
-    void setBacklog(const Core::InstanceId& entryId, const Messages::Backlog& backlog);
+    void setBacklog(Core::SteadyTime now, const Core::InstanceId& entryId, const Messages::Backlog& backlog);
     /// Forgets a recall that the entry did not answer, so that it can be made again.
     void allowRecall(const Core::InstanceId& entryId);
     /// Tasks of an entry in the sidecar's queue; kept for entries that are gone, too.
@@ -44,46 +47,47 @@
     void setAccepting(bool isAccepting) { this->isAccepting = isAccepting; }
 
     /// Gives every free slot and recalls idle credits; one element for each entry that is concerned.
-    std::vector<CreditChange> assign();
+    std::vector<CreditChange> assign(Core::SteadyTime now);
 
     /// Idle credits of an entry.
     std::uint32_t idle(const Core::InstanceId& entryId) const;
-    /// Tasks that wait at an entry for credits it does not hold yet.
-    std::uint32_t waiting(const Core::InstanceId& entryId) const;
+    /// Whether tasks wait at an entry for credits that it does not hold yet.
+    bool isWaiting(Core::SteadyTime now, const Core::InstanceId& entryId) const;
     /// Slots in which nothing runs: free ones and idle credits.
     std::uint32_t freeSlots() const;
 
 private:
     struct EntryCredits {
         bool isConnected = false;
+        bool isNear = false;
         std::uint32_t idle = 0;
         std::uint32_t running = 0;
         std::uint32_t queued = 0;
         // Idle credits asked back and not returned yet.
         std::uint32_t recalled = 0;
-        // Slots that a new entry gets without waiting for its backlog; 0 once it has had them.
+        // Slots that a new entry gets before it has reported anything; 0 once it has had them.
         std::uint32_t initialShare = 0;
+        // Whether the newest report has not been looked at for a recall yet.
+        bool isReportNew = false;
         Messages::Backlog backlog;
+        Core::SteadyTime reportedAt {};
 
-        std::uint32_t held() const { return this->idle + this->running; }
-        // Tasks waiting at the entry beyond its idle credits.
-        std::uint32_t waiting() const;
-        // Whether a slot would be used at once.
-        bool isWanting() const { return this->queued > 0 || this->waiting() > 0; }
+        bool isWaiting(Core::SteadyTime now) const;
+        // Rank for the choice of a slot's next holder; lower goes first.
+        double rank(Core::SteadyTime now) const;
     };
     using Entries = std::map<Core::InstanceId, EntryCredits>;
 
-    // Entry that gets a free slot whose last task was `preferred`'s; end() when no entry is connected.
-    Entries::iterator choose(const Core::InstanceId& preferred);
-    // Whether `candidate` goes before `best` for a slot.
-    bool isMorePressing(const Entries::value_type& candidate, const Entries::value_type& best,
-        const Core::InstanceId& preferred, std::uint32_t fairShare) const;
-    // Asks idle credits back from entries that have no use for them.
-    void recall(std::map<Core::InstanceId, CreditChange>& changes);
+    // Entry that gets a free slot whose last task was `preferred`'s; end() when nobody can use it.
+    Entries::iterator choose(Core::SteadyTime now, const Core::InstanceId& preferred);
+    // Asks back idle credits for entries whose tasks wait, for new entries, or all of them when not accepting.
+    void recall(Core::SteadyTime now, std::map<Core::InstanceId, CreditChange>& changes);
+    void recallFor(Core::SteadyTime now, const Core::InstanceId& waitingId, std::uint32_t keep, std::uint32_t count,
+        std::map<Core::InstanceId, CreditChange>& changes);
     // Forgets an entry that is gone and has nothing here any more.
     void removeIfUnused(const Core::InstanceId& entryId);
-    // Entries that have a connection.
-    std::uint32_t connectedCount() const;
+    // Connected entries that share the slots at the start: the near ones, or all when none is near.
+    std::uint32_t sharingCount() const;
 
     std::uint32_t slots;
     bool isAccepting = true;
--- a/celeryswitch/Sidecar/SidecarActions.h
+++ b/celeryswitch/Sidecar/SidecarActions.h
@@ -47,11 +47,6 @@
     Messages::TaskResult result;
 };
 
-/// A probe of the endpoint ended.
-struct ProbeResult {
-    bool isAnswering = false;
-};
-
 /// A peer has connected and proved its key.
 struct PeerOpened {
     ConnectionId connectionId = 0;
@@ -77,8 +72,13 @@
 /// What the peer thread tells the decision thread.
 using PeerEvent = std::variant<PeerOpened, PeerClosed, PeerFrame, PeerHeartbeat>;
 
-/// What the endpoint thread tells the decision thread.
-using EndpointEvent = std::variant<ProbeResult, CallResult>;
+/// What the endpoint thread tells the decision thread: a call ended, or a probe.
+struct EndpointEvent {
+    bool isProbe = false;
+    /// For a probe: whether the endpoint accepted the connection.
+    bool isAnswering = false;
+    CallResult call;
+};
 
 /// Counts since the start of the process.
 struct SidecarCounts {
--- a/celeryswitch/Sidecar/SidecarCore.cpp
+++ b/celeryswitch/Sidecar/SidecarCore.cpp
@@ -74,7 +74,7 @@
     else if (const auto* revoke = std::get_if<Messages::RevokeTasks>(&message))
         this->take(now, entryId, *revoke);
     else if (const auto* creditReturn = std::get_if<Messages::CreditReturn>(&message))
-        this->take(entryId, *creditReturn);
+        this->take(now, entryId, *creditReturn);
     else if (const auto* recover = std::get_if<Messages::RecoverPartition>(&message))
         this->take(entryId, *recover);
     else if (const auto* delivery = std::get_if<Messages::ConfigurationDelivery>(&message))
@@ -92,7 +92,7 @@
     entry.connectionId = connectionId;
     entry.lastHeard = now;
     this->connections[connectionId] = hello.instanceId;
-    this->allocator.addEntry(hello.instanceId);
+    this->allocator.addEntry(hello.instanceId, hello.dataCentre == this->settings.identity.dataCentre);
     this->allocator.setQueued(hello.instanceId, static_cast<std::uint32_t>(entry.queue.size()));
     this->send(hello.instanceId, this->settings.identity);
     this->assignSlots(now);
@@ -108,7 +108,7 @@
     entry.heartbeatAddress = fromAddress;
     if (entry.connectionId == 0)
         return;
-    this->allocator.setBacklog(heartbeat.instanceId, heartbeat.backlog);
+    this->allocator.setBacklog(now, heartbeat.instanceId, heartbeat.backlog);
     this->allocator.allowRecall(heartbeat.instanceId);
     if (heartbeat.configurationVersion > this->configuration.version && now >= this->nextConfigurationFetch) {
         this->nextConfigurationFetch = now + configurationFetchInterval;
@@ -119,7 +119,7 @@
 void SidecarCore::take(
     Core::SteadyTime now, Core::WallTime wallNow, const Core::InstanceId& entryId, Messages::StartTasks& message)
 {
-    this->allocator.setBacklog(entryId, message.backlog);
+    this->allocator.setBacklog(now, entryId, message.backlog);
     const std::uint32_t used = this->allocator.use(entryId, message.credits);
     const TaskReason reason = this->refusal(now, message, used);
     const bool isStale = reason == TaskReason::StaleEpoch || reason == TaskReason::StaleClockEcho;
@@ -203,9 +203,9 @@
     this->allocator.setQueued(entryId, static_cast<std::uint32_t>(entry.queue.size()));
 }
 
-void SidecarCore::take(const Core::InstanceId& entryId, const Messages::CreditReturn& message)
+void SidecarCore::take(Core::SteadyTime now, const Core::InstanceId& entryId, const Messages::CreditReturn& message)
 {
-    this->allocator.setBacklog(entryId, message.backlog);
+    this->allocator.setBacklog(now, entryId, message.backlog);
     this->allocator.creditsReturned(entryId, message.credits);
 }
 
--- a/celeryswitch/Sidecar/SidecarCore.h
+++ b/celeryswitch/Sidecar/SidecarCore.h
@@ -131,7 +131,7 @@
     void take(
         Core::SteadyTime now, Core::WallTime wallNow, const Core::InstanceId& entryId, Messages::StartTasks& message);
     void take(Core::SteadyTime now, const Core::InstanceId& entryId, const Messages::RevokeTasks& message);
-    void take(const Core::InstanceId& entryId, const Messages::CreditReturn& message);
+    void take(Core::SteadyTime now, const Core::InstanceId& entryId, const Messages::CreditReturn& message);
     void take(const Core::InstanceId& entryId, const Messages::RecoverPartition& message);
     void take(Core::SteadyTime now, const Messages::ConfigurationDelivery& message);
 
--- a/celeryswitch/Sidecar/SidecarCorePoll.cpp
+++ b/celeryswitch/Sidecar/SidecarCorePoll.cpp
@@ -149,7 +149,7 @@
     const auto entry = this->entries.find(ended.entryId);
     if (entry == this->entries.end())
         return now;
-    const bool isWaiting = this->allocator.waiting(ended.entryId) > 0;
+    const bool isWaiting = this->allocator.isWaiting(now, ended.entryId);
     if (entry->second.granted > 0) {
         if (isWaiting)
             return now;
@@ -174,7 +174,7 @@
 void SidecarCore::assignSlots(Core::SteadyTime now)
 {
     // Starting queued tasks frees slots again when a deadline has passed.
-    for (auto changes = this->allocator.assign(); !changes.empty(); changes = this->allocator.assign()) {
+    for (auto changes = this->allocator.assign(now); !changes.empty(); changes = this->allocator.assign(now)) {
         for (const Dispatch::CreditChange& change : changes) {
             Entry& entry = this->entries.at(change.entryId);
             if (change.granted > 0)
--- a/celeryswitch/Sidecar/SidecarProcess.cpp
+++ b/celeryswitch/Sidecar/SidecarProcess.cpp
@@ -141,10 +141,10 @@
 
     void take(Core::SteadyTime now, Core::WallTime wallNow, EndpointEvent& event)
     {
-        if (auto* result = std::get_if<CallResult>(&event))
-            this->core.callFinished(now, wallNow, std::move(*result));
+        if (event.isProbe)
+            this->core.probeFinished(now, event.isAnswering);
         else
-            this->core.probeFinished(now, std::get<ProbeResult>(event).isAnswering);
+            this->core.callFinished(now, wallNow, std::move(event.call));
     }
 
     void take(Core::SteadyTime now, Core::WallTime wallNow, PeerEvent& event)
@@ -183,9 +183,11 @@
     {
         this->toEndpoint.drain([this](Action action) {
             if (auto* call = std::get_if<StartCall>(&action))
-                this->client.call(std::move(*call), [this](CallResult result) { this->report(std::move(result)); });
+                this->client.call(std::move(*call), [this](CallResult result) {
+                    this->report({ false, false, std::move(result) });
+                });
             else
-                this->client.probe([this](bool isAnswering) { this->report(ProbeResult { isAnswering }); });
+                this->client.probe([this](bool isAnswering) { this->report({ true, isAnswering, {} }); });
         });
     }
 
