--- a/celeryswitch/Consensus/ReplicaFollowing.cpp
+++ b/celeryswitch/Consensus/ReplicaFollowing.cpp
@@ -1,7 +1,7 @@
 // The receiving side of replication in Replica.
 #include "celeryswitch/Consensus/Replica.h"
+#include "celeryswitch/Consensus/StoredCodec.h"
 #include "celeryswitch/Core/Assert.h"
-#include "celeryswitch/Network/MessageCodec.h"
 
 namespace celeryswitch::Consensus {
 
@@ -107,7 +107,7 @@
         this->reply(request.from, answer);
         return;
     }
-    Core::Result<Snapshot> decoded = Network::decodeMessage<Snapshot>(this->incomingSnapshot);
+    Core::Result<Snapshot> decoded = decodeStored<Snapshot>(this->incomingSnapshot);
     this->incomingSnapshot.clear();
     this->incomingSnapshotOf = {};
     if (!decoded)
--- a/celeryswitch/Consensus/ReplicaLog.cpp
+++ b/celeryswitch/Consensus/ReplicaLog.cpp
@@ -1,7 +1,7 @@
 #include "celeryswitch/Consensus/ReplicaLog.h"
 
+#include "celeryswitch/Consensus/StoredCodec.h"
 #include "celeryswitch/Core/Assert.h"
-#include "celeryswitch/Network/MessageCodec.h"
 
 namespace celeryswitch::Consensus {
 
@@ -45,7 +45,7 @@
 {
     CELERY_ASSERT(entry.index == this->lastIndex() + 1);
     if (entry.kind == Messages::EntryKind::Group) {
-        Core::Result<ReplicaGroup> group = Network::decodeMessage<ReplicaGroup>(entry.payload);
+        Core::Result<ReplicaGroup> group = decodeStored<ReplicaGroup>(entry.payload);
         CELERY_ASSERT(group.has_value());
         this->groups.emplace_back(entry.index, std::move(group).value());
     }
--- a/celeryswitch/Consensus/ReplicaTypes.h
+++ b/celeryswitch/Consensus/ReplicaTypes.h
@@ -90,14 +90,20 @@
 struct SaveTerm {
     Term term = 0;
     ReplicaId votedFor;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->term, this->votedFor); }
 };
 /// Store entries after the stored ones.
 struct SaveEntries {
     std::vector<LogEntry> entries;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->entries); }
 };
 /// Forget the stored entry `first` and all after it.
 struct ForgetEntries {
     LogIndex first = 0;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->first); }
 };
 /// Store a snapshot and replace the stored log by these entries.
 struct SaveSnapshot {
--- /dev/null
+++ b/celeryswitch/State/StateCore.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include "celeryswitch/Consensus/Replica.h"
+#include "celeryswitch/Membership/LeaseBook.h"
+#include "celeryswitch/State/StateMachine.h"
+#include <map>
+#include <unordered_map>
+#include <variant>
+
+namespace celeryswitch::State {
+
+/// Settings of a state core; fixed for its life.
+struct StateCoreSettings {
+    Consensus::ReplicaSettings replica;
+    Membership::LeaseTiming leaseTiming;
+    /// Applied entries after which a snapshot shortens the log.
+    std::uint64_t snapshotThreshold = 1000;
+    /// Long polls that one replica holds; more are refused as busy.
+    std::size_t watcherLimit = 20'000;
+    StateMachineSettings machine;
+};
+
+/// A request on a client's connection.
+struct ClientRequest {
+    std::uint64_t connection = 0;
+    Messages::StateRequest request;
+};
+
+/// A client's connection has ended; its requests need no answer.
+struct ClientGone {
+    std::uint64_t connection = 0;
+};
+
+/// An answer for a client's connection.
+struct ClientReply {
+    std::uint64_t connection = 0;
+    Messages::StateReply reply;
+};
+
+/// Everything that a state core reacts to.
+using StateInput = std::variant<Consensus::TimePassed, ClientRequest, ClientGone, Consensus::MessageReceived,
+    Consensus::StorageSynced, Consensus::StorageFailed>;
+
+/// What a step asks for.
+struct StateOutput {
+    std::vector<Consensus::StorageOperation> storage;
+    std::uint64_t storageSequence = 0;
+    std::vector<Consensus::Outgoing> messages;
+    std::vector<ClientReply> replies;
+};
+
+/// Decisions of a state replica: consensus, state machine, leases and the requests that wait. Pure like Replica.
+class StateCore {
+public:
+    StateCore(StateCoreSettings settings, Consensus::RecoveredState recovered, Core::SteadyTime now);
+
+    /// Reacts to an input; `wallMilliseconds` since 1970 is put in proposed records.
+    StateOutput step(Core::SteadyTime now, std::int64_t wallMilliseconds, StateInput input);
+    /// When TimePassed is due although nothing else happens.
+    Core::SteadyTime nextWakeUp() const;
+    /// The replica, for status and tests.
+    const Consensus::Replica& replica() const { return this->consensus; }
+    /// The applied state.
+    const StateMachine& machine() const { return this->stateMachine; }
+    /// Entries applied so far.
+    std::uint64_t appliedIndex() const { return this->applied; }
+    /// Status as JSON.
+    std::string status() const;
+
+private:
+    /// A request that waits for consensus.
+    struct Waiting {
+        std::uint64_t connection = 0;
+        Messages::StateRequest request;
+    };
+    /// A long poll.
+    struct Watcher {
+        std::uint64_t connection = 0;
+        std::uint64_t requestId = 0;
+        std::uint64_t knownVersion = 0;
+        Core::SteadyTime due;
+    };
+    /// A proposal in the log.
+    struct Proposed {
+        std::uint64_t token = 0;
+        Consensus::Term term = 0;
+        /// Set for a transfer of partitions.
+        std::optional<Membership::GrantPartitions> grant;
+    };
+
+    void handle(ClientRequest& input);
+    void handle(ClientGone& input);
+    template <typename Event> void handle(Event& event) { this->stepReplica(std::move(event)); }
+
+    void request(std::uint64_t token, const Messages::WatchView& body);
+    void request(std::uint64_t token, const Messages::AcquirePartitions& body);
+    void request(std::uint64_t token, const Messages::ReplaceReplica& body);
+    void request(std::uint64_t token, const Messages::QueryReplicaStatus& body);
+    // Requests that are answered from the applied state once the leadership is confirmed.
+    void request(std::uint64_t token, const Messages::RenewLeases&) { this->stepReplica(Consensus::Read { token }); }
+    void request(std::uint64_t token, const Messages::QueryReport&) { this->stepReplica(Consensus::Read { token }); }
+    void request(std::uint64_t token, const Messages::QueryAudit&) { this->stepReplica(Consensus::Read { token }); }
+    // Requests that become a record of the log as they are.
+    template <typename Body> void request(std::uint64_t token, const Body& body)
+    {
+        this->propose(token, StateCommand { this->wallTime, body }, std::nullopt);
+    }
+
+    Messages::StateReply read(const Messages::RenewLeases& body);
+    Messages::StateReply read(const Messages::QueryReport& body);
+    Messages::StateReply read(const Messages::QueryAudit& body);
+    // The other requests are never read.
+    template <typename Body> Messages::StateReply read(const Body&) { return {}; }
+    // The leases of an owner, which are confirmed for their full length from now on.
+    Messages::LeaseGrant confirmLeases(const Core::InstanceId& owner, Core::Incarnation incarnation);
+
+    void propose(std::uint64_t token, const StateCommand& command, std::optional<Membership::GrantPartitions> grant);
+    void stepReplica(Consensus::ReplicaEvent event);
+    void carryOut(Consensus::ReplicaActions actions);
+    void apply(const Messages::LogEntry& entry);
+    void takeSnapshotIfDue();
+    // Ends or begins what only a leader does.
+    void followRole();
+    void answerWatchers();
+    void answer(std::uint64_t token, Messages::StateReply reply);
+    void refuse(std::uint64_t token, Messages::StateRefusal refusal, std::string detail = {});
+
+    StateCoreSettings settings;
+    StateMachine stateMachine;
+    Consensus::Replica consensus;
+    Membership::LeaseBook leases;
+    std::uint64_t applied = 0;
+    bool isLeading = false;
+    std::uint64_t lastToken = 0;
+    std::unordered_map<std::uint64_t, Waiting> waiting;
+    std::map<Consensus::LogIndex, Proposed> proposals;
+    /// Acquisitions that wait until a new leader has applied the records of earlier terms.
+    std::vector<std::uint64_t> waitingForLeadership;
+    std::vector<Watcher> watchers;
+    /// View version that the watchers were last compared with.
+    std::uint64_t announcedVersion = 0;
+    std::optional<Membership::GrantPartitions> grantBeingProposed;
+    Core::SteadyTime now;
+    std::int64_t wallTime = 0;
+    StateOutput output;
+};
+
+}
--- /dev/null
+++ b/celeryswitch/State/StateMachine.cpp
@@ -0,0 +1,186 @@
+#include "celeryswitch/State/StateMachine.h"
+
+#include "celeryswitch/Configuration/ConfigurationChange.h"
+#include "celeryswitch/Consensus/StoredCodec.h"
+#include "celeryswitch/Core/Assert.h"
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace celeryswitch::State {
+
+using Messages::StateRefusal;
+using Messages::StateReply;
+
+/// Serialized form of a state machine.
+struct StateMachineImage {
+    StateMachine& machine;
+
+    template <typename Archive> void serialize(Archive& archive) { this->machine.archiveState(archive); }
+};
+
+namespace {
+
+// Hash of everything that a change says.
+std::uint64_t fingerprint(const Messages::ProposeChange& change)
+{
+    const std::string bytes = Network::encodeMessage(change);
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+// Answer with a body.
+template <typename Body> StateReply answer(Body body)
+{
+    StateReply reply;
+    reply.body = std::move(body);
+    return reply;
+}
+
+// Answer that refuses.
+StateReply refuse(StateRefusal refusal, std::string detail)
+{
+    StateReply reply;
+    reply.refusal = refusal;
+    reply.detail = std::move(detail);
+    return reply;
+}
+
+}
+
+StateMachine::StateMachine(StateMachineSettings settings)
+    : settings(settings)
+{
+}
+
+StateReply StateMachine::apply(std::uint64_t index, const std::string& command)
+{
+    Core::Result<StateCommand> decoded = Consensus::decodeStored<StateCommand>(command);
+    CELERY_ASSERT(decoded.has_value());
+    this->currentIndex = index;
+    this->time = std::max(this->time, decoded.value().time);
+    return std::visit([this](const auto& body) { return this->applyBody(body); }, decoded.value().body);
+}
+
+std::string StateMachine::snapshot() const
+{
+    // Saving does not change the machine; the archive function is shared with loading.
+    return Network::encodeMessage(StateMachineImage { const_cast<StateMachine&>(*this) });
+}
+
+Core::Result<void> StateMachine::restore(const std::string& bytes)
+{
+    StateMachine restored(this->settings);
+    if (!bytes.empty()) {
+        Network::MessageInputArchive archive(bytes);
+        StateMachineImage image { restored };
+        try {
+            archive(image);
+        } catch (const std::exception& failure) {
+            return Core::Error(Network::CodecError::Malformed, std::string("state snapshot: ") + failure.what());
+        }
+    }
+    *this = std::move(restored);
+    return Core::success();
+}
+
+Messages::FleetView StateMachine::view() const
+{
+    return { this->changedIndex, this->document.version, Network::encodeMessage(this->document),
+        this->memberTable.all(), this->partitionTable.all() };
+}
+
+StateReply StateMachine::applyBody(const Messages::RegisterMember& command)
+{
+    if (this->memberTable.registerMember(this->time, command.member))
+        this->changedIndex = this->currentIndex;
+    return answer(Messages::Done {});
+}
+
+StateReply StateMachine::applyBody(const Messages::RemoveMember& command)
+{
+    if (!this->memberTable.removeMember(this->time, command))
+        return refuse(StateRefusal::UnknownMember, command.instanceId);
+    this->changedIndex = this->currentIndex;
+    return answer(Messages::Done {});
+}
+
+StateReply StateMachine::applyBody(const Membership::GrantPartitions& command)
+{
+    // The owner may have registered with a new incarnation since the leader looked.
+    if (!this->memberTable.isCurrent(command.owner, command.ownerIncarnation))
+        return refuse(StateRefusal::UnknownMember, command.owner);
+    if (this->partitionTable.grant(this->time, command))
+        this->changedIndex = this->currentIndex;
+    return answer(Messages::LeaseGrant { this->partitionTable.heldBy(command.owner, command.ownerIncarnation), 0, 0 });
+}
+
+StateReply StateMachine::applyBody(const Messages::ReleasePartitions& command)
+{
+    if (this->partitionTable.release(command))
+        this->changedIndex = this->currentIndex;
+    return answer(Messages::LeaseGrant { this->partitionTable.heldBy(command.owner, command.ownerIncarnation), 0, 0 });
+}
+
+StateReply StateMachine::applyBody(const Messages::ProposeChange& command)
+{
+    const std::uint64_t hash = fingerprint(command);
+    const ChangeMemory::Answer* known
+        = this->settings.isChangeRemembered ? this->changeMemory.find(command.changeId) : nullptr;
+    if (known && known->fingerprint != hash)
+        return refuse(StateRefusal::InvalidChange,
+            "change id \"" + command.changeId + "\" was used before for a change with another content");
+    ChangeMemory::Answer decided;
+    if (known) {
+        decided = *known;
+    } else {
+        decided = this->decideChange(command);
+        decided.fingerprint = hash;
+        this->changeMemory.remember(command.changeId, decided);
+    }
+    if (decided.refusal != StateRefusal::None)
+        return refuse(decided.refusal, decided.detail);
+    return answer(Messages::ChangeAccepted { decided.version });
+}
+
+ChangeMemory::Answer StateMachine::decideChange(const Messages::ProposeChange& command)
+{
+    ChangeMemory::Answer decided;
+    Configuration::AuditEntry record { this->time, command.changeId, command.author, command.reason,
+        this->document.version, this->document.version, "accepted", "", "", "" };
+    const auto reject = [&](StateRefusal refusal, std::string detail) {
+        decided.refusal = refusal;
+        decided.detail = std::move(detail);
+        record.outcome = Core::enumName(refusal);
+        record.detail = decided.detail;
+    };
+    if (this->settings.isVersionCompared && command.expectedVersion != this->document.version) {
+        reject(StateRefusal::VersionConflict,
+            "version is " + std::to_string(this->document.version) + ", not " + std::to_string(command.expectedVersion)
+                + "; it was made by " + this->lastChange);
+    } else {
+        Core::Result<Configuration::CheckedChange> checked
+            = Configuration::checkChange(this->document, command.operations, command.reason);
+        if (command.changeId.empty() || command.author.empty()) {
+            reject(StateRefusal::InvalidChange, "a change needs an id and an author");
+        } else if (!checked) {
+            reject(StateRefusal::InvalidChange, checked.error().message());
+        } else {
+            this->document = std::move(checked.value().document);
+            this->lastChange = "change \"" + command.changeId + "\" of " + command.author;
+            this->changedIndex = this->currentIndex;
+            decided.version = this->document.version;
+            record.toVersion = this->document.version;
+            record.before = std::move(checked.value().before);
+            record.after = std::move(checked.value().after);
+        }
+    }
+    this->auditTrail.append(record);
+    return decided;
+}
+
+StateReply StateMachine::applyBody(const Messages::AppendReport& command)
+{
+    this->reportTable.append(this->time, command);
+    return answer(Messages::Done {});
+}
+
+}
--- /dev/null
+++ b/celeryswitch/State/StateSettings.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "celeryswitch/Core/Clock.h"
+#include "celeryswitch/Network/PeerTransport.h"
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace celeryswitch::State {
+
+/// Settings of a state replica's process.
+struct StateSettings {
+    /// Name of the replica, unique among the state replicas.
+    std::string replicaName;
+    std::string dataCentre;
+    std::string rack;
+    /// "address:port" of the frame listener; port 0 is chosen by the system and only allowed for a single replica.
+    std::string peerAddress;
+    /// Folder for everything durable.
+    std::string dataFolder;
+    /// Replicas of the first group, by name, with their addresses; empty means a single replica. A replica that joins
+    /// later lists the others but not itself.
+    std::map<std::string, std::string> initialReplicas;
+    Network::AuthenticationKeys authenticationKeys;
+    /// Applied records after which a snapshot shortens the log; 1 or more.
+    std::uint64_t snapshotThreshold = 1000;
+    Core::Duration heartbeatInterval = std::chrono::milliseconds(100);
+    Core::Duration electionTimeoutMinimum = std::chrono::milliseconds(400);
+    Core::Duration electionTimeoutMaximum = std::chrono::milliseconds(800);
+};
+
+}
