--- /dev/null
+++ b/celeryswitch/State/Wakeup.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "celeryswitch/Core/Clock.h"
+#include <condition_variable>
+#include <mutex>
+
+namespace celeryswitch::State {
+
+/// Lets one thread sleep until another has work for it.
+class Wakeup {
+public:
+    /// Wakes the sleeper, or keeps its next sleep from beginning.
+    void notify()
+    {
+        {
+            const std::lock_guard<std::mutex> guard(this->mutex);
+            this->isNotified = true;
+        }
+        this->condition.notify_one();
+    }
+    /// Sleeps until `notify` or a time.
+    void waitUntil(Core::SteadyTime due)
+    {
+        std::unique_lock<std::mutex> guard(this->mutex);
+        this->condition.wait_until(guard, due, [this] { return this->isNotified; });
+        this->isNotified = false;
+    }
+
+private:
+    std::mutex mutex;
+    std::condition_variable condition;
+    bool isNotified = false;
+};
+
+}
