Parse every TOML file through Core::parseToml

All three users now go through one header, which also turns the broken invariant into toml::parse_error.

--- a/celeryswitch/Charts/StateChart.cpp
+++ b/celeryswitch/Charts/StateChart.cpp
@@ -1,7 +1,7 @@
 #include "celeryswitch/Charts/StateChart.h"
 
+#include "celeryswitch/Core/CheckedToml.h"
 #include <algorithm>
-#include <toml++/toml.h>
 
 namespace celeryswitch::Charts {
 
@@ -37,7 +37,7 @@
     {
         toml::table document;
         try {
-            document = toml::parse(text);
+            document = Core::parseToml(text, "chart");
         } catch (const toml::parse_error& error) {
             return Error(ChartError::Malformed,
                 std::string(error.description()) + " at line " + std::to_string(error.source().begin.line));
--- a/celeryswitch/Load/Workload.cpp
+++ b/celeryswitch/Load/Workload.cpp
@@ -1,11 +1,11 @@
 #include "celeryswitch/Load/Workload.h"
 
+#include "celeryswitch/Core/CheckedToml.h"
 #include <algorithm>
 #include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace celeryswitch::Load {
 
@@ -319,7 +319,7 @@
 Core::Result<Workload> parseWorkload(std::string_view text, const std::string& fileName)
 {
     try {
-        const toml::table root = toml::parse(text, fileName);
+        const toml::table root = Core::parseToml(text, fileName);
         return WorkloadReader(root, fileName).read();
     } catch (const toml::parse_error& error) {
         std::ostringstream detail;
