Check settings of entries, sidecars and replicas against each other and give each role its struct

Adds tokens, limits and times of entries, and the names and election times of replicas. Clashes name both keys.

--- a/Program/JobCommands.cpp
+++ b/Program/JobCommands.cpp
@@ -3,6 +3,7 @@
 #include "celeryswitch/Load/JobApiClient.h"
 #include "celeryswitch/Report/Table.h"
 #include "celeryswitch/Settings/RoleDocuments.h"
+#include "celeryswitch/Settings/RoleSettings.h"
 
 namespace celeryswitch::Program {
 
--- a/Program/StateSession.cpp
+++ b/Program/StateSession.cpp
@@ -2,6 +2,7 @@
 
 #include "Program/CommandLine.h"
 #include "celeryswitch/Settings/RoleDocuments.h"
+#include "celeryswitch/Settings/RoleSettings.h"
 #include "celeryswitch/State/StateClient.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
--- a/UnitTests/Load/JobApiClientTest.cpp
+++ b/UnitTests/Load/JobApiClientTest.cpp
@@ -1,6 +1,7 @@
 #include "celeryswitch/Load/JobApiClient.h"
 #include "celeryswitch/Load/FleetProbe.h"
 #include "celeryswitch/Load/JobCheck.h"
+#include "celeryswitch/Load/Workload.h"
 #include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 #include <random>
@@ -73,6 +74,25 @@
     }
 }
 
+// Guards against a workload parser that throws or crashes on damaged files. Seeds 1 to 2000.
+TEST_CASE("damaged workload files never crash the parser", "[Load]")
+{
+    const std::string file
+        = "[service]\nname = \"ordering\"\nworkers = 11\nslotsPerWorker = 8\n[[kind]]\nname = \"a\"\n"
+          "distribution = { type = \"log-uniform\", minimumMs = 50, maximumMs = 200 }\n"
+          "jobSizes = [{ tasks = 1, weight = 1000 }]\n[[phase]]\nname = \"p\"\nloadPercent = 50\n";
+    for (std::uint32_t seed = 1; seed <= 2000; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937 generator(seed);
+        std::string text = file;
+        for (std::uint32_t edits = generator() % 8 + 1; edits > 0; --edits) {
+            text[generator() % text.size()] = static_cast<char>(generator() % 256);
+            text.erase(generator() % text.size(), generator() % 9);
+        }
+        REQUIRE_NOTHROW(Load::parseWorkload(text, "workload.toml"));
+    }
+}
+
 // Guards against checks that pass when an answer belongs to another request or lacks results.
 TEST_CASE("answers of other requests and partial answers are found", "[Load]")
 {
--- a/UnitTests/Settings/SettingsDocumentTest.cpp
+++ b/UnitTests/Settings/SettingsDocumentTest.cpp
@@ -1,4 +1,5 @@
 #include "celeryswitch/Settings/SettingsDocument.h"
+#include "celeryswitch/Settings/RoleDocuments.h"
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -25,7 +26,7 @@
 
 SettingsDocument sidecar(const std::string& text)
 {
-    return SettingsDocument::fromText(text, "sidecar.toml", Settings::schemaOf(Messages::Role::Sidecar));
+    return Settings::checkDocument(text, "sidecar.toml", Messages::Role::Sidecar);
 }
 
 std::string replaced(std::string text, const std::string& from, const std::string& to)
@@ -97,6 +98,15 @@
     onlyProblem(sidecar(replaced(sidecarText, "1 = \"", "256 = \"")));
 }
 
+// Guards against values that are valid by themselves and contradict each other.
+TEST_CASE("keys that clash are refused", "[Settings]")
+{
+    REQUIRE(onlyProblem(sidecar(replaced(sidecarText, "slots = 8", "slots = 65"))).find("slots: is 65") > 0);
+    onlyProblem(sidecar(replaced(sidecarText, "slots = 8", "currentKey = 2")));
+    onlyProblem(sidecar(replaced(sidecarText, "peerAddress = \"127.0.0.1:0", "peerAddress = \"127.0.0.1:7201")));
+    onlyProblem(sidecar(replaced(sidecarText, "peerAddress = \"127.0.0.1:0", "peerAddress = \"127.0.0.1:9000")));
+}
+
 // Guards against secrets that reach a terminal or a log through an error message.
 TEST_CASE("a wrong secret is not shown", "[Settings]")
 {
--- a/celeryswitch/Settings/RoleDocuments.cpp
+++ b/celeryswitch/Settings/RoleDocuments.cpp
@@ -1,7 +1,5 @@
 #include "celeryswitch/Settings/RoleDocuments.h"
 
-#include "celeryswitch/Core/Assert.h"
-
 namespace celeryswitch::Settings {
 
 namespace {
@@ -12,6 +10,14 @@
     return !left.empty() && left == right && left.substr(left.rfind(':')) != ":0";
 }
 
+// Adds a problem when the first key's value is above the second's; absent keys have 0 in both.
+void checkOrder(SettingsDocument& document, const char* low, const char* high, const char* reason)
+{
+    if (document.integer(low) > document.integer(high))
+        document.addProblem(
+            low, "is " + std::to_string(document.integer(low)) + " and must be at most " + high + ": " + reason);
+}
+
 // Adds the problems that no key has by itself.
 void checkClashes(SettingsDocument& document)
 {
@@ -27,6 +33,13 @@
         if (isSameListener(replica, document.text("peerAddress")))
             document.addProblem("stateAddresses", "lists " + replica + ", which is this process's own peerAddress");
     }
+    checkOrder(document, "slots", "connections", "each running task needs a connection");
+    checkOrder(document, "electionMinimumMs", "electionMaximumMs", "each wait is drawn between the two");
+    checkOrder(document, "heartbeatMs", "electionMinimumMs", "a leader would be replaced between its heartbeats");
+    const std::string& peerAddress = document.text("peerAddress");
+    const bool isChosenPort = peerAddress.size() > 2 && peerAddress.substr(peerAddress.rfind(':')) == ":0";
+    if (isChosenPort && !document.table("replicas").empty())
+        document.addProblem("peerAddress", "has port 0, but the other replicas need to know the port");
 }
 
 }
@@ -45,26 +58,4 @@
     return document;
 }
 
-Network::AuthenticationKeys authenticationKeys(const SettingsDocument& document)
-{
-    CELERY_ASSERT(document.problems().empty());
-    Network::AuthenticationKeys keys;
-    keys.currentKeyId = static_cast<std::uint8_t>(document.integer("currentKey"));
-    for (const auto& [id, secret] : document.table("keys"))
-        keys.keys[static_cast<std::uint8_t>(std::stoi(id))] = secret;
-    return keys;
-}
-
-OperatorSettings operatorSettings(const SettingsDocument& document)
-{
-    OperatorSettings settings;
-    settings.author = document.text("author");
-    settings.stateAddresses = document.list("stateAddresses");
-    settings.keys = authenticationKeys(document);
-    settings.entryAddresses = document.list("entryAddresses");
-    settings.token = document.text("token");
-    settings.requestTimeout = std::chrono::milliseconds(document.integer("requestTimeoutMs"));
-    return settings;
-}
-
 }
--- a/celeryswitch/Settings/RoleDocuments.h
+++ b/celeryswitch/Settings/RoleDocuments.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "celeryswitch/Settings/OperatorSettings.h"
 #include "celeryswitch/Settings/SettingsDocument.h"
 
 namespace celeryswitch::Settings {
@@ -10,9 +9,4 @@
 /// As `loadDocument`, for a text; `fileName` stands in the problems.
 SettingsDocument checkDocument(const std::string& tomlText, const std::string& fileName, Messages::Role role);
 
-/// The keys of a document without problems.
-Network::AuthenticationKeys authenticationKeys(const SettingsDocument& document);
-/// The operator settings of a document without problems.
-OperatorSettings operatorSettings(const SettingsDocument& document);
-
 }
--- a/celeryswitch/Settings/SettingsDocument.cpp
+++ b/celeryswitch/Settings/SettingsDocument.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <fstream>
 #include <optional>
+#include <set>
 #include <sstream>
 
 namespace celeryswitch::Settings {
@@ -17,10 +18,11 @@
 constexpr std::size_t maximumTextBytes = 256;
 constexpr std::size_t minimumSecretBytes = 16;
 constexpr std::size_t maximumValueShown = 80;
+constexpr std::size_t maximumElements = 64;
 
 bool isHidden(ValueKind kind)
 {
-    return kind == ValueKind::SecretTable || kind == ValueKind::HiddenTable || kind == ValueKind::HiddenText;
+    return kind == ValueKind::SecretTable || kind == ValueKind::HiddenList || kind == ValueKind::HiddenText;
 }
 
 std::string shownValue(const toml::node& node)
@@ -38,6 +40,8 @@
     return !text.empty() && text.size() <= 64 && text.find_first_not_of(allowed) == std::string::npos;
 }
 
+bool isSecret(const std::string& text) { return text.size() >= minimumSecretBytes && text.size() <= maximumTextBytes; }
+
 bool isAddress(const std::string& text, std::int64_t minimumPort)
 {
     const std::size_t colon = text.rfind(':');
@@ -130,10 +134,12 @@
         case ValueKind::Integer:
             return this->acceptInteger(key, node);
         case ValueKind::AddressList:
+        case ValueKind::HiddenList:
             return this->acceptList(key, node);
         case ValueKind::SecretTable:
-        case ValueKind::HiddenTable:
-            return this->acceptTable(key, node);
+            return this->acceptSecrets(key, node);
+        case ValueKind::AddressTable:
+            return this->acceptAddresses(key, node);
         default:
             return this->acceptText(key, node);
         }
@@ -167,12 +173,14 @@
     bool acceptList(const SettingsKey& key, const toml::node& node)
     {
         const toml::array* array = node.as_array();
-        if (array == nullptr || array->empty() || array->size() > 64)
+        const bool isAddresses = key.kind == ValueKind::AddressList;
+        if (array == nullptr || array->size() > maximumElements || (isAddresses && array->empty()))
             return false;
         std::vector<std::string> values;
         for (const toml::node& element : *array) {
             const std::optional<std::string> value = element.value_exact<std::string>();
-            if (!value || !isAddress(*value, 1) || std::find(values.begin(), values.end(), *value) != values.end())
+            const bool isAccepted = value && (isAddresses ? isAddress(*value, 1) : isSecret(*value));
+            if (!isAccepted || std::find(values.begin(), values.end(), *value) != values.end())
                 return false;
             values.push_back(*value);
         }
@@ -180,19 +188,15 @@
         return true;
     }
 
-    bool acceptTable(const SettingsKey& key, const toml::node& node)
+    bool acceptSecrets(const SettingsKey& key, const toml::node& node)
     {
         const toml::table* table = node.as_table();
-        const bool isSecret = key.kind == ValueKind::SecretTable;
-        if (table == nullptr || (isSecret && (table->empty() || table->size() > 2)))
+        if (table == nullptr || table->empty() || table->size() > 2)
             return false;
         std::map<std::string, std::string> values;
         for (const auto& [name, element] : *table) {
             const std::optional<std::string> value = element.value_exact<std::string>();
-            const std::size_t minimumBytes = isSecret ? minimumSecretBytes : 1;
-            if (!value || value->size() < minimumBytes || value->size() > maximumTextBytes)
-                return false;
-            if (isSecret && !keyId(name.str()))
+            if (!value || !isSecret(*value) || !keyId(name.str()))
                 return false;
             values[std::string(name.str())] = *value;
         }
@@ -200,6 +204,24 @@
         return true;
     }
 
+    bool acceptAddresses(const SettingsKey& key, const toml::node& node)
+    {
+        const toml::table* table = node.as_table();
+        if (table == nullptr || table->size() > maximumElements)
+            return false;
+        std::map<std::string, std::string> values;
+        std::set<std::string> addresses;
+        for (const auto& [name, element] : *table) {
+            const std::optional<std::string> value = element.value_exact<std::string>();
+            const std::string nameText(name.str());
+            if (!value || !isName(nameText) || !isAddress(*value, 1) || !addresses.insert(*value).second)
+                return false;
+            values[nameText] = *value;
+        }
+        this->document.tables[std::string(key.name)] = std::move(values);
+        return true;
+    }
+
     SettingsDocument& document;
     const toml::table& root;
 };
@@ -227,13 +249,11 @@
     SettingsDocument document;
     document.fileName = fileName;
     try {
-        const toml::table root = toml::parse(tomlText, fileName);
+        const toml::table root = Core::parseToml(tomlText, fileName);
         SettingsDocument::Reader(document, root).read(schema);
     } catch (const toml::parse_error& error) {
         document.allProblems.push_back(
             { fileName, error.source().begin.line, {}, {}, "is no valid TOML: " + std::string(error.description()) });
-    } catch (const Core::TomlInvariantBroken&) {
-        document.addProblem({}, "is no valid TOML; the parser gives no line");
     }
     std::stable_sort(document.allProblems.begin(), document.allProblems.end(),
         [](const SettingsProblem& left, const SettingsProblem& right) { return left.line < right.line; });
--- a/celeryswitch/Settings/SettingsDocument.h
+++ b/celeryswitch/Settings/SettingsDocument.h
@@ -40,9 +40,9 @@
     const std::string& text(std::string_view key) const;
     /// Value of an Integer; the built-in one when it is missing or wrong.
     std::int64_t integer(std::string_view key) const;
-    /// Value of an AddressList; empty when it is missing or wrong.
+    /// Value of an AddressList or HiddenList; empty when it is missing or wrong.
     const std::vector<std::string>& list(std::string_view key) const;
-    /// Value of a SecretTable or HiddenTable; empty when it is missing or wrong.
+    /// Value of a SecretTable or AddressTable; empty when it is missing or wrong.
     const std::map<std::string, std::string>& table(std::string_view key) const;
 
 private:
--- a/celeryswitch/Settings/SettingsSchema.cpp
+++ b/celeryswitch/Settings/SettingsSchema.cpp
@@ -39,7 +39,12 @@
     return withCommon("instanceId",
         { required("httpAddress", ValueKind::Address), required("peerAddress", ValueKind::Address),
             required("datagramAddress", ValueKind::Address), required("stateAddresses", ValueKind::AddressList),
-            optional("tokens", ValueKind::HiddenTable) });
+            optional("callerTokens", ValueKind::HiddenList), optional("operatorTokens", ValueKind::HiddenList),
+            integer("connectionsLimit", 1, 100'000, 10'000), integer("bodyLimitBytes", 1024, 268'435'456, 16'777'216),
+            integer("headerLimitBytes", 1024, 1'048'576, 16'384), integer("headerTimeMs", 100, 600'000, 10'000),
+            integer("bodyTimeMs", 100, 600'000, 30'000), integer("idleTimeMs", 100, 3'600'000, 120'000),
+            integer("storedLimitBytes", 1'048'576, 68'719'476'736, 1'073'741'824),
+            integer("ringCapacity", 16, 1'048'576, 16'384) });
 }
 
 SettingsSchema sidecarSchema()
@@ -53,8 +58,10 @@
 SettingsSchema stateSchema()
 {
     return withCommon("name",
-        { required("peerAddress", ValueKind::Address, 1), required("dataFolder", ValueKind::Text),
-            required("replicas", ValueKind::AddressList) });
+        { required("peerAddress", ValueKind::Address), required("dataFolder", ValueKind::Text),
+            optional("replicas", ValueKind::AddressTable), integer("snapshotThreshold", 1, 1'000'000, 1000),
+            integer("heartbeatMs", 10, 10'000, 100), integer("electionMinimumMs", 20, 60'000, 400),
+            integer("electionMaximumMs", 20, 60'000, 800) });
 }
 
 SettingsSchema operatorSchema()
@@ -112,8 +119,10 @@
         return "a list of at least one address, as [\"127.0.0.1:7001\"], with ports from 1 to 65535 and no repetition";
     case ValueKind::SecretTable:
         return "a table of one or two key ids from 0 to 255, each with a secret of 16 to 256 bytes";
-    case ValueKind::HiddenTable:
-        return "a table of names, each with a text of 1 to 256 bytes";
+    case ValueKind::AddressTable:
+        return "a table of at most 64 names, each with an address as \"127.0.0.1:7201\", without repetition";
+    case ValueKind::HiddenList:
+        return "a list of at most 64 texts of 16 to 256 bytes, without repetition";
     }
     return {};
 }
--- a/celeryswitch/Settings/SettingsSchema.h
+++ b/celeryswitch/Settings/SettingsSchema.h
@@ -24,8 +24,10 @@
     AddressList,
     /// Table of key ids 0 to 255 and secrets of at least 16 bytes.
     SecretTable,
-    /// Table of names and texts that are kept out of messages.
-    HiddenTable,
+    /// Table of names and addresses with a port above 0.
+    AddressTable,
+    /// List of texts of 16 to 256 bytes that are kept out of messages, without repetition.
+    HiddenList,
     /// Text that is kept out of messages.
     HiddenText,
 };
