Add the experiment command and the verification of the audit trail

Verification fetches every kept record page by page, each page beginning after the last index seen, since old records may have been dropped between two pages, and checks indexes and hashes with the code that wrote them.

--- a/Program/AuditCommands.cpp
+++ b/Program/AuditCommands.cpp
@@ -1,6 +1,7 @@
 #include "Program/CommandLine.h"
 #include "Program/Commands.h"
 #include "Program/StateSession.h"
+#include "celeryswitch/Configuration/AuditTrail.h"
 #include "celeryswitch/Report/Table.h"
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -21,16 +22,38 @@
 
 constexpr std::uint32_t pageSize = 1000;
 
+// Index of a record, or 0 when it has none.
+std::uint64_t indexOf(const std::string& record)
+{
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(record, error);
+    const boost::json::object* object = error ? nullptr : value.if_object();
+    const boost::json::value* index = object ? object->if_contains("index") : nullptr;
+    return index && index->is_int64() && index->as_int64() > 0 ? static_cast<std::uint64_t>(index->as_int64()) : 0;
+}
+
+// Every record that the replicas keep. The oldest may have been dropped, so each page begins after the last index seen.
 Core::Result<std::vector<std::string>> fetchRecords(const StateSession& session)
 {
     std::vector<std::string> records;
-    for (;;) {
-        BOOST_OUTCOME_TRY(Messages::AuditAnswer page,
-            session.ask<Messages::AuditAnswer>(Messages::QueryAudit { records.size(), pageSize }));
-        if (page.records.empty())
-            return records;
+    for (std::uint64_t nextIndex = 1; nextIndex != 0;) {
+        BOOST_OUTCOME_TRY(const Messages::AuditAnswer page,
+            session.ask<Messages::AuditAnswer>(Messages::QueryAudit { nextIndex, pageSize }));
         records.insert(records.end(), page.records.begin(), page.records.end());
+        const std::uint64_t lastIndex = page.records.empty() ? 0 : indexOf(page.records.back());
+        nextIndex = lastIndex >= nextIndex ? lastIndex + 1 : 0;
     }
+    return records;
+}
+
+CommandResult verify(const std::vector<std::string>& records, bool isJson)
+{
+    const Core::Result<void> result = Configuration::AuditTrail::verify(records);
+    if (!result)
+        return failure(ExitCode::Failed, result.error().message() + "; keep the data folders of all replicas");
+    const std::string count = std::to_string(records.size());
+    return print(
+        isJson ? "{\"records\":" + count + ",\"isWhole\":true}\n" : count + " records, none missing or altered\n");
 }
 
 // Text of a member of a record, whatever its type.
@@ -50,15 +73,16 @@
             text += (text.size() > 1 ? ",\n " : "\n ") + record;
         return print(text + "]\n");
     }
-    Report::Table table({ "when", "who", "from", "to", "outcome", "reason" });
+    Report::Table table({ "time", "author", "from", "to", "outcome", "reason", "before", "after" });
     for (const std::string& record : records) {
         boost::system::error_code error;
         const boost::json::value value = boost::json::parse(record, error);
         if (error || !value.is_object())
             return failure(ExitCode::Failed, "an audit record is no JSON object; run \"celeryswitch audit verify\"");
         const boost::json::object& object = value.as_object();
-        table.addRow({ memberText(object, "when"), memberText(object, "who"), memberText(object, "fromVersion"),
-            memberText(object, "toVersion"), memberText(object, "outcome"), memberText(object, "reason") });
+        table.addRow({ memberText(object, "time"), memberText(object, "author"), memberText(object, "fromVersion"),
+            memberText(object, "toVersion"), memberText(object, "outcome"), memberText(object, "reason"),
+            memberText(object, "before"), memberText(object, "after") });
     }
     return print(table.text());
 }
@@ -74,7 +98,7 @@
     BOOST_OUTCOME_TRY(const std::vector<std::string> records, fetchRecords(session));
     if (line.has("list"))
         return list(records, line.has("--json"));
-    return failure(ExitCode::Failed, "audit verify is not built yet");
+    return verify(records, line.has("--json"));
 }
 
 }
--- a/Program/Main.cpp
+++ b/Program/Main.cpp
@@ -14,7 +14,7 @@
     std::string_view help;
 };
 
-constexpr std::array<Command, 9> commands { {
+constexpr std::array<Command, 10> commands { {
     { "check", runCheck, "check a settings file and report every problem" },
     { "config", runConfig, "show and change the configuration of the fleet" },
     { "drain", runMembers, "stop new work for an endpoint, or let it come back" },
@@ -23,6 +23,7 @@
     { "report", runReport, "print what ran, failed and never started" },
     { "audit", runAudit, "list or verify the audit trail" },
     { "load", runLoad, "put load on entries and check every answer" },
+    { "experiment", runExperiment, "run a workload on the virtual clock" },
     { "help", nullptr, "print this text" },
 } };
 
