Add the entry and sidecar commands

Floods of log records are reported while the process runs, without giving the flood a new allowance.

--- a/Program/Main.cpp
+++ b/Program/Main.cpp
@@ -14,7 +14,10 @@
     std::string_view help;
 };
 
-constexpr std::array<Command, 10> commands { {
+constexpr std::array<Command, 13> commands { {
+    { "entry", runRole, "run an entry: accepts jobs from callers and places their tasks" },
+    { "sidecar", runRole, "run a sidecar beside an endpoint" },
+    { "state", runRole, "run a state replica" },
     { "check", runCheck, "check a settings file and report every problem" },
     { "config", runConfig, "show and change the configuration of the fleet" },
     { "drain", runMembers, "stop new work for an endpoint, or let it come back" },
--- a/celeryswitch/Load/LoadRun.cpp
+++ b/celeryswitch/Load/LoadRun.cpp
@@ -12,10 +12,10 @@
 using Report::numberText;
 
 // Counters of an entry whose sums are the messages between the system's processes, and the ones without effect.
-const std::vector<std::string> messageMetrics { "celeryswitch_messages_sent_total",
-    "celeryswitch_messages_received_total" };
-const std::vector<std::string> wastedMetrics { "celeryswitch_starts_rejected_total",
-    "celeryswitch_late_results_total" };
+const std::vector<std::string> messageMetrics { "celeryswitch_entry_messages_sent_total",
+    "celeryswitch_entry_messages_received_total" };
+const std::vector<std::string> wastedMetrics { "celeryswitch_entry_starts_rejected_total",
+    "celeryswitch_entry_late_results_total" };
 
 // First faults of a list, for a check's detail.
 std::string firstFaults(const std::vector<std::string>& faults)
--- a/celeryswitch/Logging/StructuredLog.cpp
+++ b/celeryswitch/Logging/StructuredLog.cpp
@@ -165,10 +165,10 @@
         this->emit(level, message, fields, std::exchange(window.suppressed, 0));
     }
 
-    void flush()
+    void report(bool isFinal)
     {
         const std::lock_guard<std::mutex> lock(this->mutex);
-        this->reportSuppressed(true);
+        this->reportSuppressed(isFinal);
     }
 
 private:
@@ -241,14 +241,16 @@
 {
 }
 
-StructuredLog::~StructuredLog() { this->implementation->flush(); }
+StructuredLog::~StructuredLog() { this->implementation->report(true); }
 
 void StructuredLog::write(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
 {
     this->implementation->write(level, message, fields);
 }
 
-void StructuredLog::flush() { this->implementation->flush(); }
+void StructuredLog::reportFloods() { this->implementation->report(false); }
+
+void StructuredLog::flush() { this->implementation->report(true); }
 
 bool StructuredLog::isEnabled(LogLevel level) const { return this->implementation->isEnabled(level); }
 
--- a/celeryswitch/Logging/StructuredLog.h
+++ b/celeryswitch/Logging/StructuredLog.h
@@ -66,7 +66,9 @@
     /// Writes a record unless its level is below the settings' or its message is over the rate limit. `message` is a
     /// constant text, the same for every record of a kind: the rate limit counts by it.
     void write(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
-    /// Writes the counts of suppressed records that no later record has reported yet.
+    /// Writes the counts of suppressed records of floods that are over; called every second or so.
+    void reportFloods();
+    /// Writes every count of suppressed records that no record has reported yet.
     void flush();
     /// Whether records of this level are written.
     bool isEnabled(LogLevel level) const;
--- a/celeryswitch/Settings/RoleSettings.cpp
+++ b/celeryswitch/Settings/RoleSettings.cpp
@@ -65,6 +65,23 @@
     return settings;
 }
 
+Sidecar::SidecarSettings sidecarSettings(const SettingsDocument& document)
+{
+    Sidecar::SidecarSettings settings;
+    settings.instanceId = document.text("instanceId");
+    settings.dataCentre = document.text("dataCentre");
+    settings.rack = document.text("rack");
+    settings.service = document.text("service");
+    settings.slots = static_cast<std::uint32_t>(document.integer("slots"));
+    settings.connections = static_cast<std::uint32_t>(document.integer("connections"));
+    settings.endpointAddress = document.text("endpointAddress");
+    settings.peerAddress = document.text("peerAddress");
+    settings.datagramAddress = document.text("datagramAddress");
+    settings.stateAddresses = document.list("stateAddresses");
+    settings.authentication = authenticationKeys(document);
+    return settings;
+}
+
 State::StateSettings stateSettings(const SettingsDocument& document)
 {
     State::StateSettings settings;
