--- a/Program/RoleCommands.cpp
+++ b/Program/RoleCommands.cpp
@@ -5,6 +5,7 @@
 #include "celeryswitch/Settings/RoleDocuments.h"
 #include "celeryswitch/Settings/RoleSettings.h"
 #include "celeryswitch/Sidecar/SidecarProcess.h"
+#include "celeryswitch/State/StateProcess.h"
 #include <unistd.h>
 
 namespace celeryswitch::Program {
@@ -89,9 +90,23 @@
     return ExitCode::Ok;
 }
 
-CommandResult runState(const Settings::SettingsDocument&, const StopSignal&, StructuredLog&)
+CommandResult runState(const Settings::SettingsDocument& document, const StopSignal& signal, StructuredLog& log)
 {
-    return failure(ExitCode::Failed, "the state replica is not part of this build");
+    Core::Result<std::unique_ptr<State::StateProcess>> process
+        = State::StateProcess::Builder()
+              .setSettings(Settings::stateSettings(document))
+              .setLog([&log](const std::string& line) {
+                  log.write(LogLevel::Info, "state", { { "detail", line } });
+              })
+              .start();
+    if (!process)
+        return startFailure(process.error());
+    State::StateProcess& state = *process.value();
+    log.write(LogLevel::Info, "started", { { "peer", state.peerAddress() }, { "replica", state.replicaId() } });
+    BOOST_OUTCOME_TRY(announce("peer=" + state.peerAddress() + " replica=" + state.replicaId()));
+    waitForStop(signal, log);
+    state.stop();
+    return ExitCode::Ok;
 }
 
 }
--- /dev/null
+++ b/celeryswitch/Scenario/ChildProcess.cpp
@@ -0,0 +1,140 @@
+#include "celeryswitch/Scenario/ChildProcess.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+namespace celeryswitch::Scenario {
+
+namespace {
+
+constexpr std::chrono::milliseconds pollInterval { 5 };
+
+// Becomes the program; runs in the child between fork and exec, so it calls only async-signal-safe functions.
+[[noreturn]] void become(char* const* arguments, int output, int errors)
+{
+    // A runner that is killed takes its processes with it.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
+    // The runner's own signals, such as an interrupt from the terminal, are not for the processes.
+    setpgid(0, 0);
+    dup2(output, STDOUT_FILENO);
+    dup2(errors, STDERR_FILENO);
+    execv(arguments[0], arguments);
+    _exit(127);
+}
+
+}
+
+Core::Result<ChildProcess> ChildProcess::start(const std::vector<std::string>& command, const std::string& logFile)
+{
+    int pipeEnds[2] = { -1, -1 };
+    const int errors = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    if (errors < 0 || pipe2(pipeEnds, O_CLOEXEC) != 0)
+        return Core::Error(ScenarioError::StartFailed, "no pipe or log file " + logFile);
+    std::vector<char*> arguments;
+    for (const std::string& argument : command)
+        arguments.push_back(const_cast<char*>(argument.c_str()));
+    arguments.push_back(nullptr);
+    const pid_t child = fork();
+    if (child == 0)
+        become(arguments.data(), pipeEnds[1], errors);
+    close(pipeEnds[1]);
+    close(errors);
+    if (child < 0) {
+        close(pipeEnds[0]);
+        return Core::Error(ScenarioError::StartFailed, "no more processes for " + command[0]);
+    }
+    return ChildProcess(child, pipeEnds[0]);
+}
+
+ChildProcess::ChildProcess(pid_t processId, int output)
+    : processId(processId)
+    , output(output)
+{
+}
+
+ChildProcess::ChildProcess(ChildProcess&& other) noexcept
+    : processId(std::exchange(other.processId, -1))
+    , output(std::exchange(other.output, -1))
+{
+}
+
+ChildProcess& ChildProcess::operator=(ChildProcess&& other) noexcept
+{
+    std::swap(this->processId, other.processId);
+    std::swap(this->output, other.output);
+    return *this;
+}
+
+ChildProcess::~ChildProcess()
+{
+    if (this->isRunning()) {
+        kill(this->processId, SIGKILL);
+        waitpid(this->processId, nullptr, 0);
+    }
+    if (this->output >= 0)
+        close(this->output);
+}
+
+Core::Result<std::string> ChildProcess::waitReady(Core::Duration span)
+{
+    const Core::SteadyTime end
+        = std::chrono::steady_clock::now() + std::chrono::duration_cast<Core::SteadyTime::duration>(span);
+    std::string line;
+    for (;;) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+        pollfd wait { this->output, POLLIN, 0 };
+        char character = 0;
+        if (left.count() <= 0 || poll(&wait, 1, static_cast<int>(left.count())) <= 0)
+            return Core::Error(ScenarioError::StartFailed, "not ready in time");
+        if (read(this->output, &character, 1) != 1)
+            return Core::Error(ScenarioError::StartFailed, "ended before it was ready; its log says why");
+        if (character != '\n') {
+            line += character;
+        } else if (line.compare(0, 5, "ready") == 0) {
+            return line;
+        } else {
+            line.clear();
+        }
+    }
+}
+
+void ChildProcess::signal(int number)
+{
+    if (this->isRunning())
+        kill(this->processId, number);
+}
+
+bool ChildProcess::waitEnd(Core::Duration span)
+{
+    return waitUntil(span, [this] { return !this->isRunning(); });
+}
+
+bool ChildProcess::isRunning()
+{
+    if (this->processId > 0 && waitpid(this->processId, nullptr, WNOHANG) == this->processId)
+        this->processId = -1;
+    return this->processId > 0;
+}
+
+bool waitUntil(Core::Duration span, const std::function<bool()>& condition)
+{
+    const Core::SteadyTime end
+        = std::chrono::steady_clock::now() + std::chrono::duration_cast<Core::SteadyTime::duration>(span);
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+}
