Read the present version from the leader in operator commands

A lagging replica answered WatchView right after an accepted change: config show gave version 0 after version 1, and the next change was refused as a conflict. A command now keeps one client for its whole run and asks a question first that only the leader answers.

--- a/Program/ChangeProposal.cpp
+++ b/Program/ChangeProposal.cpp
@@ -19,6 +19,9 @@
 
 Core::Result<Messages::FleetView> fetchView(const StateSession& session)
 {
+    // Any replica answers WatchView, and one that lags would show an operator a version before their last change. Only
+    // the leader answers QueryAudit, and the session stays with it.
+    BOOST_OUTCOME_TRY(session.ask<Messages::AuditAnswer>(Messages::QueryAudit { UINT64_MAX, 1 }));
     return session.ask<Messages::FleetView>(Messages::WatchView { 0, 0 });
 }
 
--- a/Program/StateSession.cpp
+++ b/Program/StateSession.cpp
@@ -30,40 +30,74 @@
     }
 }
 
+State::StateClientSettings clientSettings(const Settings::OperatorSettings& settings)
+{
+    std::random_device random;
+    State::StateClientSettings result;
+    result.identity.role = Messages::Role::Operator;
+    result.identity.instanceId = settings.author;
+    result.identity.incarnation = (std::uint64_t(random()) << 32) | random();
+    result.replicas = settings.stateAddresses;
+    result.seed = random();
+    return result;
 }
 
+}
+
+// One client for the whole command: it stays with the leader once a request has found it.
+class StateSession::Implementation {
+public:
+    explicit Implementation(Settings::OperatorSettings operatorSettings)
+        : settings(std::move(operatorSettings))
+        , transport(this->context, this->settings.keys)
+        , client(this->context, this->transport, clientSettings(this->settings))
+    {
+    }
+    ~Implementation()
+    {
+        this->client.stop();
+        this->transport.stop();
+        this->context.restart();
+        this->context.poll();
+    }
+    Implementation(const Implementation&) = delete;
+    Implementation& operator=(const Implementation&) = delete;
+
+    const Settings::OperatorSettings settings;
+    boost::asio::io_context context;
+    Network::PeerTransport transport;
+    State::StateClient client;
+};
+
 Core::Result<StateSession> StateSession::open(const std::string& settingsFile)
 {
     const Settings::SettingsDocument document = Settings::loadDocument(settingsFile, Messages::Role::Operator);
     BOOST_OUTCOME_TRY(checkProblems(document));
-    StateSession session;
-    session.operatorSettings = Settings::operatorSettings(document);
-    return session;
+    return StateSession(std::make_unique<Implementation>(Settings::operatorSettings(document)));
 }
 
+StateSession::StateSession(std::unique_ptr<Implementation> implementation)
+    : implementation(std::move(implementation))
+{
+}
+
+StateSession::~StateSession() = default;
+StateSession::StateSession(StateSession&&) noexcept = default;
+StateSession& StateSession::operator=(StateSession&&) noexcept = default;
+
+const Settings::OperatorSettings& StateSession::settings() const { return this->implementation->settings; }
+
 Core::Result<Messages::StateReply> StateSession::request(decltype(Messages::StateRequest::body) body) const
 {
-    std::random_device random;
-    State::StateClientSettings clientSettings;
-    clientSettings.identity.role = Messages::Role::Operator;
-    clientSettings.identity.instanceId = this->operatorSettings.author;
-    clientSettings.identity.incarnation = (std::uint64_t(random()) << 32) | random();
-    clientSettings.replicas = this->operatorSettings.stateAddresses;
-    clientSettings.seed = random();
-    boost::asio::io_context context;
-    Network::PeerTransport transport(context, this->operatorSettings.keys);
-    State::StateClient client(context, transport, clientSettings);
     std::optional<Core::Result<Messages::StateReply>> result;
-    client.request(
-        std::move(body), this->operatorSettings.requestTimeout, [&](Core::Result<Messages::StateReply> reply) {
+    boost::asio::io_context& context = this->implementation->context;
+    this->implementation->client.request(
+        std::move(body), this->settings().requestTimeout, [&](Core::Result<Messages::StateReply> reply) {
             result = std::move(reply);
             context.stop();
         });
-    context.run();
-    client.stop();
-    transport.stop();
     context.restart();
-    context.poll();
+    context.run();
     if (!result || !*result)
         return failure(ExitCode::Unreachable,
             (result ? result->error().message() : std::string("no answer"))
--- a/Program/StateSession.h
+++ b/Program/StateSession.h
@@ -3,6 +3,7 @@
 #include "Program/ExitCodes.h"
 #include "celeryswitch/Messages/StateMessages.h"
 #include "celeryswitch/Settings/OperatorSettings.h"
+#include <memory>
 #include <string>
 
 namespace celeryswitch::Program {
@@ -16,6 +17,9 @@
 public:
     /// Reads the operator settings; InvalidSettings lists every problem.
     static Core::Result<StateSession> open(const std::string& settingsFile);
+    ~StateSession();
+    StateSession(StateSession&&) noexcept;
+    StateSession& operator=(StateSession&&) noexcept;
 
     /// Sends a request. A refusal is the error Refused; no answer in time is Unreachable.
     template <typename Answer> Core::Result<Answer> ask(decltype(Messages::StateRequest::body) body) const
@@ -26,12 +30,15 @@
         return Core::Error(ExitCode::Failed, "the state replica sent an answer of another type; update this command");
     }
     /// The settings of this session.
-    const Settings::OperatorSettings& settings() const { return this->operatorSettings; }
+    const Settings::OperatorSettings& settings() const;
 
 private:
+    class Implementation;
+
+    explicit StateSession(std::unique_ptr<Implementation> implementation);
     Core::Result<Messages::StateReply> request(decltype(Messages::StateRequest::body) body) const;
 
-    Settings::OperatorSettings operatorSettings;
+    std::unique_ptr<Implementation> implementation;
 };
 
 }
