--- a/Program/LoadCommand.cpp
+++ b/Program/LoadCommand.cpp
@@ -14,7 +14,7 @@
 
 Options:
   --entries LIST     HTTP addresses of entries, as 127.0.0.1:8080,127.0.0.1:8081.
-  --endpoints LIST   HTTP addresses of fake endpoints; their starts are compared with the answers.
+  --journals LIST    Journals of the fake endpoints; their starts are compared with the answers.
   --slots N          Slots of the fleet; the workload's own when left out.
   --phase NAME       Only this phase of the workload.
   --seconds N        Length of the run; the phases are scaled to it.
@@ -70,7 +70,7 @@
     settings.entries = line.list("--entries");
     if (settings.entries.empty())
         return failure(ExitCode::Usage, "--entries is missing; give the HTTP address of at least one entry");
-    settings.endpoints = line.list("--endpoints");
+    settings.journals = line.list("--journals");
     settings.token = line.text("--token");
     settings.slots = settings.workload.service.workers * settings.workload.service.slotsPerWorker;
     if (!line.text("--slots").empty()) {
--- a/celeryswitch/Load/FleetProbe.cpp
+++ b/celeryswitch/Load/FleetProbe.cpp
@@ -1,8 +1,8 @@
 #include "celeryswitch/Load/FleetProbe.h"
 
 #include "celeryswitch/Load/HttpConnection.h"
-#include <boost/json.hpp>
 #include <cstdlib>
+#include <fstream>
 #include <sstream>
 
 namespace celeryswitch::Load {
@@ -56,19 +56,15 @@
     return sum;
 }
 
-std::optional<std::unordered_map<std::string, std::uint64_t>> startsOf(const std::vector<std::string>& endpoints)
+std::optional<std::unordered_map<std::string, std::uint64_t>> startsOf(const std::vector<std::string>& journals)
 {
     std::unordered_map<std::string, std::uint64_t> starts;
-    for (const std::string& endpoint : endpoints) {
-        const std::optional<std::string> body = bodyOf(endpoint, "/starts", {});
-        boost::system::error_code error;
-        const boost::json::value value = body ? boost::json::parse(*body, error) : boost::json::value();
-        if (error || !value.is_object())
+    for (const std::string& journal : journals) {
+        std::ifstream stream(journal);
+        if (!stream)
             return std::nullopt;
-        for (const auto& start : value.as_object()) {
-            if (start.value().is_int64())
-                starts[std::string(start.key())] += static_cast<std::uint64_t>(start.value().as_int64());
-        }
+        for (std::string job, task; stream >> job >> task;)
+            ++starts[job + "/" + task];
     }
     return starts;
 }
--- a/celeryswitch/Load/FleetProbe.h
+++ b/celeryswitch/Load/FleetProbe.h
@@ -13,7 +13,7 @@
 /// Sum of metrics over entries, read from GET /metrics; nothing when an entry does not answer.
 std::optional<double> metricSumOf(
     const std::vector<std::string>& entries, const std::vector<std::string>& names, const std::string& token);
-/// Starts by echo text over fake endpoints, read from GET /starts; nothing when an endpoint does not answer.
-std::optional<std::unordered_map<std::string, std::uint64_t>> startsOf(const std::vector<std::string>& endpoints);
+/// Starts by task ("job id/task index"), read from the journals of fake endpoints; nothing when a file can't be read.
+std::optional<std::unordered_map<std::string, std::uint64_t>> startsOf(const std::vector<std::string>& journals);
 
 }
--- a/celeryswitch/Load/JobCheck.cpp
+++ b/celeryswitch/Load/JobCheck.cpp
@@ -27,7 +27,7 @@
 void countTask(const LoadJob& job, std::size_t task, Messages::TaskOutcome outcome, LoadTally& tally)
 {
     tally.kinds[job.kind].outcomes.add(outcome, 1);
-    tally.tasks.push_back({ job.echoes[task], outcome });
+    tally.tasks.push_back({ Core::toString(job.jobId) + "/" + std::to_string(task), outcome });
 }
 
 void checkWhole(const LoadJob& job, const Messages::JobAnswer& answer, LoadTally& tally)
@@ -54,6 +54,7 @@
     job.submission = { "team-" + std::to_string(caller % settings.teams), "caller-" + std::to_string(caller), name,
         createdAt, settings.workload.service.name, kind.name, kind.urgency,
         std::chrono::duration_cast<std::chrono::milliseconds>(settings.deadline).count(), 0, 0, kind.isIdempotent, {} };
+    job.jobId = Core::makeJobId(job.submission.team, job.submission.caller, name);
     std::uint64_t sum = 0;
     std::uint32_t longest = 0;
     for (std::uint32_t milliseconds : planned.serviceMilliseconds) {
--- a/celeryswitch/Load/JobCheck.h
+++ b/celeryswitch/Load/JobCheck.h
@@ -9,6 +9,7 @@
 /// A job on its way, with what is needed to check its answer.
 struct LoadJob {
     std::size_t kind = 0;
+    Core::JobId jobId;
     Messages::Submission submission;
     /// Text that each task's result has to give back, in task order.
     std::vector<std::string> echoes;
--- a/celeryswitch/Load/LoadRun.cpp
+++ b/celeryswitch/Load/LoadRun.cpp
@@ -59,14 +59,14 @@
 // Compares what the entries answered with what the endpoints saw.
 std::vector<LoadCheck> startChecks(const LoadSettings& settings, const LoadTally& tally)
 {
-    const auto starts = startsOf(settings.endpoints);
+    const auto starts = startsOf(settings.journals);
     if (!starts)
-        return { { "no task started twice", false, "an endpoint did not answer GET /starts" } };
+        return { { "no task started twice", false, "a journal can't be read" } };
     std::uint64_t twice = 0;
     std::uint64_t notRunStarted = 0;
     std::uint64_t ranNotStarted = 0;
     for (const TaskRecord& task : tally.tasks) {
-        const auto found = starts->find(task.echo);
+        const auto found = starts->find(task.task);
         const std::uint64_t count = found == starts->end() ? 0 : found->second;
         const bool hasRun
             = task.outcome == Messages::TaskOutcome::Succeeded || task.outcome == Messages::TaskOutcome::Failed;
@@ -89,7 +89,7 @@
     const std::uint64_t submitted = submittedOf(tally);
     const std::uint64_t ran = outcomesOf(tally).succeeded + outcomesOf(tally).failed;
     checks.push_back({ "tasks ran", ran > 0, std::to_string(ran) + " of " + std::to_string(submitted) });
-    if (!settings.endpoints.empty()) {
+    if (!settings.journals.empty()) {
         for (LoadCheck& check : startChecks(settings, tally))
             checks.push_back(std::move(check));
     }
--- a/celeryswitch/Load/LoadSettings.h
+++ b/celeryswitch/Load/LoadSettings.h
@@ -13,8 +13,8 @@
     std::vector<PhaseDescription> phases;
     /// HTTP addresses of the entries.
     std::vector<std::string> entries;
-    /// HTTP addresses of fake endpoints whose starts are counted; may be empty.
-    std::vector<std::string> endpoints;
+    /// Journals of the fake endpoints, whose starts are compared with the answers; may be empty.
+    std::vector<std::string> journals;
     /// Bearer token; empty sends none.
     std::string token;
     /// Slots of the fleet; scales the arrivals.
--- a/celeryswitch/Load/LoadTally.h
+++ b/celeryswitch/Load/LoadTally.h
@@ -10,8 +10,8 @@
 
 /// What became of one submitted task.
 struct TaskRecord {
-    /// Unique text in the task's payload, which the endpoint gives back.
-    std::string echo;
+    /// "job id/task index", as in the journals of the fake endpoints.
+    std::string task;
     Messages::TaskOutcome outcome = Messages::TaskOutcome::Unconfirmed;
 };
 
--- a/celeryswitch/Scenario/ChildProcess.cpp
+++ b/celeryswitch/Scenario/ChildProcess.cpp
@@ -99,7 +99,7 @@
             return Core::Error(ScenarioError::StartFailed, "ended before it was ready; its log says why");
         if (character != '\n') {
             line += character;
-        } else if (line.compare(0, 5, "ready") == 0) {
+        } else if (line.compare(0, 5, "ready") == 0 || line.compare(0, 9, "listening") == 0) {
             return line;
         } else {
             line.clear();
@@ -125,6 +125,21 @@
     return this->processId > 0;
 }
 
+CommandOutput runCommand(const std::vector<std::string>& command, const std::string& logFile)
+{
+    CommandOutput result;
+    Core::Result<ChildProcess> child = ChildProcess::start(command, logFile);
+    if (!child)
+        return result;
+    char buffer[4096];
+    for (ssize_t size = 0; (size = read(child.value().output, buffer, sizeof(buffer))) > 0;)
+        result.output.append(buffer, static_cast<std::size_t>(size));
+    int status = 0;
+    if (waitpid(std::exchange(child.value().processId, -1), &status, 0) > 0 && WIFEXITED(status))
+        result.exitCode = WEXITSTATUS(status);
+    return result;
+}
+
 bool waitUntil(Core::Duration span, const std::function<bool()>& condition)
 {
     const Core::SteadyTime end
--- a/celeryswitch/Scenario/ChildProcess.h
+++ b/celeryswitch/Scenario/ChildProcess.h
@@ -19,6 +19,8 @@
     ExpectationFailed,
 };
 
+struct CommandOutput;
+
 /// A process that the scenario runner started; ends with the object.
 class ChildProcess {
 public:
@@ -29,7 +31,7 @@
     ChildProcess(ChildProcess&& other) noexcept;
     ChildProcess& operator=(ChildProcess&& other) noexcept;
 
-    /// Waits for a line of standard output that begins with "ready" and returns it.
+    /// Waits for a line of standard output that begins with "ready" or "listening" and returns it.
     Core::Result<std::string> waitReady(Core::Duration span);
     /// Sends a signal, as SIGKILL, SIGSTOP or SIGCONT.
     void signal(int number);
@@ -39,12 +41,22 @@
     bool isRunning();
 
 private:
+    friend CommandOutput runCommand(const std::vector<std::string>& command, const std::string& logFile);
     ChildProcess(pid_t processId, int output);
 
     pid_t processId = -1;
     int output = -1;
 };
 
+/// Exit code and standard output of a command.
+struct CommandOutput {
+    /// Exit code; -1 when the command could not be started or was ended by a signal.
+    int exitCode = -1;
+    std::string output;
+};
+
+/// Runs a program to its end. Its standard error is appended to `logFile`.
+CommandOutput runCommand(const std::vector<std::string>& command, const std::string& logFile);
 /// Waits until a condition holds, checking it every few milliseconds; false when it does not within `span`.
 bool waitUntil(Core::Duration span, const std::function<bool()>& condition);
 
