Keep the tests in the demo's build folder

The option that the demo set stayed in the cache, so that scripts/test.sh would have passed without tests.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,7 +7,7 @@
 seconds=${1:-10}
 
 ./scripts/install-dependencies.sh
-cmake -B build -G Ninja -DCELERYSWITCH_TESTS=OFF > /dev/null
+cmake -B build -G Ninja > /dev/null
 cmake --build build --target celeryswitch celeryswitch-standins
 program=$PWD/build/celeryswitch
 standins=$PWD/build/celeryswitch-standins
