Keep submissions waiting while the owner of their partition becomes known

Cause: right after the start of a fleet two entries ask for the same partition. The one that lost refused the submission as not run (owner-lost) because the view that names the owner had not arrived.

Ruled out: a lost message between entries; the refused entry never sent one.

--- a/celeryswitch/Entry/RequestHandler.cpp
+++ b/celeryswitch/Entry/RequestHandler.cpp
@@ -274,10 +274,15 @@
             this->partitionReady(partition);
             continue;
         }
-        for (const ParkedRequest& request : this->parked.take(partition)) {
-            if (!this->tryForward(request.origin, request.request, partition))
-                this->refuseParked(request);
-        }
+        this->forwardParked(partition);
+    }
+}
+
+void RequestHandler::forwardParked(Core::PartitionId partition)
+{
+    for (ParkedRequest& request : this->parked.take(partition)) {
+        if (!this->tryForward(request.origin, request.request, partition))
+            this->parked.add(partition, std::move(request));
     }
 }
 
@@ -328,8 +333,12 @@
     }
     for (const ParkedRequest& request : this->parked.takeOverdue(this->context.now))
         this->refuseParked(request);
-    for (const Core::PartitionId partition : this->parked.keys())
-        this->partitionReady(partition);
+    for (const Core::PartitionId partition : this->parked.keys()) {
+        if (this->leases.owner(partition))
+            this->partitionReady(partition);
+        else
+            this->forwardParked(partition);
+    }
 }
 
 void RequestHandler::refuse(const RequestOrigin& origin, JobOperation operation, TaskReason reason,
--- a/celeryswitch/Entry/RequestHandler.h
+++ b/celeryswitch/Entry/RequestHandler.h
@@ -43,6 +43,9 @@
         const Core::JobId& jobId, const Ownership::Fingerprint& fingerprint);
     void handleElsewhere(const RequestOrigin& origin, CallerRequest request, Core::PartitionId partition);
     void park(const RequestOrigin& origin, CallerRequest request, Core::PartitionId partition);
+    /// Forwards what waits for a partition of another entry; what can't be forwarded yet, because the view does not
+    /// name the owner or the connection is not open, waits on until its deadline.
+    void forwardParked(Core::PartitionId partition);
     void refuseParked(const ParkedRequest& parked);
     bool tryForward(const RequestOrigin& origin, const CallerRequest& request, Core::PartitionId partition);
     void refuseAsNotOwner(const RequestOrigin& origin, Messages::JobOperation operation, const std::string& detail);
