--- /dev/null
+++ b/UnitTests/State/StateMachineTest.cpp
@@ -0,0 +1,93 @@
+#include "celeryswitch/State/StateMachine.h"
+#include "celeryswitch/Network/MessageCodec.h"
+#include <catch2/catch.hpp>
+
+using namespace celeryswitch;
+using Messages::StateRefusal;
+using State::StateMachine;
+
+namespace {
+
+template <typename Body>
+Messages::StateReply apply(StateMachine& machine, std::uint64_t index, const Body& body, std::int64_t time = 1)
+{
+    return machine.apply(index, Network::encodeMessage(State::StateCommand { time, body }));
+}
+
+Messages::ProposeChange change(const std::string& changeId, std::uint64_t expectedVersion, int value)
+{
+    return { changeId, "ana", "test", expectedVersion,
+        R"([{"operation":"setDefault","key":"shareWeight","value":)" + std::to_string(value) + "}]" };
+}
+
+}
+
+// Guards against a resent change that is accepted twice or refused, also after a snapshot.
+TEST_CASE("a resent change gets its first answer after a snapshot", "[State]")
+{
+    StateMachine machine;
+    REQUIRE(apply(machine, 1, change("a", 0, 20)).refusal == StateRefusal::None);
+    const auto conflict = apply(machine, 2, change("b", 0, 30));
+    REQUIRE(conflict.refusal == StateRefusal::VersionConflict);
+    REQUIRE(conflict.detail.find("\"a\" of ana") != std::string::npos);
+    REQUIRE(apply(machine, 3, change("c", 1, 5000)).refusal == StateRefusal::InvalidChange);
+
+    StateMachine restored;
+    REQUIRE(restored.restore(machine.snapshot()));
+    REQUIRE(restored.snapshot() == machine.snapshot());
+    REQUIRE(std::get<Messages::ChangeAccepted>(apply(restored, 4, change("a", 0, 20)).body).version == 1);
+    REQUIRE(apply(restored, 5, change("b", 0, 30)).detail == conflict.detail);
+    REQUIRE(apply(restored, 6, change("a", 1, 99)).refusal == StateRefusal::InvalidChange);
+    REQUIRE(restored.audit().lastIndex() == 3);
+    REQUIRE(restored.configuration().version == 1);
+}
+
+// Guards against a memory of changes that grows without bound.
+TEST_CASE("the memory of changes is bounded", "[State]")
+{
+    State::ChangeMemory memory;
+    for (std::size_t index = 0; index <= State::ChangeMemory::capacity; ++index)
+        memory.remember(std::to_string(index), {});
+    REQUIRE(memory.find("0") == nullptr);
+    REQUIRE(memory.find("1") != nullptr);
+}
+
+// Guards against report sums that count a resent report twice, or lose minutes when they grow old.
+TEST_CASE("report sums ignore repeated sequences and keep old minutes by day", "[State]")
+{
+    StateMachine machine;
+    const auto report = [](Core::Incarnation incarnation, std::uint64_t sequence, std::int64_t minute) {
+        return Messages::AppendReport { "e1", incarnation, sequence,
+            { { "orders", "stock", "t1", minute, Messages::TaskOutcome::Succeeded, Messages::TaskReason::None, 10 } } };
+    };
+    const std::int64_t day = 24 * 60;
+    apply(machine, 1, report(1, 1, 100 * day + 5), (100 * day + 5) * 60'000);
+    apply(machine, 2, report(1, 1, 100 * day + 5), (100 * day + 5) * 60'000);
+    apply(machine, 3, report(1, 2, 100 * day + 9), (100 * day + 9) * 60'000);
+    apply(machine, 4, report(2, 1, 100 * day + 9), (100 * day + 9) * 60'000);
+    REQUIRE(machine.report().query({ "orders", 100 * day + 9, 100 * day + 10 })[0].tasks == 20);
+    apply(machine, 5, report(2, 2, 102 * day), 102 * day * 60'000);
+    const auto rows = machine.report().query({ "", 0, 102 * day });
+    REQUIRE(rows.size() == 1);
+    REQUIRE(rows[0].minute == 100 * day);
+    REQUIRE(rows[0].tasks == 30);
+}
+
+// Guards against a view that wakes every process for records that don't concern them.
+TEST_CASE("the view's version rises only with changes of the view", "[State]")
+{
+    StateMachine machine;
+    Messages::Member member;
+    member.identity.instanceId = "e1";
+    member.identity.incarnation = 1;
+    apply(machine, 1, Messages::RegisterMember { member });
+    REQUIRE(machine.viewVersion() == 1);
+    apply(machine, 2, Messages::RegisterMember { member });
+    apply(machine, 3, Messages::AppendReport { "e1", 1, 1, {} });
+    apply(machine, 4, change("bad", 7, 1));
+    REQUIRE(machine.viewVersion() == 1);
+    REQUIRE(apply(machine, 5, Membership::GrantPartitions { "e1", 2, { { 1, 0 } } }).refusal
+        == StateRefusal::UnknownMember);
+    apply(machine, 6, Membership::GrantPartitions { "e1", 1, { { 1, 0 } } });
+    REQUIRE(machine.viewVersion() == 6);
+}
