--- a/Program/CommandLine.cpp
+++ b/Program/CommandLine.cpp
@@ -28,6 +28,8 @@
                 line.flags[name] = value.asBool();
             else if (value.isString())
                 line.values[name] = value.asString();
+            else if (value.isStringList())
+                line.repeated[name] = value.asStringList();
         }
     } catch (const docopt::DocoptExitHelp&) {
         line.helpAsked = true;
@@ -51,6 +53,13 @@
     return found == this->values.end() ? std::string() : found->second;
 }
 
+const std::vector<std::string>& CommandLine::words(const std::string& name) const
+{
+    static const std::vector<std::string> none;
+    const auto found = this->repeated.find(name);
+    return found == this->repeated.end() ? none : found->second;
+}
+
 Core::Result<std::int64_t> CommandLine::integer(
     const std::string& name, std::int64_t minimum, std::int64_t maximum) const
 {
--- a/Program/CommandLine.h
+++ b/Program/CommandLine.h
@@ -22,6 +22,8 @@
     bool has(const std::string& name) const;
     /// Value of an argument or option; empty when it was not given and has no default.
     std::string text(const std::string& name) const;
+    /// Values of an argument that may be repeated.
+    const std::vector<std::string>& words(const std::string& name) const;
     /// Whole number inside a range.
     Core::Result<std::int64_t> integer(const std::string& name, std::int64_t minimum, std::int64_t maximum) const;
     /// Number from 0 to `maximum`.
@@ -33,6 +35,7 @@
     bool helpAsked = false;
     std::map<std::string, bool> flags;
     std::map<std::string, std::string> values;
+    std::map<std::string, std::vector<std::string>> repeated;
 };
 
 /// An Error that ends the command.
--- a/Program/Main.cpp
+++ b/Program/Main.cpp
@@ -14,7 +14,7 @@
     std::string_view help;
 };
 
-constexpr std::array<Command, 13> commands { {
+constexpr std::array<Command, 14> commands { {
     { "entry", runRole, "run an entry: accepts jobs from callers and places their tasks" },
     { "sidecar", runRole, "run a sidecar beside an endpoint" },
     { "state", runRole, "run a state replica" },
@@ -27,6 +27,7 @@
     { "audit", runAudit, "list or verify the audit trail" },
     { "load", runLoad, "put load on entries and check every answer" },
     { "experiment", runExperiment, "run a workload on the virtual clock" },
+    { "scenario", runScenario, "run scenarios of real processes" },
     { "help", nullptr, "print this text" },
 } };
 
--- a/celeryswitch/Scenario/ScenarioFile.h
+++ b/celeryswitch/Scenario/ScenarioFile.h
@@ -20,6 +20,8 @@
     std::string text(std::string_view name) const;
     /// Value of a number argument, or the one given here.
     std::int64_t integer(std::string_view name, std::int64_t builtIn = 0) const;
+    /// Time in which the step has to be done: its withinMs, or 20 s.
+    Core::Duration within() const { return std::chrono::milliseconds(this->integer("withinMs", 20'000)); }
 };
 
 /// Processes of a scenario's fleet.
--- a/celeryswitch/Scenario/ScenarioFleet.cpp
+++ b/celeryswitch/Scenario/ScenarioFleet.cpp
@@ -31,6 +31,9 @@
     return readyLine.substr(value, readyLine.find(' ', value) - value);
 }
 
+// Address in an endpoint's line, "listening on 127.0.0.1:9000".
+std::string addressOf(const std::string& readyLine) { return readyLine.substr(readyLine.rfind(' ') + 1); }
+
 // Ports that are free now. Replicas have to know each other's ports before they start.
 std::vector<std::string> freeAddresses(std::uint32_t count)
 {
@@ -133,14 +136,14 @@
 
 Core::Result<void> ScenarioFleet::startSidecars()
 {
-    const std::vector<std::string> endpointAddresses = freeAddresses(this->description.sidecars);
     for (std::uint32_t index = 0; index < this->description.sidecars; ++index) {
         const std::string endpoint = "endpoint-" + std::to_string(index + 1);
         const std::string name = "sidecar-" + std::to_string(index + 1);
-        this->processes[endpoint].command = { this->settings.standIns, "fake-endpoint", "--listen",
-            endpointAddresses[index], "--journal", this->settings.folder + "/" + endpoint + ".journal" };
+        this->processes[endpoint].command = { this->settings.standIns, "fake-endpoint", "--journal",
+            this->settings.folder + "/" + endpoint + ".journal" };
         BOOST_OUTCOME_TRY(this->start(endpoint));
-        BOOST_OUTCOME_TRY(const std::string relay, this->relayTo(endpoint, endpointAddresses[index]));
+        BOOST_OUTCOME_TRY(
+            const std::string relay, this->relayTo(endpoint, addressOf(this->processes[endpoint].readyLine)));
         const std::string path = this->write(name,
             "instanceId = " + tomlText(name) + "\n" + this->common(index) + "service = \"ordering\"\nslots = "
                 + std::to_string(this->description.slots) + "\nendpointAddress = " + tomlText(relay)
@@ -201,6 +204,10 @@
     if (!line)
         return startError(process, line.error().detail());
     found->readyLine = line.value();
+    // An endpoint listens on a new port after each start; its sidecar reaches it through the same relay as before.
+    const auto relay = this->relays.find(process);
+    if (relay != this->relays.end())
+        relay->second->setDestination(addressOf(found->readyLine));
     return Core::success();
 }
 
