--- a/celeryswitch/Entry/HttpSession.cpp
+++ b/celeryswitch/Entry/HttpSession.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+// Time for which the rest of a refused request is read, and the bytes that are read at once.
+constexpr std::chrono::seconds drainTime { 2 };
+constexpr std::size_t drainBytes = 64 * 1024;
+
 /// Session over a Beast stream.
 class StreamSession final : public HttpSession, public std::enable_shared_from_this<StreamSession> {
 public:
@@ -150,6 +154,7 @@
             return;
         }
         this->isKeptAlive = false;
+        this->isMalformed = true;
         this->isBusy = true;
         this->respond(
             makeAnswer({ status, "malformed-request", "The HTTP request can't be read", error.message() }), {});
@@ -168,6 +173,22 @@
     {
         error_code ignored;
         this->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        if (!this->isMalformed)
+            return;
+        // Closing with unread bytes would reset the connection and could destroy the response on its way.
+        this->stream.expires_after(drainTime);
+        this->drain();
+    }
+
+    // Reads and discards what the caller still sends.
+    void drain()
+    {
+        this->buffer.clear();
+        this->stream.async_read_some(
+            this->buffer.prepare(drainBytes), [self = this->shared_from_this()](error_code error, std::size_t) {
+                if (!error)
+                    self->drain();
+            });
     }
 
     beast::tcp_stream stream;
@@ -179,6 +200,7 @@
     http::response<http::string_body> response;
     http::response<http::empty_body> interim;
     bool isBusy = false;
+    bool isMalformed = false;
     bool isKeptAlive = false;
     bool isFinishing = false;
 };
