--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -153,8 +153,11 @@
 
 echo
 echo "demo: load for $seconds s through both entries"
+# In the background, because the shell runs traps only between foreground commands.
 "$program" load workloads/association.toml --phase steady --seconds "$seconds" --slots 32 --entries "$entries" \
-    --journals "$journals"
+    --journals "$journals" &
+processes+=($!)
+wait "${processes[-1]}"
 
 echo
 echo "demo: final report"
