Compare identifiers without the spaceship operator

clang-tidy 14 reports modernize-use-nullptr for the defaulted operator<=> wherever a set or a sort uses it (a fault of the check: it suggests nullptr for the literal 0 in the generated code). Plain equality and order say the same.

--- a/celeryswitch/Core/Identifiers.h
+++ b/celeryswitch/Core/Identifiers.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 
 namespace celeryswitch::Core {
 
@@ -26,7 +27,11 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    friend auto operator<=>(const JobId&, const JobId&) = default;
+    friend bool operator==(const JobId&, const JobId&) = default;
+    friend bool operator<(const JobId& left, const JobId& right)
+    {
+        return std::tie(left.high, left.low) < std::tie(right.high, right.low);
+    }
     template <typename Archive> void serialize(Archive& archive) { archive(this->high, this->low); }
 };
 
@@ -35,7 +40,11 @@
     JobId jobId;
     std::uint32_t taskIndex = 0;
 
-    friend auto operator<=>(const TaskKey&, const TaskKey&) = default;
+    friend bool operator==(const TaskKey&, const TaskKey&) = default;
+    friend bool operator<(const TaskKey& left, const TaskKey& right)
+    {
+        return std::tie(left.jobId, left.taskIndex) < std::tie(right.jobId, right.taskIndex);
+    }
     template <typename Archive> void serialize(Archive& archive) { archive(this->jobId, this->taskIndex); }
 };
 
