--- a/celeryswitch/Consensus/Replica.cpp
+++ b/celeryswitch/Consensus/Replica.cpp
@@ -35,6 +35,9 @@
 {
     this->restartElectionTimer();
     this->fire(RoleEvent::GroupChanged);
+    // The only voter has no leader to wait for.
+    if (this->currentRole == ReplicaRole::Follower && this->replicaLog.group().voters.size() == 1)
+        this->electionDue = now;
 }
 
 ReplicaActions Replica::step(Core::SteadyTime time, ReplicaEvent event)
--- a/celeryswitch/Consensus/ReplicaElection.cpp
+++ b/celeryswitch/Consensus/ReplicaElection.cpp
@@ -72,6 +72,9 @@
                 && this->now - this->leaderSeenAt
                     < this->settings.electionTimeoutMinimum - this->settings.heartbeatInterval);
         const bool isGranted = request.term > this->currentTerm && isLogGood && !hasLeader;
+        // Gives way to the candidate, so that the two of them don't split the votes a moment later.
+        if (isGranted)
+            this->restartElectionTimer();
         this->reply(request.from,
             VoteReply { this->settings.id, isGranted ? request.term : this->currentTerm, isGranted, true });
         return;
--- a/celeryswitch/State/StateClient.cpp
+++ b/celeryswitch/State/StateClient.cpp
@@ -15,6 +15,13 @@
 using Messages::StateReply;
 using SteadyClock = std::chrono::steady_clock;
 
+namespace {
+
+// Time for which a replica that refused a connection is not taken for the leader; about an election.
+constexpr std::chrono::milliseconds unreachableTime { 500 };
+
+}
+
 /// State of a client; held by shared pointer so that callbacks can tell whether it still exists.
 class StateClient::Implementation : public std::enable_shared_from_this<StateClient::Implementation> {
 public:
@@ -175,10 +182,13 @@
                     return;
                 }
                 self->isConnecting = false;
-                if (result)
+                if (result) {
                     self->connected(std::move(result).value());
-                else
+                } else {
+                    self->unreachable = self->replica;
+                    self->unreachableUntil = SteadyClock::now() + unreachableTime;
                     self->connectionFailed();
+                }
             });
     }
 
@@ -241,8 +251,10 @@
     // Moves to the leader that a replica named, or to the next replica when it knows none.
     void followLeader(const std::string& leader)
     {
+        // Until the others have noticed the loss of a leader they go on naming it.
+        const bool isUnreachable = leader == this->unreachable && SteadyClock::now() < this->unreachableUntil;
         // Two replicas that name each other must not be asked in a tight loop.
-        if (leader.empty() || leader == this->replica || ++this->failures > 3) {
+        if (leader.empty() || isUnreachable || leader == this->replica || ++this->failures > 3) {
             this->connectionFailed();
             return;
         }
@@ -298,6 +310,9 @@
     Network::PeerConnectionPointer connection;
     /// Rises with each connection; tells callbacks of an older one.
     std::uint64_t generation = 0;
+    /// Replica that refused a connection, and until when it is not followed as a leader.
+    std::string unreachable;
+    SteadyClock::time_point unreachableUntil;
     bool isConnecting = false;
     bool isReconnectPlanned = false;
     bool isStopped = false;
--- a/celeryswitch/State/StateClient.h
+++ b/celeryswitch/State/StateClient.h
@@ -28,7 +28,7 @@
     std::vector<std::string> replicas;
     /// Bounds of the jittered, exponential delay between attempts.
     Core::Duration minimumBackoff = std::chrono::milliseconds(10);
-    Core::Duration maximumBackoff = std::chrono::milliseconds(300);
+    Core::Duration maximumBackoff = std::chrono::milliseconds(150);
     /// Time without an answer after which another replica is tried; a long poll's own wait is added.
     Core::Duration attemptTimeout = std::chrono::milliseconds(800);
     /// Seed of the jitter.
