--- a/UnitTests/Dispatch/CreditAllocatorTest.cpp
+++ b/UnitTests/Dispatch/CreditAllocatorTest.cpp
@@ -40,11 +40,11 @@
     REQUIRE(allocator.use("a", 2) == 2);
     REQUIRE(allocator.use("a", 1) == 0);
     allocator.setBacklog(start, "a", { 5, 10 });
-    allocator.setBacklog(start, "b", { 1, 9.5 });
+    allocator.setBacklog(start, "b", { 1, 6.5 });
     allocator.slotFreed("a");
     REQUIRE(granted(allocator.assign(start), "a") == 1);
     REQUIRE(allocator.use("a", 1) == 1);
-    allocator.setBacklog(start, "b", { 1, 8 });
+    allocator.setBacklog(start, "b", { 1, 5 });
     allocator.slotFreed("a");
     REQUIRE(granted(allocator.assign(start), "b") == 1);
     // A report loses its force when the task has long started elsewhere.
--- a/celeryswitch/Dispatch/FairQueue.h
+++ b/celeryswitch/Dispatch/FairQueue.h
@@ -15,7 +15,7 @@
     /// come first served. Waiting therefore counts relative to the ideal response, and long tasks can't starve.
     double slackPerExpectedRun = 2;
     /// Idle slots kept from kinds above their share, in standard deviations of the other kinds' demand.
-    double reserveAboveShare = 1.5;
+    double reserveAboveShare = 3;
     /// Idle slots kept from long tasks of kinds inside their share, in standard deviations of the shorter kinds'
     /// demand.
     double reserveForShorter = 0.25;
