--- a/celeryswitch/Consensus/ReplicaLeading.cpp
+++ b/celeryswitch/Consensus/ReplicaLeading.cpp
@@ -115,8 +115,11 @@
     if (reply.isAccepted) {
         progress->match = std::max(progress->match, reply.matchIndex);
         progress->next = std::max(progress->next, progress->match + 1);
+    } else if (reply.matchIndex < progress->match) {
+        // Overtaken by a newer answer. Sending at once would also never end with a replica whose disk was set back.
+        return;
     } else {
-        progress->next = std::max(progress->match, std::min(reply.matchIndex, this->replicaLog.lastIndex())) + 1;
+        progress->next = std::min(reply.matchIndex, this->replicaLog.lastIndex()) + 1;
     }
     if (progress->transfer)
         return;
@@ -204,11 +207,11 @@
         if (!group.hasLearner(replacement.id)) {
             group.learners.push_back(replacement);
             this->appendGroup(group);
-            if (this->settings.isLearnerCaughtUpFirst)
-                return;
+            return;
         }
+        // A voter that still has to catch up would hold up every commit of the larger group.
         const Progress* progress = this->leadership->find(replacement.id);
-        if (this->settings.isLearnerCaughtUpFirst && (!progress || progress->match < this->committedIndex))
+        if (!progress || progress->match < this->committedIndex)
             return;
         std::erase_if(group.learners, isReplica(replacement.id));
         group.voters.push_back(replacement);
