--- a/celeryswitch/Scenario/TcpRelay.cpp
+++ b/celeryswitch/Scenario/TcpRelay.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <future>
 #include <set>
 #include <thread>
 
@@ -223,7 +224,12 @@
 
 void TcpRelay::setCut(bool isCut)
 {
-    this->implementation->run([this, isCut] { this->implementation->setCut(isCut); });
+    std::promise<void> done;
+    this->implementation->run([&] {
+        this->implementation->setCut(isCut);
+        done.set_value();
+    });
+    done.get_future().wait();
 }
 
 }
--- a/celeryswitch/Scenario/TcpRelay.h
+++ b/celeryswitch/Scenario/TcpRelay.h
@@ -20,7 +20,7 @@
     const std::string& address() const;
     /// Forwards new connections to another address.
     void setDestination(const std::string& destination);
-    /// Stops or resumes the flow of bytes in both directions.
+    /// Stops or resumes the flow of bytes in both directions; it has stopped or resumed when this returns.
     void setCut(bool isCut);
 
 private:
