--- a/celeryswitch/Settings/SettingsDocument.cpp
+++ b/celeryswitch/Settings/SettingsDocument.cpp
@@ -104,12 +104,13 @@
             else if (key.isRequired)
                 this->document.addProblem(std::string(key.name), "is missing; give " + allowedText(key));
         }
-        for (const auto& [name, node] : this->root) {
-            const auto known = std::find_if(
-                schema.begin(), schema.end(), [&](const SettingsKey& key) { return key.name == name.str(); });
+        for (const auto& [tomlKey, node] : this->root) {
+            const std::string_view name = tomlKey.str();
+            const auto known
+                = std::find_if(schema.begin(), schema.end(), [&](const SettingsKey& key) { return key.name == name; });
             if (known == schema.end())
-                this->report(std::string(name.str()), name.source().begin.line, {},
-                    "unknown key; remove it or correct its name");
+                this->report(
+                    std::string(name), tomlKey.source().begin.line, {}, "unknown key; remove it or correct its name");
         }
     }
 
