--- a/celeryswitch/State/StorageThread.cpp
+++ b/celeryswitch/State/StorageThread.cpp
@@ -54,8 +54,8 @@
             this->times.longest = std::max(this->times.longest, time);
         }
         hasFailed = !result;
-        StorageOutcome outcome { merged.sequence, result ? std::string() : result.error().message() };
-        while (!this->finished.tryPush(std::move(outcome)) && !this->isStopping)
+        const StorageOutcome outcome { merged.sequence, result ? std::string() : result.error().message() };
+        while (!this->finished.tryPush(StorageOutcome(outcome)) && !this->isStopping)
             std::this_thread::yield();
     }
 }
