--- a/UnitTests/Ownership/ExplorerNetwork.h
+++ b/UnitTests/Ownership/ExplorerNetwork.h
@@ -4,6 +4,7 @@
 #include "celeryswitch/Messages/TaskMessages.h"
 #include <functional>
 #include <memory>
+#include <tuple>
 #include <vector>
 
 namespace celeryswitch::Explorer {
@@ -13,7 +14,11 @@
     std::uint32_t process = 0;
     std::uint32_t life = 0;
 
-    friend auto operator<=>(const Place&, const Place&) = default;
+    friend bool operator==(const Place&, const Place&) = default;
+    friend bool operator<(const Place& left, const Place& right)
+    {
+        return std::tie(left.process, left.life) < std::tie(right.process, right.life);
+    }
 };
 
 /// Streams between processes: ordered, without duplicates, with delays, stalls and breaks that the two sides notice at
