Remove a switch that no code read

Reconciliation after a reconnect has no off position yet, so the explorer can't show its absence; the field claimed that it could. 400 schedules and the entry's tests pass.

--- a/UnitTests/Ownership/AtMostOnceExplorerTest.cpp
+++ b/UnitTests/Ownership/AtMostOnceExplorerTest.cpp
@@ -34,7 +34,6 @@
         { "table", &mechanisms.hasJobTableLookup },
         { "recovery", &mechanisms.hasRecovery },
         { "lease", &mechanisms.hasLeaseCheck },
-        { "reconciliation", &mechanisms.hasReconciliation },
     };
     for (const auto& [name, value] : names)
         *value = list.find(name) == std::string::npos;
--- a/UnitTests/Ownership/ExplorerLoop.h
+++ b/UnitTests/Ownership/ExplorerLoop.h
@@ -17,7 +17,6 @@
     bool hasJobTableLookup = true;
     bool hasRecovery = true;
     bool hasLeaseCheck = true;
-    bool hasReconciliation = true;
 };
 
 /// A promise was broken.
--- a/UnitTests/Ownership/ExplorerWorld.cpp
+++ b/UnitTests/Ownership/ExplorerWorld.cpp
@@ -108,7 +108,6 @@
     settings.isJobTableLookedUp = this->mechanisms.hasJobTableLookup;
     settings.isLeaseChecked = this->mechanisms.hasLeaseCheck;
     settings.isRecoveryDone = this->mechanisms.hasRecovery;
-    settings.isReconciled = this->mechanisms.hasReconciliation;
     node.core = std::make_unique<Entry::EntryCore>(settings);
     this->planPoll(place, {});
 }
--- a/celeryswitch/Entry/EntryContext.h
+++ b/celeryswitch/Entry/EntryContext.h
@@ -28,8 +28,6 @@
     bool isLeaseChecked = true;
     /// Tests only: false acts as owner without asking the sidecars for their records.
     bool isRecoveryDone = true;
-    /// Tests only: false starts tasks again that a reconnected sidecar may still hold.
-    bool isReconciled = true;
 };
 
 /// Counters of an entry's core since its start.
