--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,4 +1,5 @@
 #include "PerformanceTest/CapacityPerformance.h"
+#include "PerformanceTest/EntryPerformance.h"
 #include "PerformanceTest/StatePerformance.h"
 #include <algorithm>
 #include <boost/json.hpp>
@@ -37,6 +38,8 @@
     static const std::vector<Group> all {
         { "capacity", celeryswitch::PerformanceTest::capacityCases },
         { "state", celeryswitch::PerformanceTest::stateCases },
+        { "entry", celeryswitch::PerformanceTest::measureEntryDecisions },
+        { "added-time", celeryswitch::PerformanceTest::measureAddedTime },
     };
     return all;
 }
