--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,4 +1,5 @@
 #include "PerformanceTest/CapacityPerformance.h"
+#include "PerformanceTest/DispatchPerformance.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdio>
@@ -35,6 +36,7 @@
 {
     static const std::vector<Group> all {
         { "capacity", celeryswitch::PerformanceTest::capacityCases },
+        { "dispatch", celeryswitch::PerformanceTest::dispatchCases },
     };
     return all;
 }
