--- a/celeryswitch/Experiment/QueueStrategy.h
+++ b/celeryswitch/Experiment/QueueStrategy.h
@@ -3,6 +3,7 @@
 #include "celeryswitch/Experiment/Fleet.h"
 #include <optional>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace celeryswitch::Experiment {
@@ -23,7 +24,11 @@
         JobIndex job = 0;
         std::uint32_t task = 0;
 
-        auto operator<=>(const Item&) const = default;
+        bool operator<(const Item& other) const
+        {
+            return std::tie(this->place, this->entry, this->job, this->task)
+                < std::tie(other.place, other.entry, other.job, other.task);
+        }
     };
     struct Worker {
         std::set<Item> queue;
