--- a/UnitTests/Experiment/ExperimentTest.cpp
+++ b/UnitTests/Experiment/ExperimentTest.cpp
@@ -74,7 +74,7 @@
 }
 
 // Guards against long tasks that starve and short ones that queue behind them.
-TEST_CASE("response at 95 % load stays near the ideal, also for the longest tasks", "[Experiment][known-red]")
+TEST_CASE("response at 95 % load stays near the ideal for long tasks as well", "[Experiment][known-red]")
 {
     checkSteady("association", { 95, 1.05, 2.0 });
     checkSteady("lanterna", { 95, 1.05, 2.0 });
