--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,6 +1,7 @@
 #include "PerformanceTest/CapacityPerformance.h"
 #include "PerformanceTest/EntryPerformance.h"
 #include "PerformanceTest/StatePerformance.h"
+#include "PerformanceTest/DispatchPerformance.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdio>
@@ -40,6 +41,7 @@
         { "state", celeryswitch::PerformanceTest::stateCases },
         { "entry", celeryswitch::PerformanceTest::measureEntryDecisions },
         { "added-time", celeryswitch::PerformanceTest::measureAddedTime },
+        { "dispatch", celeryswitch::PerformanceTest::dispatchCases },
     };
     return all;
 }
