--- a/Program/ReportCommand.cpp
+++ b/Program/ReportCommand.cpp
@@ -45,17 +45,20 @@
     return static_cast<std::int64_t>(timegm(&parts)) / 60;
 }
 
-Core::Result<std::string> written(const Report::ReportWriter& writer, const std::string& format)
+// The function that writes a format, so that a wrong name is found before any request is sent.
+using Format = std::string (Report::ReportWriter::*)() const;
+
+Core::Result<Format> formatOf(const std::string& name)
 {
-    if (format == "text")
-        return writer.text();
-    if (format == "json")
-        return writer.json();
-    if (format == "csv")
-        return writer.csv();
-    if (format == "html")
-        return writer.html();
-    return failure(ExitCode::Usage, "--format = \"" + format + "\": give text, json, csv or html");
+    if (name == "text")
+        return &Report::ReportWriter::text;
+    if (name == "json")
+        return &Report::ReportWriter::json;
+    if (name == "csv")
+        return &Report::ReportWriter::csv;
+    if (name == "html")
+        return &Report::ReportWriter::html;
+    return failure(ExitCode::Usage, "--format = \"" + name + "\": give text, json, csv or html");
 }
 
 CommandResult save(const std::string& file, const std::string& content)
@@ -80,6 +83,7 @@
     Report::ReportFilter filter { line.text("--service"), line.text("--kind"), line.text("--team"), 0, 0 };
     BOOST_OUTCOME_TRY(filter.fromMinute, minuteOf("--from", line.text("--from"), 0));
     BOOST_OUTCOME_TRY(filter.toMinute, minuteOf("--to", line.text("--to"), now / 60000 + 1));
+    BOOST_OUTCOME_TRY(const Format format, formatOf(line.has("--json") ? "json" : line.text("--format")));
     BOOST_OUTCOME_TRY(const StateSession session, StateSession::open(line.text("--settings")));
     BOOST_OUTCOME_TRY(const Messages::ReportAnswer answer,
         session.ask<Messages::ReportAnswer>(
@@ -90,8 +94,7 @@
             filter.fromMinute = std::min(filter.fromMinute, row.minute);
     }
     const Report::ReportSums sums(answer.rows, filter);
-    BOOST_OUTCOME_TRY(const std::string content,
-        written(Report::ReportWriter(sums, now), line.has("--json") ? "json" : line.text("--format")));
+    const std::string content = (Report::ReportWriter(sums, now).*format)();
     BOOST_OUTCOME_TRY(line.text("--output").empty() ? print(content) : save(line.text("--output"), content));
     for (const Report::Agreement& agreement : sums.agreements()) {
         if (!agreement.isMet())
--- a/celeryswitch/Load/HttpConnection.cpp
+++ b/celeryswitch/Load/HttpConnection.cpp
@@ -140,7 +140,7 @@
         this->finish(std::move(answer));
     }
 
-    // A server may close an idle connection while a request is on its way; the caller decides whether to send it again.
+    // The other side may close an idle connection while a request is on its way; the caller decides about another try.
     void lost(beast::error_code error)
     {
         if (error == beast::error::timeout)
--- a/celeryswitch/Load/HttpConnection.h
+++ b/celeryswitch/Load/HttpConnection.h
@@ -22,7 +22,7 @@
     TimedOut,
 };
 
-/// A request to an HTTP server.
+/// A request over HTTP.
 struct HttpRequest {
     std::string method = "GET";
     /// Path with query.
@@ -31,7 +31,7 @@
     std::string body;
 };
 
-/// A server's answer.
+/// An answer over HTTP.
 struct HttpAnswer {
     unsigned statusCode = 0;
     /// Seconds of the Retry-After header; 0 when there is none.
@@ -54,7 +54,7 @@
 
     /// Sends a request; none may be waiting.
     void request(HttpRequest request, Core::Duration timeout, Handler handler);
-    /// Address of the server.
+    /// Address that the connection leads to.
     const std::string& address() const;
 
 private:
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -35,6 +35,9 @@
 echo "== samples"
 ctest --test-dir "$build" --output-on-failure -j 4 -E '^unit$' || status=1
 
+echo "== command line"
+./scripts/test-command-line.sh "$build" || status=1
+
 echo "== scenarios"
 mapfile -t red_scenarios < <(known_red scenario)
 for file in scenarios/*.toml; do
