--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,4 +1,6 @@
 #include "PerformanceTest/CapacityPerformance.h"
+#include "PerformanceTest/NetworkPerformance.h"
+#include "PerformanceTest/SidecarPerformance.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdio>
@@ -35,6 +37,9 @@
 {
     static const std::vector<Group> all {
         { "capacity", celeryswitch::PerformanceTest::capacityCases },
+        { "network", celeryswitch::PerformanceTest::networkCases },
+        { "fence", celeryswitch::PerformanceTest::fenceCases },
+        { "sidecar", celeryswitch::PerformanceTest::sidecarCases },
     };
     return all;
 }
