--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,6 +1,7 @@
 #include "PerformanceTest/CapacityPerformance.h"
 #include "PerformanceTest/NetworkPerformance.h"
 #include "PerformanceTest/SidecarPerformance.h"
+#include "PerformanceTest/StatePerformance.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdio>
@@ -40,6 +41,7 @@
         { "network", celeryswitch::PerformanceTest::networkCases },
         { "fence", celeryswitch::PerformanceTest::fenceCases },
         { "sidecar", celeryswitch::PerformanceTest::sidecarCases },
+        { "state", celeryswitch::PerformanceTest::stateCases },
     };
     return all;
 }
