--- a/PerformanceTest/Main.cpp
+++ b/PerformanceTest/Main.cpp
@@ -1,7 +1,9 @@
 #include "PerformanceTest/CapacityPerformance.h"
+#include "PerformanceTest/DispatchPerformance.h"
 #include "PerformanceTest/EntryPerformance.h"
+#include "PerformanceTest/NetworkPerformance.h"
+#include "PerformanceTest/SidecarPerformance.h"
 #include "PerformanceTest/StatePerformance.h"
-#include "PerformanceTest/DispatchPerformance.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cstdio>
@@ -38,6 +40,9 @@
 {
     static const std::vector<Group> all {
         { "capacity", celeryswitch::PerformanceTest::capacityCases },
+        { "network", celeryswitch::PerformanceTest::networkCases },
+        { "fence", celeryswitch::PerformanceTest::fenceCases },
+        { "sidecar", celeryswitch::PerformanceTest::sidecarCases },
         { "state", celeryswitch::PerformanceTest::stateCases },
         { "entry", celeryswitch::PerformanceTest::measureEntryDecisions },
         { "added-time", celeryswitch::PerformanceTest::measureAddedTime },
