--- a/celeryswitch/Sidecar/PeerLoop.cpp
+++ b/celeryswitch/Sidecar/PeerLoop.cpp
@@ -94,8 +94,6 @@
 
 void PeerLoop::report(PeerEvent event)
 {
-    if (this->unreported.empty() && this->parts.toDecision.tryPush(std::move(event)))
-        return;
     this->unreported.push_back(std::move(event));
     this->flushReports();
 }
