Include what the entry's performance header uses

Cause: the merged PerformanceCase.h no longer includes <vector>. Ruled out: including it there, which does not use it.

--- a/PerformanceTest/EntryPerformance.h
+++ b/PerformanceTest/EntryPerformance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "PerformanceTest/PerformanceCase.h"
+#include <vector>
 
 namespace celeryswitch::PerformanceTest {
 
