Let an entry without credits report that its tasks wait

All slots were credits of the first entry. The second entry saw no slots, so every share was zero, every kind counted as above its share, and its heartbeats said that nothing waits; no sidecar moved a credit. Batched jobs were never reported at all.

Ruled out: lost credit messages (the allocator recalls idle credits for a waiting report) and a recall that stays open (heartbeats reopen it).

A kind that uses no slots now counts as pressing, and an entry may ask for four credits before its first start. A unit test covers jobs of 1, 24 and 200 tasks.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -84,3 +84,23 @@
     REQUIRE(dispatcher.nextWakeUp().has_value());
     REQUIRE(startedTasks(dispatcher.poll(*dispatcher.nextWakeUp())) == 1);
 }
+
+// Guards against an entry without credits that never asks for any: all slots were in use through another entry, the
+// entry saw no slots of its own, took its tasks for work above their share and reported that nothing waits.
+TEST_CASE("an entry without credits reports that its tasks wait and asks for credits", "[Dispatch]")
+{
+    constexpr double idleRank = 1e6;
+    for (const std::uint32_t taskCount : { 1U, 24U, 200U }) {
+        Dispatcher dispatcher({});
+        dispatcher.addSidecar(start, sidecar("s1"));
+        REQUIRE(dispatcher.submit(start, job(1, taskCount)).isAccepted);
+        REQUIRE(dispatcher.backlog("loans").queuedTasks == taskCount);
+        REQUIRE(dispatcher.backlog("loans").bestRank < idleRank);
+        bool hasAsked = false;
+        for (int step = 0; step < 20 && !hasAsked; ++step) {
+            for (const Decision& decision : dispatcher.poll(start + std::chrono::milliseconds(100 * step)))
+                hasAsked = hasAsked || std::holds_alternative<CreditReturnDecision>(decision);
+        }
+        REQUIRE(hasAsked);
+    }
+}
--- a/celeryswitch/Dispatch/DispatcherState.h
+++ b/celeryswitch/Dispatch/DispatcherState.h
@@ -25,8 +25,9 @@
     double reservedPart = 0;
     /// Sidecars that can be asked for credits.
     std::vector<SidecarIndex> sidecars;
-    /// Credit requests that may be sent, and when the last one was and the next one is due.
-    double requestTokens = 0;
+    /// Credit requests that may be sent, and when the last one was and the next one is due. An entry that has started
+    /// nothing yet may ask for a few credits before the next heartbeat.
+    double requestTokens = 4;
     Core::SteadyTime requestedAt {};
     std::optional<Core::SteadyTime> nextRequest;
 
--- a/celeryswitch/Dispatch/FairQueue.cpp
+++ b/celeryswitch/Dispatch/FairQueue.cpp
@@ -156,7 +156,7 @@
     std::optional<double> best;
     this->forEachHead(now, [&](KindIndex index, const Job& job) {
         const Kind& kind = this->kinds[index];
-        if (!job->isBatched() && !this->isAboveShare(kind, capacity))
+        if (this->isPressing(kind, job, capacity))
             best = std::min(best.value_or(1e18), this->placeOf(kind, job));
     });
     if (!best)
@@ -172,7 +172,7 @@
     std::optional<SteadyTime> first;
     this->forEachHead(now, [&](KindIndex index, const Job& job) {
         const Kind& kind = this->kinds[index];
-        if (job->isBatched() || this->isAboveShare(kind, capacity))
+        if (!this->isPressing(kind, job, capacity))
             return;
         const SteadyTime behind
             = job->enqueuedAt + Duration(static_cast<std::int64_t>(part * kind.expectedSeconds * 1e9));
@@ -290,6 +290,12 @@
     return kind.slots + 1 > (kind.waiting > chanceWaiting ? share : share + tolerance);
 }
 
+bool FairQueue::isPressing(const Kind& kind, const Job& job, double capacity) const
+{
+    // An entry without credits sees no slots and so no shares; a kind that uses none must not count as above its share.
+    return kind.slots < 1 || (!job->isBatched() && !this->isAboveShare(kind, capacity));
+}
+
 double FairQueue::holdSeconds(const Kind& kind, const Job& job)
 {
     return kind.expectedSeconds * (job->isBatched() ? smallestBatch : 1);
--- a/celeryswitch/Dispatch/FairQueue.h
+++ b/celeryswitch/Dispatch/FairQueue.h
@@ -111,6 +111,8 @@
     bool isHeld(Core::SteadyTime now, TeamIndex team);
     void refreshReserves(Core::SteadyTime now, KindIndex index, double capacity, double reservedPart);
     bool isAboveShare(const Kind& kind, double capacity) const;
+    // Whether a waiting job is a reason to move credits to this entry.
+    bool isPressing(const Kind& kind, const Job& job, double capacity) const;
     static double holdSeconds(const Kind& kind, const Job& job);
     double placeOf(const Kind& kind, const Job& job) const;
     template <typename F> void forEachHead(Core::SteadyTime now, F&& visit);
--- a/celeryswitch/Experiment/Fleet.cpp
+++ b/celeryswitch/Experiment/Fleet.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr std::uint32_t batchedJobTasks = 200;
+// Tasks that arrived at the end get time to finish: a batch of 8 tasks of 6 s holds a slot for 48 s, and others wait
+// for it.
+constexpr Duration drainTime = std::chrono::seconds(240);
 constexpr Duration failureRun = std::chrono::milliseconds(1);
 constexpr double stragglerFactor = 5;
 
@@ -41,8 +44,7 @@
 {
     for (std::size_t kind = 0; kind < this->options.workload.kinds.size(); ++kind)
         this->scheduleArrival(kind, jobArrived);
-    // Tasks that arrived at the end get time to finish.
-    this->events.runUntil(this->measureUntil() + std::chrono::seconds(30));
+    this->events.runUntil(this->measureUntil() + drainTime);
     return this->result();
 }
 
