--- a/celeryswitch/Sidecar/SidecarProcess.cpp
+++ b/celeryswitch/Sidecar/SidecarProcess.cpp
@@ -150,7 +150,7 @@
     void take(Core::SteadyTime now, Core::WallTime wallNow, PeerEvent& event)
     {
         if (auto* frame = std::get_if<PeerFrame>(&event))
-            this->core.frameReceived(now, wallNow, frame->connectionId, std::move(frame->message));
+            this->takeFrame(now, wallNow, std::move(*frame));
         else if (const auto* heartbeat = std::get_if<PeerHeartbeat>(&event))
             this->core.heartbeatReceived(now, heartbeat->heartbeat, heartbeat->fromAddress);
         else if (const auto* opened = std::get_if<PeerOpened>(&event))
@@ -159,6 +159,14 @@
             this->core.connectionClosed(std::get<PeerClosed>(event).connectionId);
     }
 
+    void takeFrame(Core::SteadyTime now, Core::WallTime wallNow, PeerFrame frame)
+    {
+        const Core::ConfigurationVersion before = this->core.configurationVersion();
+        this->core.frameReceived(now, wallNow, frame.connectionId, std::move(frame.message));
+        if (this->core.configurationVersion() != before)
+            this->log("configuration in force", "version " + std::to_string(this->core.configurationVersion()));
+    }
+
     void carryOut(Action action)
     {
         if (std::holds_alternative<StartCall>(action) || std::holds_alternative<ProbeEndpoint>(action)) {
