Use plain terms in comments and names found in the read-through

Behaviour is unchanged. Ruled out: renaming public functions such as heard(), which are short but clear.

--- a/UnitTests/Dispatch/CreditAllocatorTest.cpp
+++ b/UnitTests/Dispatch/CreditAllocatorTest.cpp
@@ -30,7 +30,7 @@
 
 }
 
-// Guards against a free slot that wanders although its entry has use for it, or stays although another needs it more.
+// Guards against a free slot that is moved although its entry can use it, or is kept although another needs it more.
 TEST_CASE("a slot goes back to its entry unless another is more pressing", "[Dispatch]")
 {
     CreditAllocator allocator(2);
--- a/UnitTests/Network/PeerTransportTest.cpp
+++ b/UnitTests/Network/PeerTransportTest.cpp
@@ -104,8 +104,8 @@
     REQUIRE(received == 20'000'000);
 }
 
-// Guards against a peer without the key, or sending rubbish, that gets a connection or stops the listener.
-TEST_CASE("peers without the key and rubbish are rejected and counted", "[Network]")
+// Guards against a peer without the key, or sending malformed bytes, that gets a connection or stops the listener.
+TEST_CASE("peers without the key and malformed bytes are rejected and counted", "[Network]")
 {
     Pair pair;
     PeerTransport stranger(pair.context, { 1, { { 1, "a secret that is not the fleet's" } } });
@@ -121,10 +121,10 @@
     for (int round = 0; round < 50; ++round) {
         boost::asio::ip::tcp::socket socket(pair.context);
         socket.connect(endpoint);
-        std::string rubbish(20 + random() % 200, '\0');
-        for (char& byte : rubbish)
+        std::string malformed(20 + random() % 200, '\0');
+        for (char& byte : malformed)
             byte = static_cast<char>(random());
-        boost::asio::write(socket, boost::asio::buffer(rubbish));
+        boost::asio::write(socket, boost::asio::buffer(malformed));
         REQUIRE(pair.runUntil([&] { return pair.listener.rejectedCount() > before + static_cast<unsigned>(round); }));
     }
     REQUIRE(pair.accepted.empty());
@@ -160,7 +160,7 @@
     REQUIRE(bound);
     REQUIRE(other);
     REQUIRE(stranger.bindDatagram("127.0.0.1:0", [](auto, auto) {}));
-    stranger.sendDatagram(bound.value(), "rubbish");
+    stranger.sendDatagram(bound.value(), "malformed");
     pair.connector.sendDatagram(bound.value(), "heartbeat");
     pair.connector.sendDatagram(bound.value(), std::string(1201, 'x'));
     REQUIRE(pair.runUntil([&] { return received.size() == 1 && pair.listener.rejectedCount() == 1; }));
--- a/celeryswitch/Dispatch/CreditAllocator.cpp
+++ b/celeryswitch/Dispatch/CreditAllocator.cpp
@@ -159,10 +159,10 @@
     if (owner != this->entries.end() && owner->second.queued > 0)
         return owner;
     // Tasks whose partition moved wait in the queue of an entry that has no slot running here.
-    const auto stranded = std::find_if(
+    const auto otherQueue = std::find_if(
         this->entries.begin(), this->entries.end(), [](const auto& entry) { return entry.second.queued > 0; });
-    if (stranded != this->entries.end())
-        return stranded;
+    if (otherQueue != this->entries.end())
+        return otherQueue;
     auto best = owner != this->entries.end() && owner->second.isConnected ? owner : this->entries.end();
     double bestRank = best != this->entries.end() ? best->second.rank(now) - moveMargin : 0;
     for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
@@ -202,20 +202,20 @@
     std::uint32_t count, std::map<Core::InstanceId, CreditChange>& changes)
 {
     while (count > 0) {
-        auto victim = this->entries.end();
+        auto lenderPosition = this->entries.end();
         for (auto entry = this->entries.begin(); entry != this->entries.end(); ++entry) {
             const EntryCredits& candidate = entry->second;
             const bool isSpared = this->isAccepting && candidate.isWaiting(now);
             if (entry->first == waitingId || candidate.idle <= keep || candidate.recalled != 0 || isSpared)
                 continue;
-            if (victim == this->entries.end() || candidate.rank(now) > victim->second.rank(now))
-                victim = entry;
+            if (lenderPosition == this->entries.end() || candidate.rank(now) > lenderPosition->second.rank(now))
+                lenderPosition = entry;
         }
-        if (victim == this->entries.end())
+        if (lenderPosition == this->entries.end())
             return;
-        EntryCredits& lender = victim->second;
+        EntryCredits& lender = lenderPosition->second;
         lender.recalled = std::min(count, lender.idle - keep);
-        changes[victim->first].recalled = lender.recalled;
+        changes[lenderPosition->first].recalled = lender.recalled;
         count -= lender.recalled;
     }
 }
--- a/celeryswitch/Entry/RequestHandler.cpp
+++ b/celeryswitch/Entry/RequestHandler.cpp
@@ -18,7 +18,7 @@
 // Status between entries only: the receiver does not own the partition, or its lease is over.
 constexpr std::uint16_t statusMisdirected = 421;
 constexpr std::uint16_t statusUnavailable = 503;
-// Retry time with which a submission is created after the takeover that made it doubtful.
+// Retry time after which a new submission is newer than the takeover and so accepted.
 constexpr std::uint32_t takeoverRetrySeconds = 10;
 
 Problem keyProblem(std::uint16_t status, std::string type, std::string title, std::string detail, Execution execution)
--- a/celeryswitch/State/Wakeup.h
+++ b/celeryswitch/State/Wakeup.h
@@ -6,10 +6,10 @@
 
 namespace celeryswitch::State {
 
-/// Lets one thread sleep until another has work for it.
+/// Blocks one thread until another has work for it.
 class Wakeup {
 public:
-    /// Wakes the sleeper, or keeps its next sleep from beginning.
+    /// Unblocks the waiting thread, or makes its next wait return at once.
     void notify()
     {
         {
