--- a/UnitTests/Settings/SettingsDocumentTest.cpp
+++ b/UnitTests/Settings/SettingsDocumentTest.cpp
@@ -145,6 +145,17 @@
     }
 }
 
+// Guards against undefined behaviour in the parser's character tables, which the sanitizer found: a letter such as
+// U+00E9 where white space may stand.
+TEST_CASE("letters outside ASCII where white space may stand are a problem of the file", "[Settings]")
+{
+    for (const char* text :
+        { "rack \u00e9= \"r1\"\n", "rack = \u00e9\n", "rack = \"r1\" \u0142\n", "[\u00fc keys]\n" }) {
+        INFO(text);
+        REQUIRE_FALSE(sidecar(text).problems().empty());
+    }
+}
+
 // Guards against settings that the documentation does not mention.
 TEST_CASE("the settings page lists every key of every role", "[Settings]")
 {
