Share the handling of replica answers and of members in the capacity cases

Cause: two handlers of the leader began with the same eight lines, and two capacity cases built the same member. Behaviour is unchanged.

--- a/PerformanceTest/CapacityPerformance.cpp
+++ b/PerformanceTest/CapacityPerformance.cpp
@@ -87,17 +87,24 @@
     return allocatedBytes() - before;
 }
 
+// A sidecar as the state log records it.
+Messages::Member memberOf(std::size_t index)
+{
+    Messages::Member member;
+    member.identity = { Messages::Role::Sidecar, "sidecar-" + std::to_string(index), index + 1, "centre-1", "rack-1",
+        "ordering", 8 };
+    member.peerAddress = "127.0.0.1:7001";
+    member.datagramAddress = "127.0.0.1:7002";
+    return member;
+}
+
 // Memory of a state machine with members.
 double memberBytes(std::size_t members)
 {
     const double before = allocatedBytes();
     State::StateMachine machine;
     for (std::size_t index = 0; index < members; ++index) {
-        Messages::Member member;
-        member.identity = { Messages::Role::Sidecar, "sidecar-" + std::to_string(index), index + 1, "centre-1",
-            "rack-1", "ordering", 8 };
-        member.peerAddress = "127.0.0.1:7001";
-        member.datagramAddress = "127.0.0.1:7002";
+        const Messages::Member member = memberOf(index);
         machine.apply(index + 1,
             Network::encodeMessage(State::StateCommand { 1'700'000'000'000, Messages::RegisterMember { member } }));
     }
@@ -109,12 +116,7 @@
 {
     Messages::FleetView view;
     for (std::size_t index = 0; index < members; ++index) {
-        Messages::Member member;
-        member.identity = { Messages::Role::Sidecar, "sidecar-" + std::to_string(index), index + 1, "centre-1",
-            "rack-1", "ordering", 8 };
-        member.peerAddress = "127.0.0.1:7001";
-        member.datagramAddress = "127.0.0.1:7002";
-        view.members.push_back(std::move(member));
+        view.members.push_back(memberOf(index));
     }
     return double(Network::encodeMessage(view).size());
 }
--- a/celeryswitch/Consensus/Replica.h
+++ b/celeryswitch/Consensus/Replica.h
@@ -79,6 +79,8 @@
     LogIndex appendAsLeader(Messages::EntryKind kind, std::string payload);
     void appendGroup(const ReplicaGroup& group);
     void broadcast();
+    // Notes the answer of a replica in this term; null when it belongs to another term or to no replica of the group.
+    Progress* answeredProgress(Term term, const ReplicaId& from, std::uint64_t round);
     void sendTo(const Messages::ReplicaInfo& info, Progress& progress);
     void sendSnapshotPart(const Messages::ReplicaInfo& info, Progress& progress);
     void sendToAll();
--- a/celeryswitch/Consensus/ReplicaLeading.cpp
+++ b/celeryswitch/Consensus/ReplicaLeading.cpp
@@ -102,16 +102,24 @@
             progress.transfer->substr(progress.transferOffset, this->settings.messageBytes) } });
 }
 
-void Replica::receive(const AppendReply& reply)
+Progress* Replica::answeredProgress(Term term, const ReplicaId& from, std::uint64_t round)
 {
-    if (reply.term > this->currentTerm) {
-        this->adoptTerm(reply.term, "");
-        return;
+    if (term > this->currentTerm) {
+        this->adoptTerm(term, "");
+        return nullptr;
     }
-    Progress* progress = this->leadership ? this->leadership->find(reply.from) : nullptr;
-    if (!progress || reply.term != this->currentTerm)
+    Progress* progress = this->leadership ? this->leadership->find(from) : nullptr;
+    if (!progress || term != this->currentTerm)
+        return nullptr;
+    this->leadership->answered(*progress, round);
+    return progress;
+}
+
+void Replica::receive(const AppendReply& reply)
+{
+    Progress* progress = this->answeredProgress(reply.term, reply.from, reply.round);
+    if (!progress)
         return;
-    this->leadership->answered(*progress, reply.round);
     if (reply.isAccepted) {
         progress->match = std::max(progress->match, reply.matchIndex);
         progress->next = std::max(progress->next, progress->match + 1);
@@ -137,14 +145,9 @@
 
 void Replica::receive(const InstallSnapshotReply& reply)
 {
-    if (reply.term > this->currentTerm) {
-        this->adoptTerm(reply.term, "");
-        return;
-    }
-    Progress* progress = this->leadership ? this->leadership->find(reply.from) : nullptr;
-    if (!progress || reply.term != this->currentTerm)
+    Progress* progress = this->answeredProgress(reply.term, reply.from, reply.round);
+    if (!progress)
         return;
-    this->leadership->answered(*progress, reply.round);
     if (!progress->transfer || reply.lastIndex != progress->transferIndex)
         return;
     if (reply.isInstalled) {
