Compare counts of the same signedness in the retry sample

Cause: a compiler warning in the fresh clone's build. Ruled out: a change of the check, which stays. The sample prints the same and exits with 0.

--- a/Samples/RetryWithBudget.cpp
+++ b/Samples/RetryWithBudget.cpp
@@ -43,5 +43,5 @@
     }
     std::printf("%d failures and %d retries in %d calls; endpoint %u is %s\n", failures, retries, callCount,
         failingEndpoint, std::string(Core::enumName(detector.health(failingEndpoint))).c_str());
-    return failures < callCount / endpointCount && detector.ejectedCount() == 1 ? 0 : 1;
+    return failures < callCount / int(endpointCount) && detector.ejectedCount() == 1 ? 0 : 1;
 }
