--- a/PerformanceTest/AddedTime.cpp
+++ b/PerformanceTest/AddedTime.cpp
@@ -1,7 +1,7 @@
 #include "../UnitTests/Sidecar/TestEndpoint.h"
 #include "PerformanceTest/EntryPerformance.h"
 #include "celeryswitch/Entry/EntryProcess.h"
-#include "celeryswitch/Load/HttpConnection.h"
+#include "celeryswitch/Http/HttpConnection.h"
 #include "celeryswitch/Sidecar/SidecarProcess.h"
 #include "celeryswitch/State/StateProcess.h"
 #include <algorithm>
@@ -18,17 +18,17 @@
 
 // Sends requests one after the other over one connection; returns their sorted times in milliseconds.
 std::vector<double> timesOf(
-    const std::string& address, const std::function<Load::HttpRequest(std::size_t)>& makeRequest)
+    const std::string& address, const std::function<Http::HttpRequest(std::size_t)>& makeRequest)
 {
     boost::asio::io_context context;
-    Load::HttpConnection connection(context, address);
+    Http::HttpConnection connection(context, address);
     std::vector<double> times;
     for (std::size_t number = 0; number < requestCount + warmUpCount; ++number) {
-        const Load::HttpRequest request = makeRequest(number);
+        const Http::HttpRequest request = makeRequest(number);
         const auto begin = std::chrono::steady_clock::now();
         bool isAnswered = false;
         bool isSuccess = false;
-        connection.request(request, std::chrono::seconds(10), [&](Core::Result<Load::HttpAnswer> answer) {
+        connection.request(request, std::chrono::seconds(10), [&](Core::Result<Http::HttpResponse> answer) {
             isAnswered = true;
             isSuccess = answer && answer.value().statusCode == 200;
         });
@@ -42,7 +42,7 @@
     return times;
 }
 
-Load::HttpRequest makeSubmission(std::size_t number)
+Http::HttpRequest makeSubmission(std::size_t number)
 {
     const boost::json::object body {
         { "team", "team" },
@@ -93,7 +93,7 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
 
     const std::vector<double> direct = timesOf(endpoint.address(), [](std::size_t) {
-        return Load::HttpRequest { "POST", "/", {}, "x" };
+        return Http::HttpRequest { "POST", "/", {}, "x" };
     });
     const std::vector<double> whole = timesOf(entry->httpAddress(), makeSubmission);
     const auto frames
--- a/Program/Commands.h
+++ b/Program/Commands.h
@@ -11,6 +11,8 @@
 
 /// Runs a process of the role that the first argument names: entry, sidecar or state.
 CommandResult runRole(const std::vector<std::string>& arguments);
+/// Runs a process of a role on the users' platform.
+CommandResult runPlatform(const std::vector<std::string>& arguments);
 /// Checks a settings or workload file.
 CommandResult runCheck(const std::vector<std::string>& arguments);
 /// Puts load on entries and checks their answers.
--- a/Program/JobCommands.cpp
+++ b/Program/JobCommands.cpp
@@ -33,11 +33,11 @@
 }
 
 // The first answer that an entry gives.
-Core::Result<Load::HttpAnswer> callEntries(const Settings::OperatorSettings& settings, const Load::HttpRequest& request)
+Core::Result<Http::HttpResponse> callEntries(const Settings::OperatorSettings& settings, const Http::HttpRequest& request)
 {
     std::string failures;
     for (const std::string& entry : settings.entryAddresses) {
-        Core::Result<Load::HttpAnswer> answer = Load::httpCall(entry, request, settings.requestTimeout);
+        Core::Result<Http::HttpResponse> answer = Http::httpCall(entry, request, settings.requestTimeout);
         if (answer)
             return answer;
         failures += "; " + answer.error().message();
@@ -57,9 +57,9 @@
     BOOST_OUTCOME_TRY(checkProblems(document));
     const Settings::OperatorSettings settings = Settings::operatorSettings(document);
     const Load::JobName job { line.text("TEAM"), line.text("CALLER"), line.text("KEY") };
-    const Load::HttpRequest request
+    const Http::HttpRequest request
         = line.has("cancel") ? Load::cancelRequest(job, settings.token) : Load::fetchRequest(job, 0, settings.token);
-    BOOST_OUTCOME_TRY(const Load::HttpAnswer http, callEntries(settings, request));
+    BOOST_OUTCOME_TRY(const Http::HttpResponse http, callEntries(settings, request));
     const Load::EntryAnswer answer = Load::parseAnswer(http);
     if (line.has("--json")) {
         BOOST_OUTCOME_TRY(print(http.body + "\n"));
--- a/Program/Main.cpp
+++ b/Program/Main.cpp
@@ -14,10 +14,11 @@
     std::string_view help;
 };
 
-constexpr std::array<Command, 14> commands { {
+constexpr std::array<Command, 15> commands { {
     { "entry", runRole, "run an entry: accepts jobs from callers and places their tasks" },
     { "sidecar", runRole, "run a sidecar beside an endpoint" },
     { "state", runRole, "run a state replica" },
+    { "platform", runPlatform, "run an entry, sidecar or state replica on the users' platform" },
     { "check", runCheck, "check a settings file and report every problem" },
     { "config", runConfig, "show and change the configuration of the fleet" },
     { "drain", runMembers, "stop new work for an endpoint, or let it come back" },
--- a/UnitTests/Entry/EntryFleet.h
+++ b/UnitTests/Entry/EntryFleet.h
@@ -3,7 +3,7 @@
 #include "../Sidecar/TestEndpoint.h"
 #include "../State/StateGroup.h"
 #include "celeryswitch/Entry/EntryProcess.h"
-#include "celeryswitch/Load/HttpConnection.h"
+#include "celeryswitch/Http/HttpConnection.h"
 #include "celeryswitch/Sidecar/SidecarProcess.h"
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
@@ -72,20 +72,20 @@
         });
     }
     /// Sends one request to an entry and waits for the answer.
-    static Load::HttpAnswer ask(const EntryProcess& entry, const std::string& method, const std::string& path,
-        const std::string& body = {}, std::map<std::string, std::string> headers = {})
+    static Http::HttpResponse ask(const EntryProcess& entry, const std::string& method, const std::string& path,
+        const std::string& body = {}, Http::HttpHeaders headers = {})
     {
         boost::asio::io_context context;
-        Load::HttpConnection connection(context, entry.httpAddress());
-        std::optional<Core::Result<Load::HttpAnswer>> answer;
+        Http::HttpConnection connection(context, entry.httpAddress());
+        std::optional<Core::Result<Http::HttpResponse>> answer;
         connection.request({ method, path, std::move(headers), body }, std::chrono::seconds(20),
-            [&](Core::Result<Load::HttpAnswer> result) { answer = std::move(result); });
+            [&](Core::Result<Http::HttpResponse> result) { answer = std::move(result); });
         while (!answer && context.run_one() > 0) { }
         REQUIRE(answer);
         REQUIRE(*answer);
         return answer->value();
     }
-    static boost::json::object parse(const Load::HttpAnswer& answer)
+    static boost::json::object parse(const Http::HttpResponse& answer)
     {
         return boost::json::parse(answer.body).as_object();
     }
--- a/UnitTests/Entry/EntryProcessTest.cpp
+++ b/UnitTests/Entry/EntryProcessTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-const std::map<std::string, std::string> wait { { "Prefer", "wait=10" } };
+const Http::HttpHeaders wait { { "Prefer", "wait=10" } };
 const std::string path = "/v1/teams/sales/callers/till%201/jobs/";
 
 }
@@ -19,7 +19,7 @@
     EntryFleet fleet(1);
     EntryProcess& entry = *fleet.entries[0];
     const std::string body = EntryFleet::submission("k1", { "a", "b", "error" });
-    const Load::HttpAnswer first = EntryFleet::ask(entry, "POST", "/v1/jobs", body, wait);
+    const Http::HttpResponse first = EntryFleet::ask(entry, "POST", "/v1/jobs", body, wait);
     REQUIRE(first.statusCode == 200);
     const boost::json::object answer = EntryFleet::parse(first);
     CHECK(answer.at("state") == "complete");
@@ -32,7 +32,7 @@
     CHECK(EntryFleet::ask(entry, "GET", path + "k1").body == first.body);
     CHECK(fleet.endpoint.requestCount() == 3);
     CHECK(EntryFleet::ask(entry, "POST", "/v1/jobs", EntryFleet::submission("k1", { "x" })).statusCode == 422);
-    const Load::HttpAnswer unknown = EntryFleet::ask(entry, "GET", path + "k2");
+    const Http::HttpResponse unknown = EntryFleet::ask(entry, "GET", path + "k2");
     CHECK(unknown.statusCode == 404);
     CHECK(EntryFleet::parse(unknown).at("execution") == "unknown-job");
 }
@@ -43,7 +43,7 @@
     EntryFleet fleet(2);
     const std::string body = EntryFleet::submission("k1", { "a" });
     REQUIRE(EntryFleet::ask(*fleet.entries[0], "POST", "/v1/jobs", body, wait).statusCode == 200);
-    const Load::HttpAnswer answer = EntryFleet::ask(*fleet.entries[1], "POST", "/v1/jobs", body, wait);
+    const Http::HttpResponse answer = EntryFleet::ask(*fleet.entries[1], "POST", "/v1/jobs", body, wait);
     CHECK(answer.statusCode == 200);
     CHECK(EntryFleet::parse(answer).at("state") == "complete");
     CHECK(fleet.endpoint.requestCount() == 1);
@@ -55,7 +55,7 @@
 {
     EntryFleet fleet(2);
     EntryProcess& entry = *fleet.entries[0];
-    Load::HttpAnswer answer;
+    Http::HttpResponse answer;
     std::thread caller([&] {
         answer = EntryFleet::ask(entry, "POST", "/v1/jobs", EntryFleet::submission("k1", { "wait", "b" }), wait);
     });
@@ -68,12 +68,12 @@
         const std::string body = EntryFleet::submission("k" + std::to_string(++number), { "c" });
         return EntryFleet::ask(entry, "POST", "/v1/jobs", body);
     };
-    Load::HttpAnswer refusal;
+    Http::HttpResponse refusal;
     const bool isRefused = State::StateGroup::waitUntil([&] { return (refusal = refused()).statusCode == 503; });
     INFO(refusal.statusCode << " " << refusal.body);
     REQUIRE(isRefused);
     CHECK(EntryFleet::parse(refusal).at("execution") == "not-run");
-    CHECK(refusal.retryAfterSeconds > 0);
+    CHECK(Http::retryAfterSeconds(refusal) > 0);
     CHECK(EntryFleet::ask(entry, "GET", "/readyz").statusCode == 503);
     CHECK_FALSE(isStopped);
     fleet.endpoint.release();
@@ -81,7 +81,7 @@
     stopper.join();
     CHECK(isStopped);
     CHECK(EntryFleet::parse(answer).at("state") == "complete");
-    const Load::HttpAnswer kept = EntryFleet::ask(*fleet.entries[1], "GET", path + "k1", {}, wait);
+    const Http::HttpResponse kept = EntryFleet::ask(*fleet.entries[1], "GET", path + "k1", {}, wait);
     CHECK(kept.statusCode == 200);
     CHECK(EntryFleet::parse(kept).at("state") == "complete");
 }
@@ -92,8 +92,8 @@
     EntryFleet fleet(0);
     EntryProcess& entry
         = fleet.addEntry({ { "caller-token", TokenRole::Caller }, { "op-token", TokenRole::Operator } });
-    const std::map<std::string, std::string> caller { { "Authorization", "Bearer caller-token" } };
-    const std::map<std::string, std::string> operators { { "Authorization", "Bearer op-token" } };
+    const Http::HttpHeaders caller { { "Authorization", "Bearer caller-token" } };
+    const Http::HttpHeaders operators { { "Authorization", "Bearer op-token" } };
     CHECK(EntryFleet::ask(entry, "GET", path + "k").statusCode == 401);
     CHECK(
         EntryFleet::ask(entry, "GET", path + "k", {}, { { "Authorization", "Bearer other-token" } }).statusCode == 401);
--- a/UnitTests/Load/JobApiClientTest.cpp
+++ b/UnitTests/Load/JobApiClientTest.cpp
@@ -35,14 +35,15 @@
 // Guards against a load tool that takes a refusal for an answer, or the other way round.
 TEST_CASE("an entry's answers are told apart", "[Load]")
 {
-    const Load::EntryAnswer ended = Load::parseAnswer({ 200, 0, endedBody });
+    const Load::EntryAnswer ended = Load::parseAnswer({ 200, {}, endedBody });
     REQUIRE(ended.meaning == AnswerMeaning::Ended);
     REQUIRE(ended.job.state == Messages::JobState::Failed);
     REQUIRE(ended.job.results.at(1).reason == Messages::TaskReason::SidecarLost);
-    REQUIRE(Load::parseAnswer({ 202, 0, R"({"state":"running"})" }).meaning == AnswerMeaning::Running);
-    REQUIRE(Load::parseAnswer({ 503, 2, R"({"execution":"not-run"})" }).meaning == AnswerMeaning::NotRun);
-    REQUIRE(Load::parseAnswer({ 409, 0, R"({"execution":"may-have-run"})" }).meaning == AnswerMeaning::MayHaveRun);
-    REQUIRE(Load::parseAnswer({ 404, 0, R"({"execution":"unknown-job"})" }).meaning == AnswerMeaning::UnknownJob);
+    REQUIRE(Load::parseAnswer({ 202, {}, R"({"state":"running"})" }).meaning == AnswerMeaning::Running);
+    REQUIRE(Load::parseAnswer({ 503, { { "Retry-After", "2" } }, R"({"execution":"not-run"})" }).meaning
+        == AnswerMeaning::NotRun);
+    REQUIRE(Load::parseAnswer({ 409, {}, R"({"execution":"may-have-run"})" }).meaning == AnswerMeaning::MayHaveRun);
+    REQUIRE(Load::parseAnswer({ 404, {}, R"({"execution":"unknown-job"})" }).meaning == AnswerMeaning::UnknownJob);
 }
 
 // Guards against partial answers and wrong sums that count as whole.
@@ -52,10 +53,10 @@
              { "\"submitted\":2", "\"submitted\":3" }, { "sidecar-lost", "lost" }, { "\"tasks\"", "\"task\"" },
              { "\"state\":\"failed\"", "\"state\":\"done\"" } }) {
         INFO(to);
-        REQUIRE(Load::parseAnswer({ 200, 0, replaced(endedBody, from, to) }).meaning == AnswerMeaning::Malformed);
+        REQUIRE(Load::parseAnswer({ 200, {}, replaced(endedBody, from, to) }).meaning == AnswerMeaning::Malformed);
     }
-    REQUIRE(Load::parseAnswer({ 503, 0, "{}" }).meaning == AnswerMeaning::Malformed);
-    REQUIRE(Load::parseAnswer({ 503, 0, R"({"execution":"ended"})" }).meaning == AnswerMeaning::Malformed);
+    REQUIRE(Load::parseAnswer({ 503, {}, "{}" }).meaning == AnswerMeaning::Malformed);
+    REQUIRE(Load::parseAnswer({ 503, {}, R"({"execution":"ended"})" }).meaning == AnswerMeaning::Malformed);
 }
 
 // Guards against a decoder that throws or crashes on damaged answers. Seeds 1 to 3000.
@@ -69,7 +70,7 @@
             text[generator() % text.size()] = static_cast<char>(generator() % 256);
             text.insert(generator() % text.size(), text.substr(generator() % text.size(), generator() % 9));
         }
-        REQUIRE_NOTHROW(Load::parseAnswer({ 200, 0, text }));
+        REQUIRE_NOTHROW(Load::parseAnswer({ 200, {}, text }));
         REQUIRE_NOTHROW(Load::metricSum(text, "sums"));
     }
 }
--- a/celeryswitch/Consensus/Leadership.cpp
+++ b/celeryswitch/Consensus/Leadership.cpp
@@ -91,6 +91,16 @@
         != 0;
 }
 
+Core::SteadyTime Leadership::quorumContact(Core::SteadyTime now, const ReplicaGroup& group) const
+{
+    const auto ticks = [](Core::SteadyTime time) {
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, time.time_since_epoch().count()));
+    };
+    const std::uint64_t contact
+        = this->majority(group, ticks(now), [&](const Progress& entry) { return ticks(entry.answeredRoundTime); });
+    return Core::SteadyTime(Core::SteadyTime::duration(static_cast<std::int64_t>(contact)));
+}
+
 std::vector<std::uint64_t> Leadership::takeReads(std::uint64_t round)
 {
     std::vector<std::uint64_t> taken;
--- a/celeryswitch/Consensus/Leadership.h
+++ b/celeryswitch/Consensus/Leadership.h
@@ -45,6 +45,7 @@
     Progress* find(const ReplicaId& id);
     /// Progress of every other replica of the group.
     std::map<ReplicaId, Progress>& all() { return this->progress; }
+    const std::map<ReplicaId, Progress>& all() const { return this->progress; }
 
     /// Number of the current broadcast.
     std::uint64_t round() const { return this->currentRound; }
@@ -59,6 +60,9 @@
     /// Whether a majority has answered a broadcast sent after `since`.
     bool hasQuorumSince(Core::SteadyTime since, const ReplicaGroup& group) const;
 
+    /// When a broadcast began that a majority has answered since.
+    Core::SteadyTime quorumContact(Core::SteadyTime now, const ReplicaGroup& group) const;
+
     /// Adds a read; it needs an answer to a broadcast that begins after now.
     void addRead(std::uint64_t token) { this->reads.emplace_back(this->currentRound + 1, token); }
     /// Whether a read waits for a broadcast that has not begun.
--- a/celeryswitch/Consensus/Replica.cpp
+++ b/celeryswitch/Consensus/Replica.cpp
@@ -69,6 +69,25 @@
     return this->leadership && this->committedIndex >= this->leadership->firstIndex();
 }
 
+Core::SteadyTime Replica::contactAt() const
+{
+    return this->leadership ? this->leadership->quorumContact(this->now, this->replicaLog.group()) : this->leaderSeenAt;
+}
+
+Core::SteadyTime Replica::answeredAt(const ReplicaId& id) const
+{
+    if (!this->leadership)
+        return Core::SteadyTime::max();
+    const auto found = this->leadership->all().find(id);
+    return found != this->leadership->all().end() ? found->second.answeredRoundTime : Core::SteadyTime::max();
+}
+
+bool Replica::isGroupChanging() const
+{
+    return this->leadership
+        && (this->leadership->replacement || this->replicaLog.groupIndex() > this->committedIndex);
+}
+
 void Replica::handle(const TimePassed&)
 {
     if (this->leadership) {
@@ -122,7 +141,9 @@
         return;
     }
     const ReplicaGroup& group = this->replicaLog.group();
-    if (!group.hasVoter(event.oldId) && !group.hasVoter(event.replacement.id)) {
+    const bool isAddition = event.oldId.empty() && !event.replacement.id.empty();
+    if (!isAddition && !group.hasVoter(event.oldId) && !group.hasLearner(event.oldId)
+        && !group.hasVoter(event.replacement.id)) {
         this->actions.unknownReplica.push_back(event.token);
         return;
     }
--- a/celeryswitch/Consensus/Replica.h
+++ b/celeryswitch/Consensus/Replica.h
@@ -32,6 +32,12 @@
     const std::string& leaderAddress() const { return this->leader; }
     /// The log.
     const ReplicaLog& log() const { return this->replicaLog; }
+    /// When this replica was last in contact with the leader, or as the leader with a majority of the voters.
+    Core::SteadyTime contactAt() const;
+    /// When another replica of the group last answered this leader; the largest time when this replica does not lead.
+    Core::SteadyTime answeredAt(const ReplicaId& id) const;
+    /// Whether a change of the group is under way at this leader.
+    bool isGroupChanging() const;
     /// Why the replica is stopped; empty while it is not.
     const std::string& stopReason() const { return this->stoppedBecause; }
     /// Identity of the data folder.
--- a/celeryswitch/Consensus/ReplicaLeading.cpp
+++ b/celeryswitch/Consensus/ReplicaLeading.cpp
@@ -206,7 +206,7 @@
     ReplicaGroup group = this->replicaLog.group();
     const auto isReplica = [](const ReplicaId& id) { return [&id](const ReplicaInfo& info) { return info.id == id; }; };
     const ReplicaInfo replacement = wanted->replacement;
-    if (!group.hasVoter(replacement.id)) {
+    if (!replacement.id.empty() && !group.hasVoter(replacement.id)) {
         if (!group.hasLearner(replacement.id)) {
             group.learners.push_back(replacement);
             this->appendGroup(group);
@@ -222,8 +222,9 @@
         if (this->settings.isGroupChangeSerialized)
             return;
     }
-    if (group.hasVoter(wanted->oldId)) {
+    if (group.hasVoter(wanted->oldId) || group.hasLearner(wanted->oldId)) {
         std::erase_if(group.voters, isReplica(wanted->oldId));
+        std::erase_if(group.learners, isReplica(wanted->oldId));
         this->appendGroup(group);
         return;
     }
--- a/celeryswitch/Consensus/ReplicaTypes.h
+++ b/celeryswitch/Consensus/ReplicaTypes.h
@@ -61,7 +61,8 @@
 struct Read {
     std::uint64_t token = 0;
 };
-/// Put the new replica in the place of the old one, if this replica leads.
+/// Put the new replica in the place of the old one, if this replica leads. Without an old one the new one is added;
+/// without a new one the old one is removed.
 struct Replace {
     std::uint64_t token = 0;
     ReplicaId oldId;
--- a/celeryswitch/Entry/JobApi.cpp
+++ b/celeryswitch/Entry/JobApi.cpp
@@ -7,27 +7,11 @@
 
 namespace celeryswitch::Entry {
 
-using boost::asio::ip::tcp;
-using boost::system::error_code;
-
 namespace {
 
-constexpr std::chrono::milliseconds acceptRetryDelay { 100 };
 // Waits above this are shortened; it bounds the time for which a caller holds a connection.
 constexpr std::uint32_t longestWaitSeconds = 120;
 
-Core::Result<tcp::endpoint> parseEndpoint(const std::string& text)
-{
-    const std::size_t colon = text.rfind(':');
-    error_code error;
-    const auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
-    std::uint16_t port = 0;
-    const char* end = text.data() + text.size();
-    if (error || colon == std::string::npos || std::from_chars(text.data() + colon + 1, end, port).ptr != end)
-        return Core::Error(JobApiError::BadAddress, text);
-    return tcp::endpoint(address, port);
-}
-
 // Milliseconds of "wait=<seconds>" in a Prefer header (RFC 7240); 0 without one.
 std::uint32_t parseWait(const std::string& prefer)
 {
@@ -45,76 +29,39 @@
     return 0;
 }
 
-Messages::ForwardedAnswer plainAnswer(std::uint16_t status, std::string body)
+Http::HttpResponse plainAnswer(std::uint16_t status, std::string body)
 {
-    return { 0, status, 0, "text/plain; version=0.0.4", std::move(body) };
-}
-
+    return { status, { { "Content-Type", "text/plain; version=0.0.4" } }, std::move(body) };
 }
 
-JobApi::JobApi(boost::asio::io_context& context, EntrySettings settings, Handlers handlers)
-    : context(context)
-    , settings(std::move(settings))
-    , handlers(std::move(handlers))
-    , acceptor(context)
-    , acceptTimer(context)
-    , sessions(std::make_shared<Sessions>())
+// Response that carries an answer.
+Http::HttpResponse toResponse(const Messages::ForwardedAnswer& answer, const std::string& location = {})
 {
+    Http::HttpResponse response { answer.statusCode, { { "Content-Type", answer.contentType } }, answer.body };
+    if (answer.retryAfterSeconds > 0)
+        response.headers["Retry-After"] = std::to_string(answer.retryAfterSeconds);
+    if (!location.empty())
+        response.headers["Location"] = location;
+    return response;
 }
 
-Core::Result<std::string> JobApi::listen()
-{
-    BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, parseEndpoint(this->settings.httpAddress));
-    error_code error;
-    this->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        this->acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-    if (!error)
-        this->acceptor.bind(endpoint, error);
-    if (!error)
-        this->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Core::Error(JobApiError::ListenFailed, this->settings.httpAddress + ": " + error.message());
-    this->accept();
-    const tcp::endpoint bound = this->acceptor.local_endpoint();
-    return bound.address().to_string() + ":" + std::to_string(bound.port());
-}
+Http::HttpResponse toResponse(const Problem& problem) { return toResponse(makeAnswer(problem)); }
 
-void JobApi::accept()
-{
-    this->acceptor.async_accept([this](error_code error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted || !this->acceptor.is_open())
-            return;
-        if (!error) {
-            this->accepted(std::move(socket));
-            this->accept();
-            return;
-        }
-        // For example too many open files; accepting again at once would spin.
-        this->acceptTimer.expires_after(acceptRetryDelay);
-        this->acceptTimer.async_wait([this](error_code waitError) {
-            if (!waitError)
-                this->accept();
-        });
-    });
 }
 
-void JobApi::accepted(tcp::socket socket)
+JobApi::JobApi(boost::asio::io_context& context, EntrySettings settings, Handlers handlers)
+    : settings(std::move(settings))
+    , handlers(std::move(handlers))
+    , server(context,
+          { this->settings.bodyBytesLimit, this->settings.headerBytesLimit, this->settings.headerTime,
+              this->settings.bodyTime, this->settings.idleTime },
+          this->settings.connectionsLimit,
+          { [this](const Session& session, HttpRequest request) { this->route(session, std::move(request)); },
+              [](std::uint16_t status, const std::string& reason) {
+                  return toResponse(Problem { status, "malformed-request", "The HTTP request can't be read", reason });
+              },
+              {} })
 {
-    if (this->sessions->size() >= this->settings.connectionsLimit)
-        return;
-    const std::uint64_t number = ++this->lastSession;
-    const HttpLimits limits { this->settings.bodyBytesLimit, this->settings.headerBytesLimit, this->settings.headerTime,
-        this->settings.bodyTime, this->settings.idleTime };
-    (*this->sessions)[number] = {};
-    const Session session = HttpSession::start(
-        std::move(socket), limits,
-        [this](const Session& sender, HttpRequest request) { this->route(sender, std::move(request)); },
-        [open = std::weak_ptr<Sessions>(this->sessions), number] {
-            if (const std::shared_ptr<Sessions> known = open.lock())
-                known->erase(number);
-        });
-    (*this->sessions)[number] = session;
 }
 
 void JobApi::answer(const AnswerCaller& action)
@@ -124,18 +71,7 @@
         return;
     const Session session = std::move(found->second);
     this->waiting.erase(found);
-    session->respond(action.answer, action.location);
-}
-
-void JobApi::stop()
-{
-    error_code ignored;
-    this->acceptor.close(ignored);
-    this->acceptTimer.cancel();
-    for (const auto& [number, session] : Sessions(*this->sessions)) {
-        if (const Session open = session.lock())
-            open->finish();
-    }
+    session->respond(toResponse(action.answer, action.location));
 }
 
 void JobApi::route(const Session& session, HttpRequest request)
@@ -144,11 +80,11 @@
         return;
     const bool isMetrics = request.path == "/metrics";
     if (!this->isAllowed(request, isMetrics ? TokenRole::Operator : TokenRole::Caller)) {
-        session->respond(makeAnswer({ 401, "unauthorized", "The bearer token is missing or not accepted" }), {});
+        session->respond(toResponse(Problem { 401, "unauthorized", "The bearer token is missing or not accepted" }));
         return;
     }
     if (isMetrics && request.method == "GET")
-        session->respond(plainAnswer(200, this->handlers.metricsText()), {});
+        session->respond(plainAnswer(200, this->handlers.metricsText()));
     else if (request.path == "/v1/jobs" && request.method == "POST")
         this->submit(session, request);
     else if (request.path.starts_with("/v1/teams/") && request.method == "GET")
@@ -156,9 +92,9 @@
     else if (request.path.starts_with("/v1/teams/") && request.method == "DELETE")
         this->reach(session, request, Messages::JobOperation::Cancel);
     else if (request.path == "/v1/jobs" || request.path.starts_with("/v1/teams/") || isMetrics)
-        session->respond(makeAnswer({ 405, "method-not-allowed", "The path has no such method" }), {});
+        session->respond(toResponse(Problem { 405, "method-not-allowed", "The path has no such method" }));
     else
-        session->respond(makeAnswer({ 404, "unknown-path", "There is nothing under this path" }), {});
+        session->respond(toResponse(Problem { 404, "unknown-path", "There is nothing under this path" }));
 }
 
 bool JobApi::routeOpen(const Session& session, const HttpRequest& request)
@@ -166,7 +102,7 @@
     if (request.method != "GET" || (request.path != "/healthz" && request.path != "/readyz"))
         return false;
     const bool isUp = request.path == "/healthz" || this->handlers.isReady();
-    session->respond(plainAnswer(isUp ? 200 : 503, isUp ? "ok\n" : "not ready\n"), {});
+    session->respond(plainAnswer(isUp ? 200 : 503, isUp ? "ok\n" : "not ready\n"));
     return true;
 }
 
@@ -174,11 +110,12 @@
 {
     ParsedSubmission submission = parseSubmission(request.body);
     if (!submission) {
-        session->respond(makeAnswer(submission.error()), {});
+        session->respond(toResponse(submission.error()));
         return;
     }
-    this->passOn(
-        session, { 0, Messages::JobOperation::Submit, parseWait(request.prefer), std::move(submission.value()) });
+    this->passOn(session,
+        { 0, Messages::JobOperation::Submit, parseWait(std::string(Http::headerValue(request.headers, "Prefer"))),
+            std::move(submission.value()) });
 }
 
 void JobApi::reach(const Session& session, const HttpRequest& request, Messages::JobOperation operation)
@@ -195,10 +132,10 @@
         }
     }
     if (names.size() != 3) {
-        session->respond(makeAnswer({ 404, "unknown-path", "There is nothing under this path" }), {});
+        session->respond(toResponse(Problem { 404, "unknown-path", "There is nothing under this path" }));
         return;
     }
-    CallerRequest passed { 0, operation, parseWait(request.prefer), {} };
+    CallerRequest passed { 0, operation, parseWait(std::string(Http::headerValue(request.headers, "Prefer"))), {} };
     passed.submission.team = std::move(names[0]);
     passed.submission.caller = std::move(names[1]);
     passed.submission.idempotencyKey = std::move(names[2]);
@@ -213,9 +150,8 @@
     if (this->handlers.onRequest(std::move(request)))
         return;
     this->waiting.erase(requestId);
-    session->respond(makeAnswer(refusalOf(Messages::TaskReason::QueueFull, std::chrono::seconds(1),
-                         "The entry has too many requests to handle")),
-        {});
+    session->respond(toResponse(refusalOf(
+        Messages::TaskReason::QueueFull, std::chrono::seconds(1), "The entry has too many requests to handle")));
 }
 
 bool JobApi::isAllowed(const HttpRequest& request, TokenRole role) const
@@ -223,9 +159,10 @@
     if (this->settings.tokens.empty())
         return true;
     constexpr std::string_view scheme = "Bearer ";
-    if (!request.authorization.starts_with(scheme))
+    const std::string_view authorization = Http::headerValue(request.headers, "Authorization");
+    if (!authorization.starts_with(scheme))
         return false;
-    const std::string_view given = std::string_view(request.authorization).substr(scheme.size());
+    const std::string_view given = authorization.substr(scheme.size());
     bool isFound = false;
     for (const AccessToken& token : this->settings.tokens) {
         const bool isSame
--- a/celeryswitch/Load/HttpConnection.cpp
+++ b/celeryswitch/Http/HttpConnection.cpp
@@ -1,4 +1,4 @@
-#include "celeryswitch/Load/HttpConnection.h"
+#include "celeryswitch/Http/HttpConnection.h"
 
 #include "celeryswitch/Core/Assert.h"
 #include <boost/asio/ip/tcp.hpp>
@@ -9,7 +9,7 @@
 #include <charconv>
 #include <optional>
 
-namespace celeryswitch::Load {
+namespace celeryswitch::Http {
 
 namespace {
 
@@ -38,13 +38,6 @@
     return asio::ip::tcp::endpoint(ip, port);
 }
 
-std::uint32_t secondsOf(std::string_view text)
-{
-    std::uint32_t seconds = 0;
-    const auto [next, failure] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    return failure == std::errc {} ? seconds : 0;
-}
-
 }
 
 class HttpConnection::Implementation : public std::enable_shared_from_this<Implementation> {
@@ -128,10 +121,11 @@
 
     void answer()
     {
-        HttpAnswer answer;
+        HttpResponse answer;
         http::response<http::string_body> response = this->parser->release();
-        answer.statusCode = response.result_int();
-        answer.retryAfterSeconds = secondsOf(response[http::field::retry_after]);
+        answer.statusCode = static_cast<std::uint16_t>(response.result_int());
+        for (const auto& field : response)
+            answer.headers[std::string(field.name_string())] = std::string(field.value());
         answer.body = std::move(response.body());
         if (response.keep_alive())
             this->stream->expires_never();
@@ -154,7 +148,7 @@
         this->finish(Core::Error(code, this->address + ": " + detail));
     }
 
-    void finish(Core::Result<HttpAnswer> result)
+    void finish(Core::Result<HttpResponse> result)
     {
         const Handler waiting = std::exchange(this->handler, {});
         if (waiting)
@@ -170,6 +164,14 @@
     Handler handler;
 };
 
+std::uint32_t retryAfterSeconds(const HttpResponse& response)
+{
+    const std::string_view text = headerValue(response.headers, "Retry-After");
+    std::uint32_t seconds = 0;
+    const auto [next, failure] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+    return failure == std::errc {} ? seconds : 0;
+}
+
 HttpConnection::HttpConnection(asio::io_context& context, std::string address)
     : implementation(std::make_shared<Implementation>(context, std::move(address)))
 {
@@ -184,13 +186,13 @@
 
 const std::string& HttpConnection::address() const { return this->implementation->address; }
 
-Core::Result<HttpAnswer> httpCall(const std::string& address, HttpRequest request, Core::Duration timeout)
+Core::Result<HttpResponse> httpCall(const std::string& address, HttpRequest request, Core::Duration timeout)
 {
     asio::io_context context;
     HttpConnection connection(context, address);
-    std::optional<Core::Result<HttpAnswer>> result;
+    std::optional<Core::Result<HttpResponse>> result;
     connection.request(
-        std::move(request), timeout, [&](Core::Result<HttpAnswer> answer) { result = std::move(answer); });
+        std::move(request), timeout, [&](Core::Result<HttpResponse> answer) { result = std::move(answer); });
     context.run();
     CELERY_ASSERT(result.has_value());
     return std::move(*result);
--- a/celeryswitch/Load/HttpConnection.h
+++ b/celeryswitch/Http/HttpConnection.h
@@ -2,13 +2,13 @@
 
 #include "celeryswitch/Core/Clock.h"
 #include "celeryswitch/Core/Result.h"
+#include "celeryswitch/Http/HttpMessage.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
-namespace celeryswitch::Load {
+namespace celeryswitch::Http {
 
 /// Why a request has no answer.
 enum class HttpError : std::uint8_t {
@@ -22,29 +22,12 @@
     TimedOut,
 };
 
-/// A request over HTTP.
-struct HttpRequest {
-    std::string method = "GET";
-    /// Path with query.
-    std::string path = "/";
-    std::map<std::string, std::string> headers;
-    std::string body;
-};
-
-/// An answer over HTTP.
-struct HttpAnswer {
-    unsigned statusCode = 0;
-    /// Seconds of the Retry-After header; 0 when there is none.
-    std::uint32_t retryAfterSeconds = 0;
-    std::string body;
-};
-
 /// A keep-alive HTTP/1.1 connection with one request at a time. It connects when it is first used and again after a
 /// loss. Every function runs on the io_context's thread.
 class HttpConnection {
 public:
     /// Called once with the answer or the reason that there is none, never from inside `request`.
-    using Handler = std::function<void(Core::Result<HttpAnswer>)>;
+    using Handler = std::function<void(Core::Result<HttpResponse>)>;
 
     /// `address` is "address:port" with an IP number; `context` outlives the connection.
     HttpConnection(boost::asio::io_context& context, std::string address);
@@ -63,19 +46,19 @@
 };
 
 /// Sends one request on a connection of its own and waits for the answer.
-Core::Result<HttpAnswer> httpCall(const std::string& address, HttpRequest request, Core::Duration timeout);
+Core::Result<HttpResponse> httpCall(const std::string& address, HttpRequest request, Core::Duration timeout);
 
 }
 
 namespace celeryswitch::Core {
 
-template <> struct EnumTable<Load::HttpError> {
+template <> struct EnumTable<Http::HttpError> {
     static constexpr std::string_view type = "HttpError";
-    static constexpr std::array<std::pair<Load::HttpError, std::string_view>, 4> names { {
-        { Load::HttpError::BadAddress, "BadAddress" },
-        { Load::HttpError::ConnectFailed, "ConnectFailed" },
-        { Load::HttpError::ConnectionLost, "ConnectionLost" },
-        { Load::HttpError::TimedOut, "TimedOut" },
+    static constexpr std::array<std::pair<Http::HttpError, std::string_view>, 4> names { {
+        { Http::HttpError::BadAddress, "BadAddress" },
+        { Http::HttpError::ConnectFailed, "ConnectFailed" },
+        { Http::HttpError::ConnectionLost, "ConnectionLost" },
+        { Http::HttpError::TimedOut, "TimedOut" },
     } };
 };
 
--- a/celeryswitch/Entry/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -1,11 +1,11 @@
-#include "celeryswitch/Entry/HttpSession.h"
+#include "celeryswitch/Http/HttpSession.h"
 
-#include "celeryswitch/Entry/Problem.h"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <sys/socket.h>
 
-namespace celeryswitch::Entry {
+namespace celeryswitch::Http {
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -20,15 +20,13 @@
 /// Session over a Beast stream.
 class StreamSession final : public HttpSession, public std::enable_shared_from_this<StreamSession> {
 public:
-    StreamSession(
-        boost::asio::ip::tcp::socket socket, const HttpLimits& limits, RequestHandler onRequest, CloseHandler onClose)
+    StreamSession(boost::asio::ip::tcp::socket socket, const HttpLimits& limits, Handlers handlers)
         : stream(std::move(socket))
         , limits(limits)
-        , onRequest(std::move(onRequest))
-        , onClose(std::move(onClose))
+        , handlers(std::move(handlers))
     {
     }
-    ~StreamSession() override { this->onClose(); }
+    ~StreamSession() override { this->handlers.onClose(); }
     StreamSession(const StreamSession&) = delete;
     StreamSession& operator=(const StreamSession&) = delete;
 
@@ -36,6 +34,7 @@
     void readNext()
     {
         this->isBusy = false;
+        ++this->requestNumber;
         if (this->isFinishing) {
             this->shutDown();
             return;
@@ -48,19 +47,17 @@
             [self = this->shared_from_this()](error_code error, std::size_t) { self->firstBytesRead(error); });
     }
 
-    void respond(const Messages::ForwardedAnswer& answer, const std::string& location) override
+    void respond(HttpResponse answer) override
     {
         this->response = {};
         this->response.version(11);
         this->response.result(answer.statusCode);
-        this->response.set(http::field::content_type, answer.contentType);
-        if (answer.retryAfterSeconds > 0)
-            this->response.set(http::field::retry_after, std::to_string(answer.retryAfterSeconds));
-        if (!location.empty())
-            this->response.set(http::field::location, location);
+        for (const auto& [name, value] : answer.headers)
+            this->response.set(name, value);
         this->response.keep_alive(this->isKeptAlive && !this->isFinishing);
-        this->response.body() = answer.body;
+        this->response.body() = std::move(answer.body);
         this->response.prepare_payload();
+        this->isAnswered = true;
         this->stream.expires_after(this->limits.bodyTime);
         http::async_write(this->stream, this->response,
             [self = this->shared_from_this()](error_code error, std::size_t) { self->written(error); });
@@ -73,6 +70,8 @@
             this->stream.cancel();
     }
 
+    void closeAfterResponse() override { this->isKeptAlive = false; }
+
 private:
     void firstBytesRead(error_code error)
     {
@@ -133,9 +132,30 @@
         this->isKeptAlive = message.keep_alive();
         // No time limit while the request waits for its answer.
         this->stream.expires_never();
-        this->onRequest(this->shared_from_this(),
-            { std::string(message.method_string()), std::string(message.target()), std::move(message.body()),
-                std::string(message[http::field::authorization]), std::string(message["Prefer"]) });
+        HttpRequest request { std::string(message.method_string()), std::string(message.target()), {},
+            std::move(message.body()) };
+        for (const auto& field : message)
+            request.headers[std::string(field.name_string())] = std::string(field.value());
+        this->isAnswered = false;
+        this->handlers.onRequest(this->shared_from_this(), std::move(request));
+        if (this->handlers.onAbandoned && !this->isAnswered)
+            this->watchCaller();
+    }
+
+    // Notices that the caller has gone while its request waits; bytes of a next request end the watch.
+    void watchCaller()
+    {
+        this->stream.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
+            [self = this->shared_from_this(), request = this->requestNumber](error_code error) {
+                if (self->isAnswered || request != self->requestNumber)
+                    return;
+                char byte = 0;
+                const auto count = ::recv(self->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+                if (error || count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+                    self->handlers.onAbandoned(self);
+                else if (count < 0)
+                    self->watchCaller();
+            });
     }
 
     // Answers a request that can't be read, if the caller is still there, and ends the connection.
@@ -156,8 +176,7 @@
         this->isKeptAlive = false;
         this->isMalformed = true;
         this->isBusy = true;
-        this->respond(
-            makeAnswer({ status, "malformed-request", "The HTTP request can't be read", error.message() }), {});
+        this->respond(this->handlers.onMalformed(status, error.message()));
     }
 
     void written(error_code error)
@@ -193,8 +212,7 @@
 
     beast::tcp_stream stream;
     HttpLimits limits;
-    RequestHandler onRequest;
-    CloseHandler onClose;
+    Handlers handlers;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
@@ -203,16 +221,18 @@
     bool isMalformed = false;
     bool isKeptAlive = false;
     bool isFinishing = false;
+    bool isAnswered = false;
+    std::uint64_t requestNumber = 0;
 };
 
 }
 
-std::shared_ptr<HttpSession> HttpSession::start(
-    boost::asio::ip::tcp::socket socket, const HttpLimits& limits, RequestHandler onRequest, CloseHandler onClose)
+HttpSession::Pointer HttpSession::start(
+    boost::asio::ip::tcp::socket socket, const HttpLimits& limits, Handlers handlers)
 {
     error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    auto session = std::make_shared<StreamSession>(std::move(socket), limits, std::move(onRequest), std::move(onClose));
+    auto session = std::make_shared<StreamSession>(std::move(socket), limits, std::move(handlers));
     session->readNext();
     return session;
 }
--- /dev/null
+++ b/celeryswitch/Http/HttpSession.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "celeryswitch/Core/Clock.h"
+#include "celeryswitch/Http/HttpMessage.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+
+namespace celeryswitch::Http {
+
+/// Limits of one HTTP connection.
+struct HttpLimits {
+    std::size_t bodyBytes = 0;
+    std::size_t headerBytes = 0;
+    Core::Duration headerTime {};
+    Core::Duration bodyTime {};
+    Core::Duration idleTime {};
+};
+
+/// One HTTP/1.1 connection with keep-alive, which handles its requests one after the other.
+class HttpSession {
+public:
+    using Pointer = std::shared_ptr<HttpSession>;
+    /// Called with each request; `respond` is called once for it, now or later.
+    using RequestHandler = std::function<void(const Pointer&, HttpRequest)>;
+    /// Builds the response to a request that can't be read.
+    using MalformedHandler = std::function<HttpResponse(std::uint16_t statusCode, const std::string& reason)>;
+    /// Called once when the connection has ended.
+    using CloseHandler = std::function<void()>;
+
+    /// What a session calls.
+    struct Handlers {
+        RequestHandler onRequest;
+        MalformedHandler onMalformed;
+        CloseHandler onClose;
+        /// Called when the caller closes or resets the connection while its request waits; may be empty.
+        std::function<void(const Pointer&)> onAbandoned;
+    };
+
+    virtual ~HttpSession() = default;
+    /// Starts a session on an accepted socket.
+    static Pointer start(boost::asio::ip::tcp::socket socket, const HttpLimits& limits, Handlers handlers);
+    /// Sends the response to the request in progress.
+    virtual void respond(HttpResponse response) = 0;
+    /// Ends the connection after the request in progress, or at once when there is none.
+    virtual void finish() = 0;
+    /// Makes the response to the current request the last one of this connection.
+    virtual void closeAfterResponse() = 0;
+};
+
+}
--- a/celeryswitch/Load/FleetProbe.cpp
+++ b/celeryswitch/Load/FleetProbe.cpp
@@ -1,6 +1,6 @@
 #include "celeryswitch/Load/FleetProbe.h"
 
-#include "celeryswitch/Load/HttpConnection.h"
+#include "celeryswitch/Http/HttpConnection.h"
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
@@ -13,10 +13,10 @@
 
 std::optional<std::string> bodyOf(const std::string& address, const std::string& path, const std::string& token)
 {
-    HttpRequest request { "GET", path, {}, {} };
+    Http::HttpRequest request { "GET", path, {}, {} };
     if (!token.empty())
         request.headers["Authorization"] = "Bearer " + token;
-    Core::Result<HttpAnswer> answer = httpCall(address, std::move(request), probeTimeout);
+    Core::Result<Http::HttpResponse> answer = Http::httpCall(address, std::move(request), probeTimeout);
     if (!answer || answer.value().statusCode != 200)
         return std::nullopt;
     return std::move(answer.value().body);
--- a/celeryswitch/Load/JobApiClient.cpp
+++ b/celeryswitch/Load/JobApiClient.cpp
@@ -30,16 +30,16 @@
         + encoded(job.idempotencyKey);
 }
 
-HttpRequest requestOf(const std::string& method, const std::string& path, const std::string& token)
+Http::HttpRequest requestOf(const std::string& method, const std::string& path, const std::string& token)
 {
-    HttpRequest request { method, path, {}, {} };
+    Http::HttpRequest request { method, path, {}, {} };
     if (!token.empty())
         request.headers["Authorization"] = "Bearer " + token;
     return request;
 }
 
 // Names the wait in a Prefer header (RFC 7240), in whole seconds rounded up.
-void setWait(HttpRequest& request, std::uint32_t waitMilliseconds)
+void setWait(Http::HttpRequest& request, std::uint32_t waitMilliseconds)
 {
     if (waitMilliseconds != 0)
         request.headers["Prefer"] = "wait=" + std::to_string((waitMilliseconds + 999) / 1000);
@@ -118,7 +118,7 @@
     return answer;
 }
 
-EntryAnswer refusal(const HttpAnswer& http, const json::object& object)
+EntryAnswer refusal(const Http::HttpResponse& http, const json::object& object)
 {
     EntryAnswer answer;
     const auto meaning = Core::enumValue<AnswerMeaning>(textOf(object, "execution"));
@@ -128,16 +128,16 @@
     answer.reason = textOf(object, "reason");
     if (answer.reason.empty())
         answer.reason = textOf(object, "type") + " " + textOf(object, "detail");
-    answer.retryAfterSeconds = http.retryAfterSeconds;
+    answer.retryAfterSeconds = Http::retryAfterSeconds(http);
     return answer;
 }
 
 }
 
-HttpRequest submitRequest(
+Http::HttpRequest submitRequest(
     const Messages::Submission& submission, std::uint32_t waitMilliseconds, const std::string& token)
 {
-    HttpRequest request = requestOf("POST", "/v1/jobs", token);
+    Http::HttpRequest request = requestOf("POST", "/v1/jobs", token);
     setWait(request, waitMilliseconds);
     json::array tasks;
     for (const Messages::TaskRequest& task : submission.tasks)
@@ -152,19 +152,19 @@
     return request;
 }
 
-HttpRequest fetchRequest(const JobName& job, std::uint32_t waitMilliseconds, const std::string& token)
+Http::HttpRequest fetchRequest(const JobName& job, std::uint32_t waitMilliseconds, const std::string& token)
 {
-    HttpRequest request = requestOf("GET", pathOf(job), token);
+    Http::HttpRequest request = requestOf("GET", pathOf(job), token);
     setWait(request, waitMilliseconds);
     return request;
 }
 
-HttpRequest cancelRequest(const JobName& job, const std::string& token)
+Http::HttpRequest cancelRequest(const JobName& job, const std::string& token)
 {
     return requestOf("DELETE", pathOf(job), token);
 }
 
-EntryAnswer parseAnswer(const HttpAnswer& http)
+EntryAnswer parseAnswer(const Http::HttpResponse& http)
 {
     boost::system::error_code error;
     const json::value value = json::parse(http.body, error);
--- a/celeryswitch/Load/JobApiClient.h
+++ b/celeryswitch/Load/JobApiClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "celeryswitch/Load/HttpConnection.h"
+#include "celeryswitch/Http/HttpConnection.h"
 #include "celeryswitch/Messages/Submission.h"
 #include <string>
 
@@ -40,14 +40,14 @@
 };
 
 /// Request that submits a job and waits for its answer. An empty token sends none.
-HttpRequest submitRequest(
+Http::HttpRequest submitRequest(
     const Messages::Submission& submission, std::uint32_t waitMilliseconds, const std::string& token);
 /// Request that fetches a job and waits for its end.
-HttpRequest fetchRequest(const JobName& job, std::uint32_t waitMilliseconds, const std::string& token);
+Http::HttpRequest fetchRequest(const JobName& job, std::uint32_t waitMilliseconds, const std::string& token);
 /// Request that cancels a job.
-HttpRequest cancelRequest(const JobName& job, const std::string& token);
+Http::HttpRequest cancelRequest(const JobName& job, const std::string& token);
 /// Decodes an answer; never fails, because a malformed answer is a finding of its own.
-EntryAnswer parseAnswer(const HttpAnswer& answer);
+EntryAnswer parseAnswer(const Http::HttpResponse& answer);
 
 }
 
--- a/celeryswitch/Load/LoadWorker.cpp
+++ b/celeryswitch/Load/LoadWorker.cpp
@@ -48,7 +48,7 @@
     }
 
 private:
-    using Connection = std::unique_ptr<HttpConnection>;
+    using Connection = std::unique_ptr<Http::HttpConnection>;
 
     void planNext()
     {
@@ -87,15 +87,15 @@
         ++job->attempts;
         ++this->openRequests;
         const JobName name { job->submission.team, job->submission.caller, job->submission.idempotencyKey };
-        HttpRequest request = isSubmission ? submitRequest(job->submission, waitMilliseconds, this->settings.token)
+        Http::HttpRequest request = isSubmission ? submitRequest(job->submission, waitMilliseconds, this->settings.token)
                                            : fetchRequest(name, waitMilliseconds, this->settings.token);
         const std::size_t entry = job->entry;
         Connection connection = this->take(entry);
-        HttpConnection* open = connection.get();
+        Http::HttpConnection* open = connection.get();
         const auto timeout = std::chrono::milliseconds(waitMilliseconds) + answerMargin;
         open->request(std::move(request), timeout,
             [this, job, entry, connection = std::make_shared<Connection>(std::move(connection))](
-                Core::Result<HttpAnswer> result) mutable {
+                Core::Result<Http::HttpResponse> result) mutable {
                 --this->openRequests;
                 if (!result)
                     return this->lost(job, result.error());
@@ -108,7 +108,7 @@
     {
         std::vector<Connection>& free = this->idle[entry];
         if (free.empty())
-            return std::make_unique<HttpConnection>(this->context, this->settings.entries[entry]);
+            return std::make_unique<Http::HttpConnection>(this->context, this->settings.entries[entry]);
         Connection connection = std::move(free.back());
         free.pop_back();
         return connection;
@@ -122,7 +122,7 @@
     // The request may have reached the entry: sends it again with the same key, to another entry.
     void lost(const LoadJobPointer& job, const Core::Error& error)
     {
-        if (!error.is(HttpError::ConnectFailed))
+        if (!error.is(Http::HttpError::ConnectFailed))
             job->isSubmitted = true;
         job->entry = (job->entry + 1) % this->settings.entries.size();
         this->sendLater(job, std::string(error.code()));
--- a/celeryswitch/Messages/StateMessages.h
+++ b/celeryswitch/Messages/StateMessages.h
@@ -47,10 +47,20 @@
     std::string configuration;
     std::vector<Member> members;
     std::map<Core::PartitionId, PartitionOwner> partitions;
+    /// Version of the routing document, and the document in its serialized form unless the asker has that version.
+    std::uint64_t routingVersion = 0;
+    std::string routing;
+    /// Addresses of the state replicas.
+    std::vector<std::string> replicas;
+    /// Time since the answering replica was in contact with the leader, or as the leader with a quorum.
+    std::uint32_t contactAgeMilliseconds = 0;
+    /// Whether the asker has this view; it then carries versions, replicas and the age only.
+    bool isUnchanged = false;
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->viewVersion, this->configurationVersion, this->configuration, this->members, this->partitions);
+        archive(this->viewVersion, this->configurationVersion, this->configuration, this->members, this->partitions,
+            this->routingVersion, this->routing, this->replicas, this->contactAgeMilliseconds, this->isUnchanged);
     }
 };
 
@@ -58,10 +68,12 @@
 struct WatchView {
     std::uint64_t knownVersion = 0;
     std::uint32_t waitMilliseconds = 0;
+    /// Version of the routing document that the asker has.
+    std::uint64_t knownRoutingVersion = 0;
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->knownVersion, this->waitMilliseconds);
+        archive(this->knownVersion, this->waitMilliseconds, this->knownRoutingVersion);
     }
 };
 
@@ -189,6 +201,22 @@
     }
 };
 
+/// Replaces the routing document if its version is higher than the one in force; otherwise changes nothing.
+struct PutRouting {
+    std::string author;
+    /// RoutingDocument in its serialized form.
+    std::string routing;
+    /// The document as the operator sent it.
+    std::string source;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->author, this->routing, this->source); }
+};
+
+/// Asks for the routing document in force, as the operator sent it.
+struct QueryRouting {
+    template <typename Archive> void serialize(Archive&) { }
+};
+
 /// Asks a replica what it knows of itself and its group.
 struct QueryReplicaStatus {
     template <typename Archive> void serialize(Archive&) { }
@@ -212,7 +240,8 @@
     std::uint64_t requestId = 0;
     /// Append only: the index is part of the format.
     std::variant<WatchView, RegisterMember, RemoveMember, AcquirePartitions, RenewLeases, ReleasePartitions,
-        ProposeChange, AppendReport, QueryReport, QueryAudit, ReplaceReplica, QueryReplicaStatus>
+        ProposeChange, AppendReport, QueryReport, QueryAudit, ReplaceReplica, QueryReplicaStatus, PutRouting,
+        QueryRouting>
         body;
 
     template <typename Archive> void serialize(Archive& archive) { archive(this->requestId, this->body); }
@@ -261,6 +290,14 @@
     template <typename Archive> void serialize(Archive& archive) { archive(this->json); }
 };
 
+/// Answer to QueryRouting; empty before the first document.
+struct RoutingSource {
+    std::uint64_t version = 0;
+    std::string source;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->version, this->source); }
+};
+
 /// Answer without content.
 struct Done {
     template <typename Archive> void serialize(Archive&) { }
@@ -273,7 +310,9 @@
     /// Detail of a refusal; for NotLeader the leader's address when known.
     std::string detail;
     /// Append only: the index is part of the format.
-    std::variant<Done, FleetView, LeaseGrant, ChangeAccepted, ReportAnswer, AuditAnswer, ReplicaStatus> body;
+    std::variant<Done, FleetView, LeaseGrant, ChangeAccepted, ReportAnswer, AuditAnswer, ReplicaStatus,
+        RoutingSource>
+        body;
 
     template <typename Archive> void serialize(Archive& archive)
     {
--- /dev/null
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -0,0 +1,286 @@
+#pragma once
+
+#include "celeryswitch/Messages/TaskMessages.h"
+#include <algorithm>
+#include <cereal/types/utility.hpp>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace celeryswitch::Messages {
+
+/// Room on a worker, or what a task needs of it.
+struct Room {
+    /// Thousandths of a core.
+    std::int64_t milliCores = 0;
+    std::int64_t memoryMegabytes = 0;
+    std::int64_t accelerators = 0;
+
+    /// Whether this much fits into `free`.
+    bool fits(const Room& free) const
+    {
+        return this->milliCores <= free.milliCores && this->memoryMegabytes <= free.memoryMegabytes
+            && this->accelerators <= free.accelerators;
+    }
+    /// How many times this much fits into `free`.
+    std::int64_t countIn(const Room& free) const
+    {
+        std::int64_t count = INT32_MAX;
+        const auto limit = [&count](std::int64_t need, std::int64_t available) {
+            if (need > 0)
+                count = std::min(count, std::max<std::int64_t>(0, available) / need);
+        };
+        limit(this->milliCores, free.milliCores);
+        limit(this->memoryMegabytes, free.memoryMegabytes);
+        limit(this->accelerators, free.accelerators);
+        return count;
+    }
+    Room& operator+=(const Room& other)
+    {
+        this->milliCores += other.milliCores;
+        this->memoryMegabytes += other.memoryMegabytes;
+        this->accelerators += other.accelerators;
+        return *this;
+    }
+    Room& operator-=(const Room& other)
+    {
+        this->milliCores -= other.milliCores;
+        this->memoryMegabytes -= other.memoryMegabytes;
+        this->accelerators -= other.accelerators;
+        return *this;
+    }
+    friend Room operator-(Room left, const Room& right) { return left -= right; }
+    friend Room operator*(Room room, std::int64_t count)
+    {
+        return { room.milliCores * count, room.memoryMegabytes * count, room.accelerators * count };
+    }
+
+    friend bool operator==(const Room&, const Room&) = default;
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->milliCores, this->memoryMegabytes, this->accelerators);
+    }
+};
+
+/// Identity of a task of a step job.
+struct TaskId {
+    /// Number that the caller chose for the job.
+    std::uint64_t job = 0;
+    /// Repetition of the job, from 0.
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    friend auto operator<=>(const TaskId&, const TaskId&) = default;
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->job, this->occurrence, this->step, this->index);
+    }
+};
+
+/// How a run of a task ended.
+enum class RunEnd : std::uint8_t {
+    Done,
+    Failed,
+    /// Stopped by an order.
+    Stopped,
+    /// The worker's lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not arrive.
+    Alone,
+    /// The worker crashed or was replaced, or its lease is over without an answer.
+    Lost,
+    /// The run did not start and never will.
+    NotStarted,
+};
+
+/// Why a run did not start.
+enum class RunRefusal : std::uint8_t {
+    None,
+    /// The worker has too little room.
+    NoRoom,
+    /// The worker is leaving.
+    Draining,
+    /// The worker, or the sidecar's contact with it, is out of order.
+    Unhealthy,
+    /// Another run of the task has not ended on this worker.
+    TaskBusy,
+    /// The order came too late.
+    Late,
+    /// The order was not answered and is void now.
+    Unanswered,
+    /// The worker refused the order for another reason.
+    Rejected,
+};
+
+/// State of a run as the sidecar reports it.
+enum class RunState : std::uint8_t {
+    Running,
+    Ended,
+};
+
+/// Entry to sidecar: start runs of tasks of one step.
+struct StartRuns {
+    /// Counts the orders of this entry on this connection, from 1.
+    std::uint64_t sequence = 0;
+    /// Newest clock sample received from this sidecar incarnation.
+    std::int64_t clockEcho = 0;
+    std::uint64_t job = 0;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    /// Content of the job for the worker.
+    std::string content;
+    /// Room that each task needs.
+    Room need;
+    std::uint32_t expectedMilliseconds = 0;
+    /// Time left until the job's deadline; what still runs then is stopped. 0 means none.
+    std::int64_t deadlineMicroseconds = 0;
+    /// Index and run number of each task.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> tasks;
+
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->sequence, this->clockEcho, this->job, this->occurrence, this->step, this->content, this->need,
+            this->expectedMilliseconds, this->deadlineMicroseconds, this->tasks);
+    }
+};
+
+/// Entry to sidecar: stop whatever runs of these tasks.
+struct StopRuns {
+    std::int64_t clockEcho = 0;
+    std::vector<TaskId> tasks;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->clockEcho, this->tasks); }
+};
+
+/// Entry to sidecar: the entry lives. Runs are kept only while it does.
+struct EntryAlive {
+    std::int64_t clockEcho = 0;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->clockEcho); }
+};
+
+/// A run that an entry had ordered before its connection was lost.
+struct ClaimedRun {
+    TaskId task;
+    std::uint32_t run = 0;
+    Room need;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->task, this->run, this->need); }
+};
+
+/// Entry to sidecar, first on each connection after Hello: runs that it believes are there; each is answered by a report.
+struct ClaimRuns {
+    std::vector<ClaimedRun> runs;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->runs); }
+};
+
+/// What became of a run.
+struct RunReport {
+    TaskId task;
+    std::uint32_t run = 0;
+    RunState state = RunState::Ended;
+    RunEnd end = RunEnd::NotStarted;
+    RunRefusal refusal = RunRefusal::None;
+    /// Time from the accepted start to the end, in microseconds.
+    std::int64_t runMicroseconds = 0;
+
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->task, this->run, this->state, this->end, this->refusal, this->runMicroseconds);
+    }
+};
+
+/// What a sidecar knows of its worker.
+struct WorkerStatus {
+    std::string workerId;
+    /// Start of this life of the worker, milliseconds since 1970.
+    std::int64_t bornAt = 0;
+    std::string service;
+    Room capacity;
+    /// Room that no run uses.
+    Room free;
+    std::vector<std::string> labels;
+    /// Whether runs can be started.
+    bool isReady = false;
+    bool isDraining = false;
+
+    friend bool operator==(const WorkerStatus&, const WorkerStatus&) = default;
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->workerId, this->bornAt, this->service, this->capacity, this->free, this->labels, this->isReady,
+            this->isDraining);
+    }
+};
+
+/// Sidecar to entry: reports of this entry's runs and the worker's status.
+struct WorkerUpdate {
+    Core::Incarnation incarnation = 0;
+    std::int64_t clockSample = 0;
+    /// Last StartRuns of this connection that `status` counts.
+    std::uint64_t handledSequence = 0;
+    std::vector<RunReport> reports;
+    WorkerStatus status;
+
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->incarnation, this->clockSample, this->handledSequence, this->reports, this->status);
+    }
+};
+
+/// Every frame between entries and sidecars of leased workers. Append only: the index is part of the format.
+using WorkMessage = std::variant<Hello, StartRuns, StopRuns, EntryAlive, ClaimRuns, WorkerUpdate>;
+
+}
+
+namespace celeryswitch::Core {
+
+template <> struct EnumTable<Messages::RunEnd> {
+    static constexpr std::string_view type = "RunEnd";
+    static constexpr std::array<std::pair<Messages::RunEnd, std::string_view>, 8> names { {
+        { Messages::RunEnd::Done, "done" },
+        { Messages::RunEnd::Failed, "failed" },
+        { Messages::RunEnd::Stopped, "stopped" },
+        { Messages::RunEnd::Lapsed, "lapsed" },
+        { Messages::RunEnd::Broken, "broken" },
+        { Messages::RunEnd::Alone, "alone" },
+        { Messages::RunEnd::Lost, "lost" },
+        { Messages::RunEnd::NotStarted, "not-started" },
+    } };
+};
+
+template <> struct EnumTable<Messages::RunRefusal> {
+    static constexpr std::string_view type = "RunRefusal";
+    static constexpr std::array<std::pair<Messages::RunRefusal, std::string_view>, 8> names { {
+        { Messages::RunRefusal::None, "none" },
+        { Messages::RunRefusal::NoRoom, "no-room" },
+        { Messages::RunRefusal::Draining, "draining" },
+        { Messages::RunRefusal::Unhealthy, "unhealthy" },
+        { Messages::RunRefusal::TaskBusy, "task-busy" },
+        { Messages::RunRefusal::Late, "late" },
+        { Messages::RunRefusal::Unanswered, "unanswered" },
+        { Messages::RunRefusal::Rejected, "rejected" },
+    } };
+};
+
+template <> struct EnumTable<Messages::RunState> {
+    static constexpr std::string_view type = "RunState";
+    static constexpr std::array<std::pair<Messages::RunState, std::string_view>, 2> names { {
+        { Messages::RunState::Running, "running" },
+        { Messages::RunState::Ended, "ended" },
+    } };
+};
+
+}
+
+template <> struct std::hash<celeryswitch::Messages::TaskId> {
+    std::size_t operator()(const celeryswitch::Messages::TaskId& task) const noexcept
+    {
+        return static_cast<std::size_t>(task.job ^ (0x9e3779b97f4a7c15ULL * (task.index + 1))
+            ^ (static_cast<std::uint64_t>(task.step) << 40) ^ (static_cast<std::uint64_t>(task.occurrence) << 20));
+    }
+};
--- a/celeryswitch/Scenario/JobRunner.cpp
+++ b/celeryswitch/Scenario/JobRunner.cpp
@@ -62,7 +62,7 @@
 bool JobRunner::cancel(const std::string& job, const std::string& entryAddress)
 {
     const std::optional<JobRecord> found = this->record(job);
-    return found && Load::httpCall(entryAddress, Load::cancelRequest(nameOf(found->submission), {}), requestTimeout);
+    return found && Http::httpCall(entryAddress, Load::cancelRequest(nameOf(found->submission), {}), requestTimeout);
 }
 
 std::optional<JobRecord> JobRunner::record(const std::string& job) const
@@ -99,8 +99,8 @@
     const Core::SteadyTime end
         = std::chrono::steady_clock::now() + std::chrono::duration_cast<Core::SteadyTime::duration>(this->patience);
     while (!this->isStopped && std::chrono::steady_clock::now() < end) {
-        const Core::Result<Load::HttpAnswer> http
-            = Load::httpCall(entryAddress, Load::submitRequest(submission, waitMilliseconds, {}), requestTimeout);
+        const Core::Result<Http::HttpResponse> http
+            = Http::httpCall(entryAddress, Load::submitRequest(submission, waitMilliseconds, {}), requestTimeout);
         if (!http) {
             this->note(job, http.error().message());
             std::this_thread::sleep_for(retryInterval);
--- /dev/null
+++ b/celeryswitch/Scheduling/SidecarLinks.cpp
@@ -0,0 +1,170 @@
+#include "celeryswitch/Scheduling/SidecarLinks.h"
+
+#include "celeryswitch/Network/MessageCodec.h"
+#include <algorithm>
+
+namespace celeryswitch::Scheduling {
+
+using Logging::LogLevel;
+
+namespace {
+
+// A sidecar sends every 200 ms; after this time without a frame the connection is taken for lost.
+constexpr Core::Duration silenceLimit = std::chrono::milliseconds(550);
+// Bounds of the delay before a connection is opened anew; it doubles with each failure.
+constexpr std::chrono::milliseconds shortestRetry { 20 };
+constexpr std::chrono::milliseconds longestRetry { 500 };
+
+}
+
+SidecarLinks::SidecarLinks(boost::asio::io_context& context, Network::PeerTransport& transport,
+    const Core::Clock& clock, Logging::StructuredLog& log, Messages::Hello identity, Handlers handlers)
+    : context(context)
+    , transport(transport)
+    , clock(clock)
+    , log(log)
+    , identity(std::move(identity))
+    , handlers(std::move(handlers))
+{
+}
+
+std::vector<Core::InstanceId> SidecarLinks::setMembers(const std::vector<Messages::Member>& sidecars)
+{
+    std::vector<Core::InstanceId> gone;
+    for (auto& [id, link] : this->links) {
+        const bool isMember = std::any_of(sidecars.begin(), sidecars.end(),
+            [&id = id](const Messages::Member& member) { return member.identity.instanceId == id; });
+        if (!isMember)
+            gone.push_back(id);
+    }
+    for (const Core::InstanceId& id : gone) {
+        this->close(this->links.at(id));
+        this->links.erase(id);
+    }
+    for (const Messages::Member& member : sidecars) {
+        const Core::InstanceId& id = member.identity.instanceId;
+        Link& link = this->links[id];
+        const bool isMoved = link.member.peerAddress != member.peerAddress;
+        link.member = member;
+        if (isMoved && link.connection)
+            this->lost(id, "address changed");
+        else if (!link.connection && !link.isConnecting && !link.retryTimer)
+            this->connect(id);
+    }
+    return gone;
+}
+
+void SidecarLinks::connect(const Core::InstanceId& sidecar)
+{
+    Link& link = this->links.at(sidecar);
+    link.isConnecting = true;
+    const std::uint64_t generation = ++link.generation;
+    const std::weak_ptr<bool> guard = this->alive;
+    this->transport.connect(link.member.peerAddress,
+        [this, guard, sidecar, generation](Core::Result<Network::PeerConnectionPointer> result) {
+            const auto found = guard.expired() ? this->links.end() : this->links.find(sidecar);
+            if (guard.expired() || found == this->links.end() || found->second.generation != generation) {
+                if (result)
+                    result.value()->close();
+                return;
+            }
+            found->second.isConnecting = false;
+            if (result)
+                this->connected(sidecar, std::move(result).value());
+            else
+                this->lost(sidecar, result.error().message());
+        });
+}
+
+void SidecarLinks::connected(const Core::InstanceId& sidecar, Network::PeerConnectionPointer connection)
+{
+    Link& link = this->links.at(sidecar);
+    link.connection = std::move(connection);
+    link.heardAt = this->clock.steadyNow();
+    link.failures = 0;
+    const std::uint64_t generation = link.generation;
+    const std::weak_ptr<bool> guard = this->alive;
+    link.connection->start(
+        [this, guard, sidecar, generation](const std::string& payload) {
+            const auto found = guard.expired() ? this->links.end() : this->links.find(sidecar);
+            if (guard.expired() || found == this->links.end() || found->second.generation != generation)
+                return;
+            found->second.heardAt = this->clock.steadyNow();
+            Core::Result<Messages::WorkMessage> message = Network::decodeMessage<Messages::WorkMessage>(payload);
+            auto* update = message ? std::get_if<Messages::WorkerUpdate>(&message.value()) : nullptr;
+            if (update)
+                this->handlers.onUpdate(sidecar, std::move(*update));
+            else
+                this->lost(sidecar, "unreadable frame");
+        },
+        [this, guard, sidecar, generation](const std::string& reason) {
+            const auto found = guard.expired() ? this->links.end() : this->links.find(sidecar);
+            if (!guard.expired() && found != this->links.end() && found->second.generation == generation)
+                this->lost(sidecar, reason);
+        });
+    link.connection->send(Network::encodeMessage(Messages::WorkMessage(this->identity)));
+    this->log.write(LogLevel::Info, "sidecar connected", { { "sidecar", sidecar } });
+    this->handlers.onConnected(link.member);
+}
+
+void SidecarLinks::lost(const Core::InstanceId& sidecar, const std::string& reason)
+{
+    Link& link = this->links.at(sidecar);
+    const bool wasConnected = link.connection != nullptr;
+    this->close(link);
+    if (wasConnected || link.failures == 0)
+        this->log.write(
+            LogLevel::Info, "sidecar disconnected", { { "sidecar", sidecar }, { "reason", reason } });
+    const auto delay
+        = std::min(longestRetry, shortestRetry * (1 << std::min<std::uint32_t>(link.failures++, 6)));
+    link.retryTimer = std::make_unique<boost::asio::steady_timer>(this->context, delay);
+    link.retryTimer->async_wait(
+        [this, guard = std::weak_ptr<bool>(this->alive), sidecar](const boost::system::error_code& error) {
+            if (error || guard.expired() || this->links.count(sidecar) == 0)
+                return;
+            this->links.at(sidecar).retryTimer.reset();
+            this->connect(sidecar);
+        });
+    if (wasConnected)
+        this->handlers.onDisconnected(sidecar);
+}
+
+void SidecarLinks::close(Link& link)
+{
+    ++link.generation;
+    link.isConnecting = false;
+    if (link.connection)
+        link.connection->close();
+    link.connection.reset();
+    link.retryTimer.reset();
+}
+
+void SidecarLinks::send(const Core::InstanceId& sidecar, const Messages::WorkMessage& message)
+{
+    const auto found = this->links.find(sidecar);
+    if (found != this->links.end() && found->second.connection
+        && !found->second.connection->send(Network::encodeMessage(message)))
+        this->lost(sidecar, "send queue full");
+}
+
+void SidecarLinks::dropSilent()
+{
+    const Core::SteadyTime now = this->clock.steadyNow();
+    std::vector<Core::InstanceId> silent;
+    for (const auto& [id, link] : this->links) {
+        if (link.connection && now - link.heardAt > silenceLimit)
+            silent.push_back(id);
+    }
+    for (const Core::InstanceId& id : silent)
+        this->lost(id, "silent");
+}
+
+void SidecarLinks::stop()
+{
+    this->alive.reset();
+    for (auto& [id, link] : this->links)
+        this->close(link);
+    this->links.clear();
+}
+
+}
--- /dev/null
+++ b/celeryswitch/State/ControlGateway.cpp
@@ -0,0 +1,121 @@
+#include "celeryswitch/State/ControlGateway.h"
+
+#include "celeryswitch/Network/MessageCodec.h"
+
+namespace celeryswitch::State {
+
+using Logging::LogLevel;
+using Messages::StateRefusal;
+
+namespace {
+
+// Operators turn to another replica after a second without a response.
+constexpr std::chrono::milliseconds answerLimit { 900 };
+constexpr std::size_t connectionsLimit = 512;
+constexpr Http::HttpLimits limits { 4 * 1024 * 1024, 16 * 1024, std::chrono::seconds(3), std::chrono::seconds(10),
+    std::chrono::seconds(30) };
+
+}
+
+ControlGateway::ControlGateway(boost::asio::io_context& context, const ControlProtocol& protocol,
+    Logging::StructuredLog& log, RequestHandler onRequest)
+    : context(context)
+    , protocol(protocol)
+    , log(log)
+    , onRequest(std::move(onRequest))
+    , server(context, limits, connectionsLimit,
+          { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
+               this->received(session, std::move(request));
+           },
+              [this](std::uint16_t, const std::string& reason) {
+                  return this->protocol.encode({ ControlOutcome::Invalid, reason }, {});
+              },
+              {} })
+{
+}
+
+Core::Result<std::string> ControlGateway::listen(const std::string& address)
+{
+    this->port = address.substr(std::min(address.size(), address.rfind(':') + 1));
+    return this->server.listen(address);
+}
+
+void ControlGateway::received(const Http::HttpSession::Pointer& session, Http::HttpRequest request)
+{
+    ControlRequest decoded = this->protocol.decode(request);
+    if (auto* put = std::get_if<PutDocument>(&decoded)) {
+        const std::string problem = put->document.problem();
+        if (problem.empty()) {
+            const std::uint64_t version = put->document.version;
+            this->ask(session, std::move(request), version,
+                Messages::PutRouting { "operator", Network::encodeMessage(put->document), std::move(put->source) });
+            return;
+        }
+        decoded = UnreadableCall { problem };
+    } else if (std::holds_alternative<GetDocument>(decoded)) {
+        this->ask(session, std::move(request), 0, Messages::QueryRouting {});
+        return;
+    }
+    ControlAnswer refusal { ControlOutcome::Unknown, {} };
+    if (const auto* unreadable = std::get_if<UnreadableCall>(&decoded))
+        refusal = { ControlOutcome::Invalid, unreadable->problem };
+    else if (const auto* unserved = std::get_if<UnservedCall>(&decoded))
+        refusal = { ControlOutcome::Unavailable, unserved->reason };
+    this->log.write(LogLevel::Info, "operator call refused",
+        { { "path", request.path }, { "outcome", std::string(Core::enumName(refusal.outcome)) },
+            { "detail", refusal.text } });
+    session->respond(this->protocol.encode(refusal, request));
+}
+
+void ControlGateway::ask(const Http::HttpSession::Pointer& session, Http::HttpRequest request, std::uint64_t version,
+    decltype(Messages::StateRequest::body) body)
+{
+    const std::uint64_t requestId = ++this->lastRequest;
+    this->waiting[requestId] = { session, std::move(request), version };
+    if (!this->onRequest({ connection, { requestId, std::move(body) } })) {
+        this->answer(requestId, { ControlOutcome::Unavailable, "the replica is overloaded" });
+        return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->context, answerLimit);
+    timer->async_wait([this, guard = std::weak_ptr<bool>(this->alive), requestId, timer](boost::system::error_code) {
+        if (!guard.expired())
+            this->answer(requestId, { ControlOutcome::Unavailable, "no quorum has answered in time" });
+    });
+}
+
+void ControlGateway::reply(const Messages::StateReply& reply)
+{
+    ControlAnswer answer { ControlOutcome::Unavailable, reply.detail };
+    const auto* source = std::get_if<Messages::RoutingSource>(&reply.body);
+    if (reply.refusal == StateRefusal::None && !source)
+        answer = { ControlOutcome::Acknowledged, {} };
+    else if (reply.refusal == StateRefusal::None && source->version > 0)
+        answer = { ControlOutcome::Document, source->source };
+    else if (reply.refusal == StateRefusal::None)
+        answer.text = "there is no document yet";
+    else if (reply.refusal == StateRefusal::InvalidChange)
+        answer.outcome = ControlOutcome::Invalid;
+    else if (reply.refusal == StateRefusal::NotLeader && !reply.detail.empty())
+        answer = { ControlOutcome::Moved, reply.detail.substr(0, reply.detail.rfind(':') + 1) + this->port };
+    this->answer(reply.requestId, std::move(answer));
+}
+
+void ControlGateway::answer(std::uint64_t requestId, ControlAnswer answer)
+{
+    auto node = this->waiting.extract(requestId);
+    if (node.empty())
+        return;
+    this->log.write(LogLevel::Info, node.mapped().version > 0 ? "document put" : "document read",
+        { { "version", node.mapped().version }, { "outcome", std::string(Core::enumName(answer.outcome)) },
+            { "detail", answer.outcome == ControlOutcome::Document ? std::string() : answer.text } });
+    node.mapped().session->respond(this->protocol.encode(answer, node.mapped().request));
+}
+
+void ControlGateway::stop()
+{
+    this->alive.reset();
+    this->server.stop();
+    this->waiting.clear();
+}
+
+}
--- /dev/null
+++ b/celeryswitch/State/FleetWatcher.cpp
@@ -0,0 +1,181 @@
+#include "celeryswitch/State/FleetWatcher.h"
+
+#include "celeryswitch/Network/MessageCodec.h"
+#include <algorithm>
+
+namespace celeryswitch::State {
+
+using Logging::LogLevel;
+using Messages::StateRefusal;
+
+namespace {
+
+constexpr std::uint32_t watchMilliseconds = 500;
+constexpr Core::Duration watchTimeout = std::chrono::seconds(4);
+constexpr Core::Duration requestTimeout = std::chrono::seconds(4);
+constexpr Core::Duration failurePause = std::chrono::milliseconds(100);
+
+StateClientSettings clientSettings(const FleetWatcherSettings& settings, std::uint64_t seed)
+{
+    StateClientSettings result;
+    result.identity = settings.identity;
+    result.replicas = settings.replicas;
+    result.attemptTimeout = std::chrono::milliseconds(400);
+    result.seed = seed;
+    return result;
+}
+
+}
+
+FleetWatcher::FleetWatcher(boost::asio::io_context& context, Network::PeerTransport& transport,
+    Logging::StructuredLog& log, FleetWatcherSettings settings, Handlers handlers)
+    : log(log)
+    , settings(std::move(settings))
+    , handlers(std::move(handlers))
+    , watchClient(context, transport, clientSettings(this->settings, this->settings.seed))
+    , memberClient(context, transport, clientSettings(this->settings, this->settings.seed + 1))
+    , watchTimer(context)
+    , memberTimer(context)
+{
+}
+
+void FleetWatcher::start()
+{
+    if (this->settings.isWatching)
+        this->watch();
+    if (this->settings.registration)
+        this->registerMember();
+}
+
+void FleetWatcher::setReplicas(std::vector<std::string> addresses)
+{
+    this->settings.replicas = std::move(addresses);
+    this->useReplicas();
+}
+
+void FleetWatcher::setRegistration(Messages::Member member)
+{
+    this->settings.registration = std::move(member);
+    this->registerMember();
+}
+
+void FleetWatcher::stop()
+{
+    this->alive.reset();
+    this->watchTimer.cancel();
+    this->memberTimer.cancel();
+    this->watchClient.stop();
+    this->memberClient.stop();
+}
+
+void FleetWatcher::useReplicas()
+{
+    std::vector<std::string> addresses = this->learned;
+    for (const std::string& address : this->settings.replicas) {
+        if (std::find(addresses.begin(), addresses.end(), address) == addresses.end())
+            addresses.push_back(address);
+    }
+    this->watchClient.setReplicas(addresses);
+    this->memberClient.setReplicas(std::move(addresses));
+}
+
+void FleetWatcher::later(boost::asio::steady_timer& timer, Core::Duration span, void (FleetWatcher::*next)())
+{
+    timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(span));
+    timer.async_wait(
+        [this, guard = std::weak_ptr<bool>(this->alive), next](const boost::system::error_code& error) {
+            if (!error && !guard.expired())
+                (this->*next)();
+        });
+}
+
+void FleetWatcher::watch()
+{
+    this->watchClient.request(Messages::WatchView { this->viewVersion, watchMilliseconds, this->knownRoutingVersion },
+        watchTimeout,
+        [this, guard = std::weak_ptr<bool>(this->alive)](const Core::Result<Messages::StateReply>& reply) {
+            if (guard.expired())
+                return;
+            const auto* view = reply ? std::get_if<Messages::FleetView>(&reply.value().body) : nullptr;
+            if (!view) {
+                this->log.write(LogLevel::Warning, "no state replica answers",
+                    { { "detail", reply ? reply.value().detail : reply.error().message() } });
+                this->later(this->watchTimer, failurePause, &FleetWatcher::watch);
+                return;
+            }
+            this->viewReceived(*view);
+            this->watch();
+        });
+}
+
+void FleetWatcher::viewReceived(const Messages::FleetView& view)
+{
+    if (!view.replicas.empty() && view.replicas != this->learned) {
+        this->learned = view.replicas;
+        this->useReplicas();
+    }
+    const bool wasFresh = std::exchange(
+        this->isFresh, std::chrono::milliseconds(view.contactAgeMilliseconds) <= this->settings.contactAgeLimit);
+    if (!this->isFresh) {
+        if (wasFresh)
+            this->log.write(LogLevel::Warning, "state replica without a leader",
+                { { "replica", this->watchClient.currentReplica() }, { "age_ms", view.contactAgeMilliseconds } });
+        this->watchClient.leaveReplica();
+    }
+    // A replica that is behind must not take this process back.
+    if (view.isUnchanged || view.viewVersion <= this->viewVersion)
+        return;
+    this->viewVersion = view.viewVersion;
+    if (view.routingVersion > this->knownRoutingVersion && !view.routing.empty()) {
+        Core::Result<Configuration::RoutingDocument> document
+            = Network::decodeMessage<Configuration::RoutingDocument>(view.routing);
+        if (document) {
+            this->knownRoutingVersion = view.routingVersion;
+            this->log.write(LogLevel::Info, "routing document in force", { { "version", view.routingVersion } });
+            if (this->handlers.onRouting)
+                this->handlers.onRouting(std::move(document).value());
+        } else {
+            this->log.write(LogLevel::Error, "routing document can't be read",
+                { { "version", view.routingVersion }, { "detail", document.error().message() } });
+        }
+    }
+    std::vector<Messages::Member> members;
+    for (const Messages::Member& member : view.members) {
+        if (member.removedAt == 0)
+            members.push_back(member);
+    }
+    if (this->handlers.onMembers)
+        this->handlers.onMembers(members);
+}
+
+void FleetWatcher::registerMember()
+{
+    this->memberClient.request(Messages::RegisterMember { *this->settings.registration }, requestTimeout,
+        [this, guard = std::weak_ptr<bool>(this->alive)](const Core::Result<Messages::StateReply>& reply) {
+            if (guard.expired())
+                return;
+            const bool isDone = reply && reply.value().refusal == StateRefusal::None;
+            this->log.write(isDone ? LogLevel::Info : LogLevel::Warning, isDone ? "registered" : "not registered",
+                { { "detail", reply ? reply.value().detail : reply.error().message() } });
+            this->later(this->memberTimer, isDone ? this->settings.renewalInterval : failurePause,
+                isDone ? &FleetWatcher::renew : &FleetWatcher::registerMember);
+        });
+}
+
+void FleetWatcher::renew()
+{
+    this->memberClient.request(
+        Messages::RenewLeases { this->settings.identity.instanceId, this->settings.identity.incarnation },
+        requestTimeout,
+        [this, guard = std::weak_ptr<bool>(this->alive)](const Core::Result<Messages::StateReply>& reply) {
+            if (guard.expired())
+                return;
+            if (reply && reply.value().refusal == StateRefusal::UnknownMember)
+                this->registerMember();
+            else
+                this->later(this->memberTimer, reply ? this->settings.renewalInterval : failurePause,
+                    &FleetWatcher::renew);
+        });
+}
+
+}
--- a/celeryswitch/State/PeerLinks.cpp
+++ b/celeryswitch/State/PeerLinks.cpp
@@ -11,7 +11,7 @@
 
 constexpr Core::Duration reconnectDelay = std::chrono::milliseconds(100);
 // A link that is used and silent for this long is opened anew: after a silent partition TCP itself may wait minutes.
-constexpr Core::Duration silenceLimit = std::chrono::milliseconds(1500);
+constexpr Core::Duration silenceLimit = std::chrono::milliseconds(600);
 // Messages kept while a connection is being opened.
 constexpr std::size_t queuedMessages = 64;
 
@@ -134,13 +134,11 @@
             this->incoming.at(newest->second).connection->send(std::move(payload));
         return;
     }
-    Link& link = this->links[outgoing.to.id];
+    const std::string address = outgoing.to.address;
+    Link& link = this->links[address];
     const SteadyTime now = steadyNow();
-    const bool isSilent = link.connection && now - link.heardAt > silenceLimit;
-    if (link.address != outgoing.to.address || isSilent) {
+    if (link.connection && now - link.heardAt > silenceLimit)
         this->drop(link);
-        link.address = outgoing.to.address;
-    }
     if (link.connection) {
         if (!link.connection->send(std::move(payload)))
             this->drop(link);
@@ -149,18 +147,18 @@
     if (link.queued.size() < queuedMessages)
         link.queued.push_back(std::move(payload));
     if (!link.isConnecting && now >= link.retryAt)
-        this->connect(outgoing.to.id);
+        this->connect(address);
 }
 
-void PeerLinks::connect(const Messages::ReplicaId& id)
+void PeerLinks::connect(const std::string& address)
 {
-    Link& link = this->links[id];
+    Link& link = this->links[address];
     link.isConnecting = true;
     const std::uint64_t generation = ++link.generation;
     const std::weak_ptr<bool> guard = this->alive;
     this->transport.connect(
-        link.address, [this, guard, id, generation](Core::Result<Network::PeerConnectionPointer> result) {
-            const auto found = guard.expired() ? this->links.end() : this->links.find(id);
+        address, [this, guard, address, generation](Core::Result<Network::PeerConnectionPointer> result) {
+            const auto found = guard.expired() ? this->links.end() : this->links.find(address);
             if (guard.expired() || found == this->links.end() || found->second.generation != generation) {
                 if (result)
                     result.value()->close();
@@ -168,7 +166,7 @@
             }
             found->second.isConnecting = false;
             if (result) {
-                this->connected(id, std::move(result).value());
+                this->connected(address, std::move(result).value());
                 return;
             }
             found->second.queued.clear();
@@ -176,28 +174,28 @@
         });
 }
 
-void PeerLinks::connected(const Messages::ReplicaId& id, Network::PeerConnectionPointer connection)
+void PeerLinks::connected(const std::string& address, Network::PeerConnectionPointer connection)
 {
-    Link& link = this->links[id];
+    Link& link = this->links[address];
     link.connection = std::move(connection);
     link.heardAt = steadyNow();
     const std::uint64_t generation = link.generation;
     const std::weak_ptr<bool> guard = this->alive;
     link.connection->start(
-        [this, guard, id, generation](const std::string& payload) {
-            if (guard.expired() || this->links[id].generation != generation)
+        [this, guard, address, generation](const std::string& payload) {
+            if (guard.expired() || this->links[address].generation != generation)
                 return;
-            this->links[id].heardAt = steadyNow();
+            this->links[address].heardAt = steadyNow();
             Core::Result<Messages::ConsensusMessage> message
                 = Network::decodeMessage<Messages::ConsensusMessage>(payload);
             if (message)
                 this->onEvent(std::move(message).value());
             else
-                this->drop(this->links[id]);
+                this->drop(this->links[address]);
         },
-        [this, guard, id, generation](const std::string&) {
-            if (!guard.expired() && this->links[id].generation == generation)
-                this->drop(this->links[id]);
+        [this, guard, address, generation](const std::string&) {
+            if (!guard.expired() && this->links[address].generation == generation)
+                this->drop(this->links[address]);
         });
     link.connection->send(Network::encodeMessage(Messages::PeerMessage(this->identity)));
     const std::vector<std::string> queued = std::move(link.queued);
@@ -226,7 +224,7 @@
     for (auto& [connectionId, entry] : this->incoming)
         entry.connection->close();
     this->incoming.clear();
-    for (auto& [id, link] : this->links)
+    for (auto& [address, link] : this->links)
         this->drop(link);
 }
 
--- a/celeryswitch/State/PeerLinks.h
+++ b/celeryswitch/State/PeerLinks.h
@@ -45,7 +45,6 @@
     };
     /// Connection that this replica opened to another.
     struct Link {
-        std::string address;
         Network::PeerConnectionPointer connection;
         bool isConnecting = false;
         /// Tells the callbacks of an earlier connection.
@@ -63,8 +62,8 @@
     bool clientFrameReceived(std::uint64_t connectionId, const std::string& payload);
     void sendReply(ClientReply reply);
     void sendMessage(Consensus::Outgoing outgoing);
-    void connect(const Messages::ReplicaId& id);
-    void connected(const Messages::ReplicaId& id, Network::PeerConnectionPointer connection);
+    void connect(const std::string& address);
+    void connected(const std::string& address, Network::PeerConnectionPointer connection);
     void drop(Link& link);
 
     Network::PeerTransport transport;
@@ -74,7 +73,8 @@
     std::unordered_map<std::uint64_t, Incoming> incoming;
     /// Newest connection that each replica opened.
     std::map<Messages::ReplicaId, std::uint64_t> incomingByReplica;
-    std::map<Messages::ReplicaId, Link> links;
+    /// By address: a replica that lost its disk is reached under its new identity as well.
+    std::map<std::string, Link> links;
     /// Tells callbacks whether this object still exists.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/celeryswitch/State/StateClient.cpp
+++ b/celeryswitch/State/StateClient.cpp
@@ -57,6 +57,19 @@
         });
     }
 
+    /// See StateClient.
+    void setReplicas(std::vector<std::string> addresses)
+    {
+        if (addresses.empty())
+            return;
+        this->settings.replicas = std::move(addresses);
+        if (this->replica.empty())
+            this->replica = this->settings.replicas.front();
+    }
+
+    /// See StateClient.
+    void leaveReplica() { this->connectionFailed(); }
+
     /// See StateClient.
     void stop()
     {
@@ -336,6 +349,13 @@
     this->implementation->request(std::move(body), timeout, std::move(handler));
 }
 
+void StateClient::setReplicas(std::vector<std::string> addresses)
+{
+    this->implementation->setReplicas(std::move(addresses));
+}
+
+void StateClient::leaveReplica() { this->implementation->leaveReplica(); }
+
 void StateClient::stop() { this->implementation->stop(); }
 
 const std::string& StateClient::currentReplica() const { return this->implementation->replica; }
--- a/celeryswitch/State/StateClient.h
+++ b/celeryswitch/State/StateClient.h
@@ -52,6 +52,10 @@
     /// Sends a request. Refusals that another replica or a later attempt may lift (NotLeader, NoQuorum, Busy,
     /// StorageFailed) are retried within `timeout`; the handler is called once, never from inside this function.
     void request(Body body, Core::Duration timeout, Handler handler);
+    /// Replaces the addresses of the replicas; requests under way go on.
+    void setReplicas(std::vector<std::string> addresses);
+    /// Turns to the next replica, because the current one answers with old news.
+    void leaveReplica();
     /// Closes the connection and ends all waiting requests with Stopped.
     void stop();
     /// Address of the replica that requests go to now.
--- a/celeryswitch/State/StateCore.cpp
+++ b/celeryswitch/State/StateCore.cpp
@@ -24,6 +24,7 @@
     , stateMachine(this->settings.machine)
     , consensus(this->settings.replica, std::move(recovered), now)
     , leases(this->settings.leaseTiming)
+    , keeper(this->settings.keeper)
     , now(now)
 {
     const Consensus::SnapshotPointer& snapshot = this->consensus.log().snapshot();
@@ -64,6 +65,36 @@
     std::visit([&](const auto& alternative) { this->request(token, alternative); }, body);
 }
 
+void StateCore::handle(Consensus::TimePassed& input)
+{
+    this->stepReplica(input);
+    if (!this->consensus.isLeaderReady())
+        return;
+    if (const std::optional<Consensus::Replace> change = this->keeper.decide(this->now, this->consensus))
+        this->stepReplica(*change);
+}
+
+void StateCore::handle(Messages::ReplicaAnnouncement& input)
+{
+    if (this->isLeading) {
+        this->keeper.announced(this->now, input.replica);
+        return;
+    }
+    // The sender may know only replicas that don't lead.
+    if (!std::exchange(input.isReplyWanted, false))
+        return;
+    for (const Messages::ReplicaInfo& voter : this->consensus.log().group().voters) {
+        if (voter.address == this->consensus.leaderAddress() && voter.id != this->consensus.id())
+            this->output.messages.push_back({ voter, input });
+    }
+}
+
+bool StateCore::isWithoutLeader(Core::SteadyTime time) const
+{
+    return !this->consensus.log().group().hasVoter(this->consensus.id())
+        || time - this->consensus.contactAt() > this->settings.replica.electionTimeoutMaximum;
+}
+
 void StateCore::handle(ClientGone& input)
 {
     std::erase_if(this->watchers, [&](const Watcher& watcher) { return watcher.connection == input.connection; });
@@ -78,7 +109,8 @@
     }
     const std::uint32_t wait = std::min(body.waitMilliseconds, maximumWaitMilliseconds);
     this->watchers.push_back(
-        { entry.connection, entry.request.requestId, body.knownVersion, this->now + std::chrono::milliseconds(wait) });
+        { entry.connection, entry.request.requestId, body.knownVersion, body.knownRoutingVersion,
+            this->now + std::chrono::milliseconds(wait) });
     // A new watcher may know less than the version that was compared last.
     this->announcedVersion = 0;
     this->waiting.erase(token);
@@ -128,6 +160,19 @@
     this->stepReplica(Consensus::Replace { token, body.oldReplicaId, { body.newReplicaId, body.newAddress } });
 }
 
+void StateCore::request(std::uint64_t token, const Messages::PutRouting& body)
+{
+    const Core::Result<Configuration::RoutingDocument> document
+        = Network::decodeMessage<Configuration::RoutingDocument>(body.routing);
+    const std::string problem = document ? document.value().problem() : document.error().message();
+    if (!problem.empty())
+        this->refuse(token, StateRefusal::InvalidChange, problem);
+    else if (document.value().version <= this->stateMachine.routing().version)
+        this->stepReplica(Consensus::Read { token });
+    else
+        this->propose(token, StateCommand { this->wallTime, body }, std::nullopt);
+}
+
 void StateCore::request(std::uint64_t token, const Messages::QueryReplicaStatus&)
 {
     StateReply reply;
@@ -173,6 +218,13 @@
     return reply;
 }
 
+StateReply StateCore::read(const Messages::QueryRouting&)
+{
+    StateReply reply;
+    reply.body = Messages::RoutingSource { this->stateMachine.routing().version, this->stateMachine.routingSource() };
+    return reply;
+}
+
 Messages::LeaseGrant StateCore::confirmLeases(const Core::InstanceId& owner, Core::Incarnation incarnation)
 {
     this->leases.answered(this->now, owner, incarnation);
@@ -221,20 +273,36 @@
     this->answer(token, std::move(reply));
 }
 
+Messages::FleetView StateCore::viewFor(const Watcher& watcher) const
+{
+    Messages::FleetView view;
+    if (watcher.knownVersion != 0 && watcher.knownVersion == this->stateMachine.viewVersion()) {
+        view.isUnchanged = true;
+        view.viewVersion = watcher.knownVersion;
+        view.configurationVersion = this->stateMachine.configuration().version;
+        view.routingVersion = this->stateMachine.routing().version;
+    } else {
+        view = this->stateMachine.view(watcher.knownRoutingVersion);
+    }
+    for (const Messages::ReplicaInfo& replica : this->consensus.log().group().voters)
+        view.replicas.push_back(replica.address);
+    view.contactAgeMilliseconds = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->now - this->consensus.contactAt()).count(), 0,
+        UINT32_MAX));
+    return view;
+}
+
 void StateCore::answerWatchers()
 {
     const std::uint64_t version = this->stateMachine.viewVersion();
     const bool hasNews = version != this->announcedVersion;
     this->announcedVersion = version;
-    std::optional<Messages::FleetView> view;
     std::erase_if(this->watchers, [&](const Watcher& watcher) {
         if (!(hasNews && version > watcher.knownVersion) && this->now < watcher.due)
             return false;
-        if (!view)
-            view = this->stateMachine.view();
         StateReply reply;
         reply.requestId = watcher.requestId;
-        reply.body = *view;
+        reply.body = this->viewFor(watcher);
         this->output.replies.push_back({ watcher.connection, std::move(reply) });
         return true;
     });
--- a/celeryswitch/State/StateCore.h
+++ b/celeryswitch/State/StateCore.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Consensus/Replica.h"
 #include "celeryswitch/Membership/LeaseBook.h"
+#include "celeryswitch/State/GroupKeeper.h"
 #include "celeryswitch/State/StateMachine.h"
 #include <map>
 #include <unordered_map>
@@ -15,9 +16,12 @@
     Membership::LeaseTiming leaseTiming;
     /// Applied entries after which a snapshot shortens the log.
     std::uint64_t snapshotThreshold = 1000;
+    /// Bytes of applied records after which a snapshot shortens the log.
+    std::uint64_t snapshotBytes = 8 * 1024 * 1024;
     /// Long polls that one replica holds; more are refused as busy.
     std::size_t watcherLimit = 20'000;
     StateMachineSettings machine;
+    GroupKeeperSettings keeper;
 };
 
 /// A request on a client's connection.
@@ -39,7 +43,7 @@
 
 /// Everything that a state core reacts to.
 using StateInput = std::variant<Consensus::TimePassed, ClientRequest, ClientGone, Consensus::MessageReceived,
-    Consensus::StorageSynced, Consensus::StorageFailed>;
+    Consensus::StorageSynced, Consensus::StorageFailed, Messages::ReplicaAnnouncement>;
 
 /// What a step asks for.
 struct StateOutput {
@@ -64,6 +68,8 @@
     const StateMachine& machine() const { return this->stateMachine; }
     /// Entries applied so far.
     std::uint64_t appliedIndex() const { return this->applied; }
+    /// Whether this replica is not in the group, as far as it knows, or has not heard a leader for an election timeout.
+    bool isWithoutLeader(Core::SteadyTime time) const;
     /// Status as JSON.
     std::string status() const;
 
@@ -78,6 +84,7 @@
         std::uint64_t connection = 0;
         std::uint64_t requestId = 0;
         std::uint64_t knownVersion = 0;
+        std::uint64_t knownRoutingVersion = 0;
         Core::SteadyTime due;
     };
     /// A proposal in the log.
@@ -90,12 +97,16 @@
 
     void handle(ClientRequest& input);
     void handle(ClientGone& input);
+    void handle(Consensus::TimePassed& input);
+    void handle(Messages::ReplicaAnnouncement& input);
     template <typename Event> void handle(Event& event) { this->stepReplica(std::move(event)); }
 
     void request(std::uint64_t token, const Messages::WatchView& body);
     void request(std::uint64_t token, const Messages::AcquirePartitions& body);
     void request(std::uint64_t token, const Messages::ReplaceReplica& body);
     void request(std::uint64_t token, const Messages::QueryReplicaStatus& body);
+    void request(std::uint64_t token, const Messages::PutRouting& body);
+    void request(std::uint64_t token, const Messages::QueryRouting&) { this->stepReplica(Consensus::Read { token }); }
     // Requests that are answered from the applied state once the leadership is confirmed.
     void request(std::uint64_t token, const Messages::RenewLeases&) { this->stepReplica(Consensus::Read { token }); }
     void request(std::uint64_t token, const Messages::QueryReport&) { this->stepReplica(Consensus::Read { token }); }
@@ -109,6 +120,7 @@
     Messages::StateReply read(const Messages::RenewLeases& body);
     Messages::StateReply read(const Messages::QueryReport& body);
     Messages::StateReply read(const Messages::QueryAudit& body);
+    Messages::StateReply read(const Messages::QueryRouting& body);
     // The other requests are never read.
     template <typename Body> Messages::StateReply read(const Body&) { return {}; }
     // The leases of an owner, which are confirmed for their full length from now on.
@@ -121,6 +133,7 @@
     void takeSnapshotIfDue();
     // Ends or begins what only a leader does.
     void followRole();
+    Messages::FleetView viewFor(const Watcher& watcher) const;
     void answerWatchers();
     void answer(std::uint64_t token, Messages::StateReply reply);
     void refuse(std::uint64_t token, Messages::StateRefusal refusal, std::string detail = {});
@@ -129,7 +142,10 @@
     StateMachine stateMachine;
     Consensus::Replica consensus;
     Membership::LeaseBook leases;
+    GroupKeeper keeper;
     std::uint64_t applied = 0;
+    /// Bytes of the records applied since the last snapshot.
+    std::uint64_t appliedBytes = 0;
     bool isLeading = false;
     std::uint64_t lastToken = 0;
     std::unordered_map<std::uint64_t, Waiting> waiting;
--- a/celeryswitch/State/StateCoreApplying.cpp
+++ b/celeryswitch/State/StateCoreApplying.cpp
@@ -57,6 +57,7 @@
 void StateCore::apply(const Messages::LogEntry& entry)
 {
     StateReply reply;
+    this->appliedBytes += entry.payload.size();
     if (entry.kind == Messages::EntryKind::Command)
         reply = this->stateMachine.apply(entry.index, entry.payload);
     this->applied = entry.index;
@@ -87,8 +88,11 @@
 void StateCore::takeSnapshotIfDue()
 {
     const Messages::LogIndex last = this->consensus.log().snapshot()->lastIndex;
-    if (this->applied < last + this->settings.snapshotThreshold)
+    if (this->applied == last
+        || (this->applied < last + this->settings.snapshotThreshold
+            && this->appliedBytes < this->settings.snapshotBytes))
         return;
+    this->appliedBytes = 0;
     this->stepReplica(Consensus::SnapshotTaken { this->applied, this->stateMachine.snapshot() });
 }
 
--- a/celeryswitch/State/StateMachine.cpp
+++ b/celeryswitch/State/StateMachine.cpp
@@ -82,10 +82,14 @@
     return Core::success();
 }
 
-Messages::FleetView StateMachine::view() const
+Messages::FleetView StateMachine::view(std::uint64_t knownRoutingVersion) const
 {
-    return { this->changedIndex, this->document.version, Network::encodeMessage(this->document),
+    Messages::FleetView view { this->changedIndex, this->document.version, Network::encodeMessage(this->document),
         this->memberTable.all(), this->partitionTable.all() };
+    view.routingVersion = this->routingDocument.version;
+    if (view.routingVersion != knownRoutingVersion)
+        view.routing = Network::encodeMessage(this->routingDocument);
+    return view;
 }
 
 StateReply StateMachine::applyBody(const Messages::RegisterMember& command)
@@ -177,6 +181,23 @@
     return decided;
 }
 
+StateReply StateMachine::applyBody(const Messages::PutRouting& command)
+{
+    // The leader has checked the document before it was put in the log.
+    Core::Result<Configuration::RoutingDocument> decoded
+        = Consensus::decodeStored<Configuration::RoutingDocument>(command.routing);
+    CELERY_ASSERT(decoded.has_value());
+    const std::uint64_t version = decoded.value().version;
+    if (version <= this->routingDocument.version)
+        return answer(Messages::Done {});
+    this->auditTrail.append({ this->time, "routing-" + std::to_string(version), command.author,
+        "whole routing document", this->routingDocument.version, version, "accepted", "", "", "" });
+    this->routingDocument = std::move(decoded).value();
+    this->routingText = command.source;
+    this->changedIndex = this->currentIndex;
+    return answer(Messages::Done {});
+}
+
 StateReply StateMachine::applyBody(const Messages::AppendReport& command)
 {
     this->reportTable.append(this->time, command);
--- a/celeryswitch/State/StateMachine.h
+++ b/celeryswitch/State/StateMachine.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Configuration/AuditTrail.h"
 #include "celeryswitch/Configuration/ConfigurationDocument.h"
+#include "celeryswitch/Configuration/RoutingDocument.h"
 #include "celeryswitch/Core/Result.h"
 #include "celeryswitch/Membership/MemberTable.h"
 #include "celeryswitch/State/ChangeMemory.h"
@@ -31,12 +32,15 @@
     /// Takes the state from a snapshot.
     Core::Result<void> restore(const std::string& bytes);
 
-    /// What every process needs to know of the fleet.
-    Messages::FleetView view() const;
+    /// What every process needs to know of the fleet; the routing document only if the asker has another version.
+    Messages::FleetView view(std::uint64_t knownRoutingVersion = 0) const;
     /// Index of the last entry that changed the view.
     std::uint64_t viewVersion() const { return this->changedIndex; }
     /// The fleet's configuration.
     const Configuration::ConfigurationDocument& configuration() const { return this->document; }
+    /// The routing document in force, and the text that it was read from.
+    const Configuration::RoutingDocument& routing() const { return this->routingDocument; }
+    const std::string& routingSource() const { return this->routingText; }
     /// Members.
     const Membership::MemberTable& members() const { return this->memberTable; }
     /// Partition owners.
@@ -54,13 +58,14 @@
     Reply applyBody(const Messages::ReleasePartitions& command);
     Reply applyBody(const Messages::ProposeChange& command);
     Reply applyBody(const Messages::AppendReport& command);
+    Reply applyBody(const Messages::PutRouting& command);
     // Decides a change that was not seen before.
     ChangeMemory::Answer decideChange(const Messages::ProposeChange& command);
 
     template <typename Archive> void archiveState(Archive& archive)
     {
         archive(this->changedIndex, this->time, this->document, this->lastChange, this->auditTrail, this->changeMemory,
-            this->memberTable, this->partitionTable, this->reportTable);
+            this->memberTable, this->partitionTable, this->reportTable, this->routingDocument, this->routingText);
     }
     friend struct StateMachineImage;
 
@@ -78,6 +83,8 @@
     Membership::MemberTable memberTable;
     Membership::PartitionTable partitionTable;
     ReportTable reportTable;
+    Configuration::RoutingDocument routingDocument;
+    std::string routingText;
 };
 
 }
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/State/StateProcess.h"
 
+#include "celeryswitch/State/ControlGateway.h"
 #include "celeryswitch/State/GroupFormation.h"
 #include "celeryswitch/State/PeerLinks.h"
 #include "celeryswitch/State/StorageThread.h"
@@ -50,6 +51,15 @@
 
     ~Implementation() { this->stop(); }
 
+    // Serves operators; called before `start`.
+    Result<void> serveControl(const std::string& address, const ControlProtocol& protocol, Logging::StructuredLog& log)
+    {
+        this->gateway.emplace(this->context, protocol, log,
+            [this](ClientRequest request) { return this->inbound.tryPush(std::move(request)); });
+        BOOST_OUTCOME_TRY(this->gateway->listen(address));
+        return Core::success();
+    }
+
     // Listens and starts the threads.
     Result<void> start()
     {
@@ -77,6 +87,8 @@
         if (this->peerThread.joinable()) {
             boost::asio::post(this->context, [this] {
                 this->links.stop();
+                if (this->gateway)
+                    this->gateway->stop();
                 this->work.reset();
                 this->context.stop();
             });
@@ -123,6 +135,7 @@
         coreSettings.replica.electionTimeoutMaximum = this->settings.electionTimeoutMaximum;
         coreSettings.replica.seed = randomNumber();
         coreSettings.snapshotThreshold = this->settings.snapshotThreshold;
+        coreSettings.keeper.isEnabled = this->settings.isGroupKept;
         this->recovered.initialGroup = this->folder.initialGroup();
         this->formation.reset();
         this->core.emplace(std::move(coreSettings), std::move(this->recovered), std::chrono::steady_clock::now());
@@ -149,6 +162,8 @@
             SteadyTime due = std::chrono::steady_clock::now() + announcementInterval;
             if (this->core) {
                 this->step(Consensus::TimePassed {});
+                if (this->settings.isGroupKept && this->core->isWithoutLeader(std::chrono::steady_clock::now()))
+                    this->announce();
             } else {
                 this->announce();
             }
@@ -185,6 +200,8 @@
     {
         if (announcement.isReplyWanted)
             this->send(Consensus::Outgoing { { announcement.replica.id, "" }, this->announcement(false) });
+        if (this->core)
+            this->step(announcement);
         if (!this->formation)
             return;
         const Result<void> followed = this->follow(this->formation->received(announcement));
@@ -239,8 +256,17 @@
     // Asks the initial replicas what they are.
     void announce()
     {
-        for (const auto& [name, address] : this->settings.initialReplicas) {
-            if (name != this->settings.replicaName)
+        const SteadyTime now = std::chrono::steady_clock::now();
+        if (now < this->nextAnnouncement)
+            return;
+        this->nextAnnouncement = now + announcementInterval;
+        std::map<std::string, std::string> addresses = this->settings.initialReplicas;
+        if (this->core) {
+            for (const Messages::ReplicaInfo& voter : this->core->replica().log().group().voters)
+                addresses.emplace(voter.address, voter.address);
+        }
+        for (const auto& [name, address] : addresses) {
+            if (name != this->settings.replicaName && address != this->boundAddress)
                 this->send(Consensus::Outgoing { { name, address }, this->announcement(true) });
         }
     }
@@ -270,7 +296,13 @@
             return;
         boost::asio::post(this->context, [this] {
             this->isPeerWoken = false;
-            this->outbound.drain([this](LinkOutput&& output) { this->links.send(std::move(output)); });
+            this->outbound.drain([this](LinkOutput&& output) {
+                const auto* reply = std::get_if<ClientReply>(&output);
+                if (reply && reply->connection == ControlGateway::connection)
+                    this->gateway->reply(reply->reply);
+                else
+                    this->links.send(std::move(output));
+            });
         });
     }
 
@@ -287,6 +319,8 @@
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     PeerLinks links;
+    /// Serves operators, when they are served here.
+    std::optional<ControlGateway> gateway;
     Wakeup wakeup;
     Core::Ring<LinkEvent> inbound;
     Core::Ring<LinkOutput> outbound;
@@ -299,6 +333,7 @@
     /// Writes that the storage thread's ring did not take.
     std::deque<StorageBatch> backlog;
     std::uint64_t messagesSent = 0;
+    SteadyTime nextAnnouncement;
     mutable std::mutex metricsMutex;
     StateMetrics published;
     std::atomic<bool> isStopping { false };
@@ -324,6 +359,15 @@
     return *this;
 }
 
+StateProcess::Builder& StateProcess::Builder::setControl(
+    std::string address, const ControlProtocol& value, Logging::StructuredLog& log)
+{
+    this->controlAddress = std::move(address);
+    this->protocol = &value;
+    this->controlLog = &log;
+    return *this;
+}
+
 Result<std::unique_ptr<StateProcess>> StateProcess::Builder::start()
 {
     static Storage::SystemFileSystem systemFiles;
@@ -338,6 +382,9 @@
         this->log("dropped " + std::to_string(store.droppedBytes()) + " bytes of a write that a crash cut off");
     auto implementation = std::make_unique<Implementation>(
         this->settings, this->log, std::move(folder), std::move(store), std::move(recovered));
+    if (this->protocol) {
+        BOOST_OUTCOME_TRY(implementation->serveControl(this->controlAddress, *this->protocol, *this->controlLog));
+    }
     BOOST_OUTCOME_TRY(implementation->start());
     return std::unique_ptr<StateProcess>(new StateProcess(std::move(implementation)));
 }
--- a/celeryswitch/State/StateProcess.h
+++ b/celeryswitch/State/StateProcess.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "celeryswitch/Consensus/ReplicaRole.h"
+#include "celeryswitch/Logging/StructuredLog.h"
+#include "celeryswitch/State/ControlProtocol.h"
 #include "celeryswitch/State/StateSettings.h"
 #include "celeryswitch/Storage/FileSystem.h"
 #include <functional>
@@ -44,6 +46,8 @@
         Builder& setLog(LogHook value);
         /// File system; that of the operating system by default. Must outlive the process.
         Builder& setFileSystem(Storage::FileSystem& value);
+        /// Serves operators over HTTP on "address:port", in the words of a protocol that outlives the process.
+        Builder& setControl(std::string address, const ControlProtocol& protocol, Logging::StructuredLog& controlLog);
         /// Opens the data folder and starts the threads. Errors: those of Storage, with file and offset for damage, and
         /// those of the transport.
         Core::Result<std::unique_ptr<StateProcess>> start();
@@ -52,6 +56,9 @@
         StateSettings settings;
         LogHook log;
         Storage::FileSystem* files = nullptr;
+        std::string controlAddress;
+        const ControlProtocol* protocol = nullptr;
+        Logging::StructuredLog* controlLog = nullptr;
     };
 
     /// Stops the process.
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -21,6 +21,8 @@
     /// Replicas of the first group, by name, with their addresses; empty means a single replica. A replica that joins
     /// later lists the others but not itself.
     std::map<std::string, std::string> initialReplicas;
+    /// Whether the group follows its replicas by itself: one that appears is added, one that is lost is replaced.
+    bool isGroupKept = false;
     Network::AuthenticationKeys authenticationKeys;
     /// Applied records after which a snapshot shortens the log; 1 or more.
     std::uint64_t snapshotThreshold = 1000;
--- /dev/null
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -0,0 +1,384 @@
+#include "celeryswitch/Workers/RunSupervisor.h"
+
+#include "celeryswitch/Core/Assert.h"
+
+namespace celeryswitch::Workers {
+
+using Core::SteadyTime;
+using Logging::LogLevel;
+using Messages::RunState;
+
+namespace {
+
+// Unanswered orders in a row after which the worker counts as out of contact.
+constexpr std::uint32_t unansweredLimit = 2;
+
+}
+
+RunSupervisor::RunSupervisor(SupervisorSettings settings, Logging::StructuredLog& log, SteadyTime now)
+    : settings(settings)
+    , log(log)
+    , startedAt(now)
+    , nextLook(now)
+    , contactAt(now)
+{
+}
+
+RunSupervisor::Entry* RunSupervisor::entryOf(std::uint64_t connection, Core::InstanceId* id)
+{
+    for (auto& [entryId, entry] : this->entries) {
+        if (entry.connection == connection) {
+            if (id)
+                *id = entryId;
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+void RunSupervisor::entryConnected(SteadyTime now, std::uint64_t connection, const Messages::Hello& hello)
+{
+    Entry& entry = this->entries[hello.instanceId];
+    if (entry.connection != 0)
+        this->actions.push_back(DropEntry { entry.connection });
+    if (entry.incarnation != hello.incarnation) {
+        // The entry was started anew and no longer knows what its earlier life ordered.
+        for (auto& [task, run] : this->runs.all()) {
+            if (run.entry == hello.instanceId && run.entryIncarnation != hello.incarnation)
+                this->fire(now, run, RunEvent::StopWanted);
+        }
+        entry = {};
+        entry.incarnation = hello.incarnation;
+    }
+    entry.connection = connection;
+    entry.handledSequence = 0;
+    entry.isUpdateDue = true;
+    entry.permittedUntil = now + this->settings.entrySilenceLimit;
+    this->log.write(LogLevel::Info, "entry connected",
+        { { "entry", hello.instanceId }, { "incarnation", hello.incarnation } });
+}
+
+void RunSupervisor::entryDisconnected(std::uint64_t connection)
+{
+    Core::InstanceId id;
+    if (Entry* entry = this->entryOf(connection, &id)) {
+        entry->connection = 0;
+        this->log.write(LogLevel::Info, "entry disconnected", { { "entry", id } });
+    }
+}
+
+void RunSupervisor::received(SteadyTime now, std::uint64_t connection, Messages::WorkMessage message)
+{
+    Core::InstanceId id;
+    Entry* entry = this->entryOf(connection, &id);
+    if (!entry)
+        return;
+    if (auto* start = std::get_if<Messages::StartRuns>(&message)) {
+        this->permit(now, *entry, start->clockEcho);
+        this->handle(now, id, *entry, *start);
+    } else if (const auto* stop = std::get_if<Messages::StopRuns>(&message)) {
+        this->permit(now, *entry, stop->clockEcho);
+        this->handle(now, *entry, *stop);
+    } else if (const auto* alive = std::get_if<Messages::EntryAlive>(&message)) {
+        this->permit(now, *entry, alive->clockEcho);
+    } else if (const auto* claimed = std::get_if<Messages::ClaimRuns>(&message)) {
+        this->handle(now, id, *entry, *claimed);
+    }
+}
+
+void RunSupervisor::permit(SteadyTime now, Entry& entry, std::int64_t clockEcho)
+{
+    // An echo shows that the entry lived after the sample was taken, however long the message was on its way.
+    const SteadyTime sampledAt { std::chrono::microseconds(clockEcho) };
+    if (sampledAt < this->startedAt || sampledAt > now)
+        return;
+    entry.permittedUntil = std::max(entry.permittedUntil, sampledAt + this->settings.entrySilenceLimit);
+}
+
+RunRefusal RunSupervisor::refusalOf(const Messages::StartRuns& order, const TaskId& task)
+{
+    if (!this->life.profile || !this->life.isListed || !this->life.clock.isKnown()
+        || this->unansweredCalls >= unansweredLimit)
+        return RunRefusal::Unhealthy;
+    if (this->life.isDraining || this->isDrained)
+        return RunRefusal::Draining;
+    const Run* known = this->runs.find(task);
+    if (known && known->phase != RunPhase::Ended)
+        return RunRefusal::TaskBusy;
+    if (!order.need.fits(this->life.profile->capacity - this->runs.used()))
+        return RunRefusal::NoRoom;
+    return RunRefusal::None;
+}
+
+void RunSupervisor::handle(
+    SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartRuns& order)
+{
+    entry.handledSequence = std::max(entry.handledSequence, order.sequence);
+    const auto content = std::make_shared<const std::string>(std::move(order.content));
+    for (const auto& [index, number] : order.tasks) {
+        const TaskId task { order.job, order.occurrence, order.step, index };
+        RunRefusal refusal = this->refusalOf(order, task);
+        if (refusal == RunRefusal::None && now >= entry.permittedUntil)
+            refusal = RunRefusal::Late;
+        if (refusal != RunRefusal::None) {
+            entry.reports.push_back({ task, number, RunState::Ended, RunEnd::NotStarted, refusal, 0 });
+            entry.isUpdateDue = true;
+            if (refusal == RunRefusal::TaskBusy)
+                this->fire(now, *this->runs.find(task), RunEvent::StopWanted);
+            continue;
+        }
+        Run run;
+        run.task = task;
+        run.number = number;
+        if (const Run* ended = this->runs.find(task))
+            run.number = std::max(number, ended->number + 1);
+        run.entry = id;
+        run.entryIncarnation = entry.incarnation;
+        run.need = order.need;
+        run.content = content;
+        run.expectedTime = std::chrono::milliseconds(order.expectedMilliseconds);
+        if (order.deadlineMicroseconds > 0)
+            run.deadline = now + std::chrono::microseconds(order.deadlineMicroseconds);
+        this->giveStart(now, this->runs.add(std::move(run)));
+    }
+}
+
+void RunSupervisor::handle(SteadyTime now, Entry& entry, const Messages::StopRuns& order)
+{
+    for (const TaskId& task : order.tasks) {
+        Run* run = this->runs.find(task);
+        if (run && run->phase != RunPhase::Ended && run->entryIncarnation == entry.incarnation)
+            this->fire(now, *run, RunEvent::StopWanted);
+    }
+}
+
+void RunSupervisor::handle(
+    SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ClaimRuns& claimed)
+{
+    entry.isUpdateDue = true;
+    for (const Messages::ClaimedRun& claim : claimed.runs)
+        this->claims.emplace_back(id, claim);
+    this->answerClaims(now);
+}
+
+void RunSupervisor::answerClaims(SteadyTime now)
+{
+    if (!this->life.isListed)
+        return;
+    for (const auto& [id, claim] : std::exchange(this->claims, {})) {
+        Entry& entry = this->entries[id];
+        Run* run = this->runs.find(claim.task);
+        if (!run || (run->number != claim.run && run->entry != id)) {
+            entry.reports.push_back({ claim.task, claim.run, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0 });
+            continue;
+        }
+        if (run->entry.empty() && run->phase != RunPhase::Ended) {
+            run->deadline = SteadyTime::max();
+            this->log.write(LogLevel::Info, "run adopted",
+                { { "job", run->task.job }, { "task", run->task.index }, { "entry", id } });
+        }
+        run->entry = id;
+        run->entryIncarnation = entry.incarnation;
+        this->report(now, *run);
+    }
+}
+
+bool RunSupervisor::announced(SteadyTime now, const WorkerAnnouncement& announcement)
+{
+    const bool isKnown = this->life.profile.has_value();
+    const bool isSameLife = isKnown ? this->life.profile->workerId == announcement.workerId
+            && this->life.profile->bornAt == announcement.bornAt
+                                    : !this->life.bornAt || *this->life.bornAt == announcement.bornAt;
+    if (!isSameLife) {
+        if (this->life.bornAt && announcement.bornAt < *this->life.bornAt)
+            return false;
+        this->endLife(now, "another life announced itself");
+    } else if (isKnown && announcement.sequence < this->life.profile->sequence) {
+        // Overtaken by a newer one of the same life. That it drains is never taken back.
+        this->life.isDraining = this->life.isDraining || announcement.isDraining;
+        return true;
+    }
+    if (!this->life.profile)
+        this->log.write(LogLevel::Info, "worker announced itself",
+            { { "worker", announcement.workerId }, { "born", announcement.bornAt },
+                { "cores", announcement.capacity.milliCores / 1000 } });
+    if (announcement.isDraining && !this->life.isDraining)
+        this->log.write(LogLevel::Info, "worker drains", { { "worker", announcement.workerId } });
+    this->life.profile = announcement;
+    this->life.bornAt = announcement.bornAt;
+    this->life.isDraining = this->life.isDraining || announcement.isDraining;
+    this->life.clock.sample(now, announcement.clock);
+    return true;
+}
+
+void RunSupervisor::workerLeft(SteadyTime now, const std::string& workerId)
+{
+    if (this->life.profile && this->life.profile->workerId == workerId)
+        this->endLife(now, "worker left");
+}
+
+void RunSupervisor::endLife(SteadyTime now, std::string_view reason)
+{
+    this->log.write(LogLevel::Info, "worker life ended",
+        { { "worker", this->life.profile ? this->life.profile->workerId : "" }, { "reason", std::string(reason) },
+            { "runs", static_cast<std::uint64_t>(this->runs.activeCount()) } });
+    this->life = {};
+    this->pending.clear();
+    this->isLongPollOut = false;
+    this->isLookOut = false;
+    this->unansweredCalls = 0;
+    this->nextLook = now;
+    for (auto& [task, run] : this->runs.all()) {
+        if (run.phase != RunPhase::Ended)
+            this->endRun(now, run, RunEvent::Lost, RunEnd::Lost);
+    }
+}
+
+void RunSupervisor::drain() { this->isDrained = true; }
+
+std::vector<SupervisorAction> RunSupervisor::poll(SteadyTime now)
+{
+    this->stopExpired(now);
+    this->loseLapsed(now);
+    this->holdIfDue(now);
+    this->sendUpdates(now);
+    this->runs.forgetEndedBefore(now - this->settings.endedRetention);
+    return std::exchange(this->actions, {});
+}
+
+void RunSupervisor::stopExpired(SteadyTime now)
+{
+    for (auto& [task, run] : this->runs.all()) {
+        if (run.phase == RunPhase::Stopping && now >= run.stopAgainAt)
+            this->fire(now, run, RunEvent::StopUnanswered);
+        if (run.phase == RunPhase::Ended || run.phase == RunPhase::Stopping)
+            continue;
+        const auto entry = this->entries.find(run.entry);
+        const bool isUnwanted = entry != this->entries.end()
+            && (entry->second.incarnation != run.entryIncarnation || now >= entry->second.permittedUntil);
+        if (!isUnwanted && now < run.deadline)
+            continue;
+        this->log.write(LogLevel::Info, "run stopped",
+            { { "job", task.job }, { "task", task.index }, { "entry", run.entry },
+                { "reason", isUnwanted ? "entry silent" : "deadline" } });
+        this->fire(now, run, RunEvent::StopWanted);
+    }
+}
+
+void RunSupervisor::loseLapsed(SteadyTime now)
+{
+    if (this->runs.activeCount() == 0 || this->unansweredCalls < unansweredLimit || !this->life.clock.isKnown()
+        || now < this->life.clock.passedAt(this->life.leaseEnd) + this->settings.stopTime)
+        return;
+    for (auto& [task, run] : this->runs.all()) {
+        if (run.phase != RunPhase::Ended)
+            this->endRun(now, run, RunEvent::Lost, RunEnd::Lapsed);
+    }
+}
+
+void RunSupervisor::sendUpdates(SteadyTime now)
+{
+    const Messages::WorkerStatus current = this->status();
+    for (auto& [id, entry] : this->entries) {
+        if (entry.connection == 0)
+            continue;
+        const bool hasNews = !(current == entry.statusSent);
+        const bool isDue = entry.isUpdateDue || !entry.reports.empty()
+            || (hasNews && now >= entry.updatedAt + this->settings.statusInterval)
+            || now >= entry.updatedAt + this->settings.aliveInterval;
+        if (!isDue)
+            continue;
+        entry.isUpdateDue = false;
+        entry.updatedAt = now;
+        entry.statusSent = current;
+        this->actions.push_back(SendUpdate { entry.connection,
+            { this->settings.incarnation, Core::toClockSample(now), entry.handledSequence,
+                std::exchange(entry.reports, {}), current } });
+    }
+}
+
+SteadyTime RunSupervisor::nextWakeUp() const
+{
+    SteadyTime due = this->nextLook;
+    if (this->runs.activeCount() == 0 && this->life.isListed && this->unansweredCalls == 0)
+        due = SteadyTime::max();
+    const Messages::WorkerStatus current = this->status();
+    for (const auto& [id, entry] : this->entries) {
+        if (entry.connection != 0)
+            due = std::min(due,
+                entry.updatedAt
+                    + (current == entry.statusSent ? this->settings.aliveInterval : this->settings.statusInterval));
+        if (this->runs.activeCount() > 0)
+            due = std::min(due, entry.permittedUntil);
+    }
+    for (const auto& [task, run] : this->runs.all()) {
+        if (run.phase != RunPhase::Ended)
+            due = std::min(due, run.phase == RunPhase::Stopping ? run.stopAgainAt : run.deadline);
+    }
+    return due;
+}
+
+Messages::WorkerStatus RunSupervisor::status() const
+{
+    Messages::WorkerStatus status;
+    if (!this->life.profile)
+        return status;
+    const WorkerAnnouncement& profile = *this->life.profile;
+    status.workerId = profile.workerId;
+    status.bornAt = profile.bornAt;
+    status.service = profile.service;
+    status.capacity = profile.capacity;
+    status.free = profile.capacity - this->runs.used();
+    status.labels = profile.labels;
+    status.isDraining = this->life.isDraining || this->isDrained;
+    status.isReady = !status.isDraining && this->life.isListed && this->unansweredCalls < unansweredLimit;
+    return status;
+}
+
+void RunSupervisor::fire(SteadyTime now, Run& run, RunEvent event)
+{
+    this->runs.fire(run, event, now, [&](RunAction action) {
+        switch (action) {
+        case RunAction::ReportRunning:
+            run.startedAt = now;
+            run.progressAt = now;
+            run.expectedEnd = now + run.expectedTime;
+            break;
+        case RunAction::ReportEnd:
+            this->report(now, run);
+            break;
+        case RunAction::VoidOlderOrders:
+            this->raiseToken(now);
+            run.orderedAt = now;
+            this->nextLook = now;
+            break;
+        case RunAction::OrderStop:
+            this->giveStop(now, run);
+            break;
+        }
+    });
+}
+
+void RunSupervisor::endRun(SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal)
+{
+    run.end = end;
+    run.refusal = refusal;
+    this->fire(now, run, event);
+}
+
+void RunSupervisor::report(SteadyTime now, const Run& run)
+{
+    const auto found = this->entries.find(run.entry);
+    if (found == this->entries.end() || found->second.incarnation != run.entryIncarnation)
+        return;
+    const bool hasEnded = run.phase == RunPhase::Ended;
+    const SteadyTime until = hasEnded ? run.endedAt : now;
+    const std::int64_t time = run.startedAt == SteadyTime {}
+        ? 0
+        : std::chrono::duration_cast<std::chrono::microseconds>(until - run.startedAt).count();
+    found->second.reports.push_back({ run.task, run.number, hasEnded ? RunState::Ended : RunState::Running,
+        hasEnded ? run.end : RunEnd::NotStarted, run.refusal, time });
+    found->second.isUpdateDue = true;
+}
+
+}
--- /dev/null
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -0,0 +1,170 @@
+#pragma once
+
+#include "celeryswitch/Logging/StructuredLog.h"
+#include "celeryswitch/Workers/RunTable.h"
+#include "celeryswitch/Workers/WorkerClock.h"
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace celeryswitch::Workers {
+
+/// Settings of a supervisor; fixed for its life.
+struct SupervisorSettings {
+    Core::Incarnation incarnation = 0;
+    /// Length of the worker's lease that each order asks for; the worker's own limit goes first.
+    Core::Duration leaseLength = std::chrono::milliseconds(1000);
+    /// Time that an order to extend the lease waits for an end.
+    std::chrono::milliseconds holdWait { 400 };
+    /// Time without an answer after which an order counts as unanswered, beyond the wait that it asks for.
+    Core::Duration callTimeout = std::chrono::milliseconds(120);
+    /// Time without a sign of life of an entry after which its runs are stopped.
+    Core::Duration entrySilenceLimit = std::chrono::milliseconds(700);
+    /// Time that a stop may take at the worker.
+    Core::Duration stopTime = std::chrono::milliseconds(50);
+    /// Time for which the runs of an earlier life of this sidecar are kept for an entry to claim them.
+    Core::Duration claimTime = std::chrono::milliseconds(700);
+    /// Time for which ended runs are remembered.
+    Core::Duration endedRetention = std::chrono::seconds(5);
+    /// Shortest time between two updates that only tell of changed room, and longest time between two updates.
+    Core::Duration statusInterval = std::chrono::milliseconds(15);
+    Core::Duration aliveInterval = std::chrono::milliseconds(200);
+};
+
+/// Give an order to the worker; its result comes back under `callId`.
+struct CallWorker {
+    std::uint64_t callId = 0;
+    WorkerCall call;
+    std::string workerId;
+    Core::Duration timeout {};
+};
+/// Send an update to an entry.
+struct SendUpdate {
+    std::uint64_t connection = 0;
+    Messages::WorkerUpdate update;
+};
+/// Close the connection of an entry.
+struct DropEntry {
+    std::uint64_t connection = 0;
+};
+
+using SupervisorAction = std::variant<CallWorker, SendUpdate, DropEntry>;
+
+/// Drives the runs on one leased worker for the entries: gives orders, keeps the lease, notes ends once, and stops what
+/// no living entry wants. Pure: it has no sockets or clocks; the same inputs at the same times give the same actions.
+class RunSupervisor {
+public:
+    /// `log` outlives the supervisor.
+    RunSupervisor(SupervisorSettings settings, Logging::StructuredLog& log, Core::SteadyTime now);
+
+    /// An entry has connected.
+    void entryConnected(Core::SteadyTime now, std::uint64_t connection, const Messages::Hello& hello);
+    /// A connection has ended.
+    void entryDisconnected(std::uint64_t connection);
+    /// A message of a connected entry.
+    void received(Core::SteadyTime now, std::uint64_t connection, Messages::WorkMessage message);
+    /// The worker has told of itself. Returns false when the announcement is older than what is known.
+    bool announced(Core::SteadyTime now, const WorkerAnnouncement& announcement);
+    /// The worker has ended on purpose.
+    void workerLeft(Core::SteadyTime now, const std::string& workerId);
+    /// An order was answered, or its time is over.
+    void called(Core::SteadyTime now, std::uint64_t callId, CallResult result);
+    /// This process is about to end: no more runs are started.
+    void drain();
+    /// Does what is due and returns everything to carry out.
+    std::vector<SupervisorAction> poll(Core::SteadyTime now);
+    /// When `poll` is due although nothing else happens.
+    Core::SteadyTime nextWakeUp() const;
+
+    /// Runs that have not ended.
+    std::size_t activeRuns() const { return this->runs.activeCount(); }
+    /// What entries are told of the worker.
+    Messages::WorkerStatus status() const;
+
+private:
+    /// An entry and what it may rely on.
+    struct Entry {
+        Core::Incarnation incarnation = 0;
+        /// 0 while it is not connected.
+        std::uint64_t connection = 0;
+        /// Its runs are stopped after this time.
+        Core::SteadyTime permittedUntil;
+        std::uint64_t handledSequence = 0;
+        std::vector<Messages::RunReport> reports;
+        Messages::WorkerStatus statusSent;
+        Core::SteadyTime updatedAt;
+        bool isUpdateDue = true;
+    };
+    /// One life of the worker.
+    struct WorkerLife {
+        /// Known from its first announcement on.
+        std::optional<WorkerAnnouncement> profile;
+        std::optional<std::int64_t> bornAt;
+        WorkerClock clock;
+        std::uint64_t fencingToken = 0;
+        std::uint64_t notedEnds = 0;
+        /// Largest end of the lease that was asked for, on the worker's clock.
+        std::int64_t leaseEnd = 0;
+        /// Whether its lists were read once.
+        bool isListed = false;
+        bool isDraining = false;
+    };
+    /// An order without an answer.
+    struct PendingCall {
+        WorkerCall call;
+        Core::SteadyTime sentAt;
+        bool isLongPoll = false;
+    };
+
+    Entry* entryOf(std::uint64_t connection, Core::InstanceId* id = nullptr);
+    void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartRuns& order);
+    void handle(Core::SteadyTime now, Entry& entry, const Messages::StopRuns& order);
+    void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ClaimRuns& claims);
+    void permit(Core::SteadyTime now, Entry& entry, std::int64_t clockEcho);
+    RunRefusal refusalOf(const Messages::StartRuns& order, const TaskId& task);
+    void answerClaims(Core::SteadyTime now);
+
+    void endLife(Core::SteadyTime now, std::string_view reason);
+    void giveStart(Core::SteadyTime now, Run& run);
+    void giveStop(Core::SteadyTime now, Run& run);
+    void giveHold(Core::SteadyTime now, bool isLongPoll);
+    void startAnswered(Core::SteadyTime now, const StartCall& call, const CallResult& result);
+    void stopAnswered(Core::SteadyTime now, const StopCall& call, const CallResult& result);
+    void holdAnswered(Core::SteadyTime now, const PendingCall& pending, const CallResult& result);
+    void takeEnded(Core::SteadyTime now, const EndedRow& row);
+    void noteContact(Core::SteadyTime now, const CallResult& result);
+    void raiseToken(Core::SteadyTime now);
+    std::int64_t extendLease(Core::SteadyTime now);
+    std::uint64_t give(Core::SteadyTime now, WorkerCall call, Core::Duration timeout, bool isLongPoll = false);
+
+    void fire(Core::SteadyTime now, Run& run, RunEvent event);
+    void endRun(Core::SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal = RunRefusal::None);
+    void report(Core::SteadyTime now, const Run& run);
+    void stopExpired(Core::SteadyTime now);
+    void loseLapsed(Core::SteadyTime now);
+    void holdIfDue(Core::SteadyTime now);
+    void sendUpdates(Core::SteadyTime now);
+    bool isLookDue(Core::SteadyTime now) const;
+
+    SupervisorSettings settings;
+    Logging::StructuredLog& log;
+    Core::SteadyTime startedAt;
+    WorkerLife life;
+    RunTable runs;
+    std::map<Core::InstanceId, Entry> entries;
+    /// Claims that wait for the first reading of the worker's lists.
+    std::vector<std::pair<Core::InstanceId, Messages::ClaimedRun>> claims;
+    std::uint64_t lastCall = 0;
+    std::unordered_map<std::uint64_t, PendingCall> pending;
+    bool isLongPollOut = false;
+    bool isLookOut = false;
+    Core::SteadyTime nextLook;
+    /// When a call of the worker was answered last.
+    Core::SteadyTime contactAt;
+    std::uint32_t unansweredCalls = 0;
+    bool isDrained = false;
+    std::vector<SupervisorAction> actions;
+};
+
+}
--- /dev/null
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -0,0 +1,293 @@
+// The orders to the worker: starts, stops, the lease, and what the answers say.
+#include "celeryswitch/Workers/RunSupervisor.h"
+
+namespace celeryswitch::Workers {
+
+using Core::SteadyTime;
+using Logging::LogLevel;
+
+namespace {
+
+// Times that a start is repeated because the worker refused an old token or run number.
+constexpr std::uint32_t repeatLimit = 6;
+// Time after the expected end of a run, as a share of its expected time and at least, when its absence is looked into.
+constexpr int overduePercent = 50;
+constexpr Core::Duration overdueMinimum = std::chrono::milliseconds(40);
+// Time between two looks while runs are overdue or uncertain.
+constexpr Core::Duration lookInterval = std::chrono::milliseconds(100);
+constexpr Core::Duration contactInterval = std::chrono::milliseconds(250);
+// Time until an order to stop that could not be sent is repeated.
+constexpr Core::Duration stopPause = std::chrono::milliseconds(50);
+
+}
+
+std::uint64_t RunSupervisor::give(SteadyTime now, WorkerCall call, Core::Duration timeout, bool isLongPoll)
+{
+    const std::uint64_t callId = ++this->lastCall;
+    this->pending.emplace(callId, PendingCall { call, now, isLongPoll });
+    this->actions.push_back(CallWorker {
+        callId, std::move(call), this->life.profile ? this->life.profile->workerId : std::string(), timeout });
+    return callId;
+}
+
+std::int64_t RunSupervisor::extendLease(SteadyTime now)
+{
+    const std::int64_t end = this->life.clock.at(now)
+        + std::chrono::duration_cast<std::chrono::milliseconds>(this->settings.leaseLength).count();
+    this->life.leaseEnd = std::max(this->life.leaseEnd, end);
+    return end;
+}
+
+void RunSupervisor::raiseToken(SteadyTime now)
+{
+    // The worker's own clock outlives this process, so that a later life of the sidecar always has a higher token.
+    this->life.fencingToken = std::max(
+        this->life.fencingToken + 1, static_cast<std::uint64_t>(std::max<std::int64_t>(0, this->life.clock.at(now))));
+}
+
+void RunSupervisor::giveStart(SteadyTime now, Run& run)
+{
+    run.orderedAt = SteadyTime::max();
+    this->give(now,
+        StartCall { run.task, run.number, *run.content, this->extendLease(now), this->life.fencingToken },
+        this->settings.callTimeout);
+}
+
+void RunSupervisor::giveStop(SteadyTime now, Run& run)
+{
+    run.orderedAt = SteadyTime::max();
+    run.stopAgainAt = SteadyTime::max();
+    this->give(now, StopCall { run.task, run.number, this->life.fencingToken }, this->settings.callTimeout);
+}
+
+void RunSupervisor::giveHold(SteadyTime now, bool isLongPoll)
+{
+    HoldCall call { this->life.fencingToken, this->life.notedEnds, std::nullopt, {} };
+    if (this->life.clock.isKnown() && this->runs.activeCount() > 0)
+        call.leaseEnd = this->extendLease(now);
+    if (isLongPoll) {
+        call.wait = this->settings.holdWait;
+        this->isLongPollOut = true;
+    } else {
+        this->isLookOut = true;
+    }
+    this->give(now, call, call.wait + this->settings.callTimeout, isLongPoll);
+}
+
+bool RunSupervisor::isLookDue(SteadyTime now) const
+{
+    if (!this->life.isListed || this->unansweredCalls > 0)
+        return true;
+    for (const auto& [task, run] : this->runs.all()) {
+        if (run.phase == RunPhase::Uncertain)
+            return true;
+        if (run.phase == RunPhase::Stopping && run.orderedAt != SteadyTime::max()
+            && now >= run.orderedAt + this->settings.stopTime)
+            return true;
+        if (run.phase == RunPhase::Running
+            && now >= run.expectedEnd + std::max<Core::Duration>(run.expectedTime * overduePercent / 100, overdueMinimum))
+            return true;
+    }
+    return false;
+}
+
+void RunSupervisor::holdIfDue(SteadyTime now)
+{
+    const bool isNeeded = this->runs.activeCount() > 0;
+    if (isNeeded && !this->isLongPollOut && this->life.clock.isKnown())
+        this->giveHold(now, true);
+    if (!this->isLookOut && now >= this->nextLook) {
+        if (this->isLookDue(now)) {
+            this->giveHold(now, false);
+            this->nextLook = now + (this->unansweredCalls > 0 && !isNeeded ? contactInterval : lookInterval);
+        } else {
+            this->nextLook = now + lookInterval;
+        }
+    }
+}
+
+void RunSupervisor::called(SteadyTime now, std::uint64_t callId, CallResult result)
+{
+    const auto found = this->pending.find(callId);
+    if (found == this->pending.end())
+        return;
+    const PendingCall call = std::move(found->second);
+    this->pending.erase(found);
+    if (std::holds_alternative<HoldCall>(call.call))
+        (call.isLongPoll ? this->isLongPollOut : this->isLookOut) = false;
+    const bool isOtherLife = result.status == CallStatus::OtherLife
+        || (result.bornAt && this->life.bornAt && *result.bornAt != *this->life.bornAt);
+    if (isOtherLife) {
+        this->endLife(now, "another life answered");
+        return;
+    }
+    this->noteContact(now, result);
+    if (const auto* start = std::get_if<StartCall>(&call.call))
+        this->startAnswered(now, *start, result);
+    else if (const auto* stop = std::get_if<StopCall>(&call.call))
+        this->stopAnswered(now, *stop, result);
+    else
+        this->holdAnswered(now, call, result);
+}
+
+void RunSupervisor::noteContact(SteadyTime now, const CallResult& result)
+{
+    if (result.status == CallStatus::Unanswered || result.status == CallStatus::NotSent) {
+        if (++this->unansweredCalls == 2)
+            this->log.write(LogLevel::Warning, "worker out of contact",
+                { { "worker", this->life.profile ? this->life.profile->workerId : "" },
+                    { "result", std::string(Core::enumName(result.status)) } });
+        this->nextLook = std::min(this->nextLook, now);
+        return;
+    }
+    if (this->unansweredCalls >= 2)
+        this->log.write(LogLevel::Info, "worker answers again",
+            { { "worker", this->life.profile ? this->life.profile->workerId : "" } });
+    this->unansweredCalls = 0;
+    this->contactAt = now;
+    if (result.bornAt && !this->life.bornAt)
+        this->life.bornAt = result.bornAt;
+    if (result.clock) {
+        this->life.clock.sample(now, *result.clock);
+        if (this->life.fencingToken == 0)
+            this->raiseToken(now);
+    }
+}
+
+void RunSupervisor::startAnswered(SteadyTime now, const StartCall& call, const CallResult& result)
+{
+    Run* run = this->runs.find(call.task);
+    if (!run || run->number != call.run || run->phase == RunPhase::Ended)
+        return;
+    const bool isOpen = run->phase == RunPhase::Starting;
+    switch (result.status) {
+    case CallStatus::Accepted:
+        run->orderedAt = now;
+        this->fire(now, *run, RunEvent::StartAccepted);
+        return;
+    case CallStatus::Refused:
+        if (isOpen && result.refusal == CallRefusal::Fence && run->repeats++ < repeatLimit) {
+            if (call.fencingToken >= this->life.fencingToken)
+                this->raiseToken(now);
+            this->giveStart(now, *run);
+            return;
+        }
+        if (isOpen && result.refusal == CallRefusal::Old && run->repeats++ < repeatLimit) {
+            ++run->number;
+            this->giveStart(now, *run);
+            return;
+        }
+        this->endRun(now, *run, RunEvent::StartRefused, RunEnd::NotStarted,
+            result.refusal == CallRefusal::Room     ? RunRefusal::NoRoom
+                : result.refusal == CallRefusal::Late ? RunRefusal::Late
+                                                      : RunRefusal::Rejected);
+        break;
+    case CallStatus::Unhealthy:
+        this->endRun(now, *run, RunEvent::StartRefused, RunEnd::NotStarted, RunRefusal::Unhealthy);
+        break;
+    case CallStatus::NotSent:
+        this->endRun(now, *run, RunEvent::StartRefused, RunEnd::NotStarted, RunRefusal::Unhealthy);
+        break;
+    case CallStatus::OtherLife:
+        break;
+    case CallStatus::Unreadable:
+    case CallStatus::Unanswered:
+        this->fire(now, *run, RunEvent::StartUnanswered);
+        break;
+    }
+    this->log.write(LogLevel::Info, "start not accepted",
+        { { "job", call.task.job }, { "task", call.task.index }, { "run", call.run },
+            { "result", std::string(Core::enumName(result.status)) },
+            { "refusal", std::string(Core::enumName(result.refusal)) } });
+}
+
+void RunSupervisor::stopAnswered(SteadyTime now, const StopCall& call, const CallResult& result)
+{
+    Run* run = this->runs.find(call.task);
+    if (!run || run->number != call.run || run->phase != RunPhase::Stopping)
+        return;
+    if (result.status == CallStatus::Accepted) {
+        run->orderedAt = now;
+        this->nextLook = std::min(this->nextLook, now + this->settings.stopTime);
+        return;
+    }
+    if (result.status == CallStatus::NotSent || result.status == CallStatus::Unhealthy) {
+        run->stopAgainAt = now + stopPause;
+        return;
+    }
+    if (result.refusal == CallRefusal::Fence)
+        this->raiseToken(now);
+    this->fire(now, *run, RunEvent::StopUnanswered);
+}
+
+void RunSupervisor::holdAnswered(SteadyTime now, const PendingCall& call, const CallResult& result)
+{
+    if (result.status == CallStatus::Refused && result.refusal == CallRefusal::Fence) {
+        this->raiseToken(now);
+        this->nextLook = now;
+        return;
+    }
+    if (result.status != CallStatus::Accepted)
+        return;
+    for (const EndedRow& row : result.ended)
+        this->takeEnded(now, row);
+    std::map<TaskId, const RunningRow*> listed;
+    for (const RunningRow& row : result.running) {
+        listed.emplace(row.task, &row);
+        Run* run = this->runs.find(row.task);
+        if (!run && !this->life.isListed) {
+            // Started by an earlier life of this sidecar.
+            Run found;
+            found.task = row.task;
+            found.number = row.run;
+            found.need = { row.milliCores, 0, 0 };
+            found.phase = RunPhase::Running;
+            found.startedAt = now;
+            found.orderedAt = now;
+            found.deadline = now + this->settings.claimTime;
+            found.expectedEnd = SteadyTime::max();
+            this->runs.add(std::move(found));
+        } else if (run && run->number == row.run) {
+            if (run->percent != row.percent)
+                run->progressAt = now;
+            run->percent = row.percent;
+            this->fire(now, *run, RunEvent::Listed);
+        }
+    }
+    for (auto& [task, run] : this->runs.all()) {
+        const auto found = listed.find(task);
+        const bool isListed = found != listed.end() && found->second->run == run.number;
+        if (run.phase != RunPhase::Ended && !isListed && run.orderedAt <= call.sentAt)
+            this->endRun(now, run, RunEvent::Unlisted,
+                run.phase == RunPhase::Running ? RunEnd::Lost : RunEnd::NotStarted, RunRefusal::Unanswered);
+    }
+    if (!this->life.isListed) {
+        this->life.isListed = true;
+        this->answerClaims(now);
+    }
+}
+
+void RunSupervisor::takeEnded(SteadyTime now, const EndedRow& row)
+{
+    if (row.number <= this->life.notedEnds)
+        return;
+    this->life.notedEnds = row.number;
+    Run* run = this->runs.find(row.task);
+    if (run && run->phase != RunPhase::Ended && run->number == row.run) {
+        if (run->startedAt == SteadyTime {})
+            run->startedAt = now;
+        this->endRun(now, *run, RunEvent::EndListed, row.end);
+        return;
+    }
+    if (run)
+        return;
+    // Ended before this life of the sidecar could read it; an entry may still claim it.
+    Run ended;
+    ended.task = row.task;
+    ended.number = row.run;
+    ended.phase = RunPhase::Running;
+    Run& added = this->runs.add(std::move(ended));
+    this->endRun(now, added, RunEvent::EndListed, row.end);
+}
+
+}
