--- a/celeryswitch/Consensus/Replica.cpp
+++ b/celeryswitch/Consensus/Replica.cpp
@@ -33,8 +33,8 @@
     , now(now)
     , leaderSeenAt(now)
 {
-    this->restartElectionTimer();
     this->fire(RoleEvent::GroupChanged);
+    this->restartElectionTimer(this->settings.firstElectionTimeoutMinimum, this->settings.firstElectionTimeoutMaximum);
     // The only voter has no leader to wait for.
     if (this->currentRole == ReplicaRole::Follower && this->replicaLog.group().voters.size() == 1)
         this->electionDue = now;
@@ -204,7 +204,7 @@
         this->leader.clear();
         break;
     case RoleAction::RestartElectionTimer:
-        this->restartElectionTimer();
+        this->restartElectionTimer(this->settings.electionTimeoutMinimum, this->settings.electionTimeoutMaximum);
         break;
     case RoleAction::RequestPreVotes:
         this->requestPreVotes();
@@ -221,11 +221,11 @@
     }
 }
 
-void Replica::restartElectionTimer()
+void Replica::restartElectionTimer(Core::Duration minimum, Core::Duration maximum)
 {
     this->electionDue = this->now
-        + Core::Duration(std::uniform_int_distribution<std::int64_t>(this->settings.electionTimeoutMinimum.count(),
-            this->settings.electionTimeoutMaximum.count())(this->random));
+        + Core::Duration(
+            std::uniform_int_distribution<std::int64_t>(minimum.count(), maximum.count())(this->random));
 }
 
 void Replica::adoptTerm(Term term, const ReplicaId& vote)
--- a/celeryswitch/Consensus/Replica.h
+++ b/celeryswitch/Consensus/Replica.h
@@ -68,7 +68,8 @@
     void requestVotes();
     void beginLeadership();
     void endLeadership();
-    void restartElectionTimer();
+    // Tries an election after a random time.
+    void restartElectionTimer(Core::Duration minimum, Core::Duration maximum);
     void countVotes();
     // Takes a higher term; nothing that was promised in the old one is sent any more.
     void adoptTerm(Term term, const ReplicaId& votedFor);
--- a/celeryswitch/Consensus/ReplicaElection.cpp
+++ b/celeryswitch/Consensus/ReplicaElection.cpp
@@ -74,7 +74,7 @@
         const bool isGranted = request.term > this->currentTerm && isLogGood && !hasLeader;
         // Gives way to the candidate, so that the two of them don't split the votes a moment later.
         if (isGranted)
-            this->restartElectionTimer();
+            this->restartElectionTimer(this->settings.electionTimeoutMinimum, this->settings.electionTimeoutMaximum);
         this->reply(request.from,
             VoteReply { this->settings.id, isGranted ? request.term : this->currentTerm, isGranted, true });
         return;
@@ -86,7 +86,7 @@
     if (isGranted && this->votedFor.empty())
         this->adoptTerm(this->currentTerm, request.from);
     if (isGranted)
-        this->restartElectionTimer();
+        this->restartElectionTimer(this->settings.electionTimeoutMinimum, this->settings.electionTimeoutMaximum);
     this->replyOnceSynced(request.from, VoteReply { this->settings.id, this->currentTerm, isGranted, false },
         this->settings.isSyncedBeforeVote);
 }
--- a/celeryswitch/Consensus/ReplicaTypes.h
+++ b/celeryswitch/Consensus/ReplicaTypes.h
@@ -17,6 +17,10 @@
     /// Bounds of the random time without a leader after which an election is tried.
     Core::Duration electionTimeoutMinimum = std::chrono::milliseconds(400);
     Core::Duration electionTimeoutMaximum = std::chrono::milliseconds(800);
+    /// The same for a replica that has just started. It is shorter, because after a loss of all replicas nobody leads;
+    /// a pre-vote keeps a replica that starts alone from disturbing a leader.
+    Core::Duration firstElectionTimeoutMinimum = std::chrono::milliseconds(30);
+    Core::Duration firstElectionTimeoutMaximum = std::chrono::milliseconds(200);
     /// Largest part of the log and of a snapshot in one message.
     std::size_t messageBytes = 512 * 1024;
     /// Entries that a replica may be sent beyond what it has confirmed.
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -3,6 +3,7 @@
 #include "celeryswitch/Messages/TaskMessages.h"
 #include <algorithm>
 #include <cereal/types/utility.hpp>
+#include <cmath>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -135,7 +136,12 @@
     std::string content;
     /// Room that each task needs.
     Room need;
+    /// Time that a task is expected to take on a worker of ordinary speed.
     std::uint32_t expectedMilliseconds = 0;
+    /// Value of the work for the room and time that it takes; more goes first.
+    float rank = 0;
+    /// Time within which the runs have to start; those that have not are refused.
+    std::int64_t startWithinMicroseconds = 0;
     /// Time left until the job's deadline; what still runs then is stopped. 0 means none.
     std::int64_t deadlineMicroseconds = 0;
     /// Index and run number of each task.
@@ -144,7 +150,7 @@
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(this->sequence, this->clockEcho, this->job, this->occurrence, this->step, this->content, this->need,
-            this->expectedMilliseconds, this->deadlineMicroseconds, this->tasks);
+            this->expectedMilliseconds, this->rank, this->startWithinMicroseconds, this->deadlineMicroseconds, this->tasks);
     }
 };
 
@@ -186,49 +192,86 @@
     RunState state = RunState::Ended;
     RunEnd end = RunEnd::NotStarted;
     RunRefusal refusal = RunRefusal::None;
-    /// Time from the accepted start to the end, in microseconds.
+    /// Time from the accepted start to the end, or until now, in microseconds.
     std::int64_t runMicroseconds = 0;
+    /// Progress of a run that has not ended, 0 to 100.
+    std::uint8_t percent = 0;
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->task, this->run, this->state, this->end, this->refusal, this->runMicroseconds);
+        archive(this->task, this->run, this->state, this->end, this->refusal, this->runMicroseconds, this->percent);
     }
 };
 
-/// What a sidecar knows of its worker.
-struct WorkerStatus {
+/// What stays the same for one life of a worker.
+struct WorkerProfile {
     std::string workerId;
     /// Start of this life of the worker, milliseconds since 1970.
     std::int64_t bornAt = 0;
     std::string service;
     Room capacity;
+    std::vector<std::string> labels;
+
+    friend bool operator==(const WorkerProfile&, const WorkerProfile&) = default;
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->workerId, this->bornAt, this->service, this->capacity, this->labels);
+    }
+};
+
+/// Room that queued runs of similar rank need.
+struct QueuedRoom {
+    /// The ranks' power of two.
+    std::int8_t rankExponent = 0;
+    std::int64_t milliCores = 0;
+
+    friend bool operator==(const QueuedRoom&, const QueuedRoom&) = default;
+    template <typename Archive> void serialize(Archive& archive) { archive(this->rankExponent, this->milliCores); }
+};
+
+/// Power of two of a rank, the unit in which sidecars tell what is queued.
+inline std::int8_t rankExponentOf(float rank)
+{
+    return rank > 0 ? static_cast<std::int8_t>(std::clamp(std::ilogb(rank), -100, 100)) : std::int8_t(-100);
+}
+
+/// State of a worker at a moment.
+struct WorkerLoad {
     /// Room that no run uses.
     Room free;
-    std::vector<std::string> labels;
+    /// What is queued, by rank.
+    std::vector<QueuedRoom> queued;
+    /// Room that ends of runs give back, in thousandths of a core a second.
+    std::int64_t freedMilliCoresPerSecond = 0;
+    /// Speed of the worker against the expected times, in percent.
+    std::uint16_t pacePercent = 100;
     /// Whether runs can be started.
     bool isReady = false;
     bool isDraining = false;
+    /// Whether the worker has failed or stalled what it ran, and gets one run at a time until one succeeds.
+    bool isOnProbation = false;
 
-    friend bool operator==(const WorkerStatus&, const WorkerStatus&) = default;
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->workerId, this->bornAt, this->service, this->capacity, this->free, this->labels, this->isReady,
-            this->isDraining);
+        archive(this->free, this->queued, this->freedMilliCoresPerSecond, this->pacePercent, this->isReady,
+            this->isDraining, this->isOnProbation);
     }
 };
 
-/// Sidecar to entry: reports of this entry's runs and the worker's status.
+/// Sidecar to entry: reports of this entry's runs and the worker's state.
 struct WorkerUpdate {
     Core::Incarnation incarnation = 0;
     std::int64_t clockSample = 0;
-    /// Last StartRuns of this connection that `status` counts.
+    /// Last StartRuns of this connection that `load` counts.
     std::uint64_t handledSequence = 0;
     std::vector<RunReport> reports;
-    WorkerStatus status;
+    /// One profile when it is new to the entry, else none.
+    std::vector<WorkerProfile> profile;
+    WorkerLoad load;
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->incarnation, this->clockSample, this->handledSequence, this->reports, this->status);
+        archive(this->incarnation, this->clockSample, this->handledSequence, this->reports, this->profile, this->load);
     }
 };
 
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -14,6 +14,36 @@
 
 // What a caller that was refused is told to wait at least.
 constexpr Core::Duration retryAfterRefusal = std::chrono::seconds(1);
+// Probability to miss the goal above which a job is treated as one that can only be late.
+constexpr double lateProbability = 0.7;
+// Progress, in percent, from which on the end of a run is extrapolated.
+constexpr std::uint32_t surePercent = 4;
+// Percentages are rounded down.
+constexpr double halfPercent = 0.5;
+// A run without that progress after this share of its expected time, and this long, is taken to stand still; it is then
+// assumed to need this many times its expected time.
+constexpr double stalledShare = 0.3;
+constexpr double stalledSeconds = 0.1;
+constexpr double stalledFactor = 10;
+// Share of the extrapolated time by which it may be wrong.
+constexpr double progressDoubt = 0.06;
+// How much longer a run must need than a new one elsewhere to be restarted.
+constexpr double worthwhileFactor = 1.3;
+// Time to spare, beyond two runs, that a job must have for one of its tasks to test a worker on probation.
+constexpr double probeSeconds = 0.2;
+// Time of an order's way to a sidecar and of the refusal's way back.
+constexpr double orderSeconds = 0.005;
+// A sidecar may be a little behind what this entry knows.
+constexpr double shortestWaitSeconds = 0.005;
+
+// A time in a number of seconds, or now when the number is negative.
+SteadyTime after(SteadyTime now, double seconds)
+{
+    return now
+        + std::chrono::duration_cast<SteadyTime::duration>(std::chrono::duration<double>(std::max(0.0, seconds)));
+}
+
+double secondsUntil(SteadyTime now, SteadyTime time) { return std::chrono::duration<double>(time - now).count(); }
 
 std::int64_t milliseconds(Core::Duration span)
 {
@@ -28,20 +58,43 @@
 {
 }
 
-Core::Duration JobScheduler::responseGoal(const Queue& queue, const JobSpecification& job) const
+KindModel& JobScheduler::modelOf(SteadyTime now, const Queue& queue)
+{
+    return this->models.try_emplace(queue.name, now).first->second;
+}
+
+void JobScheduler::estimate(SteadyTime now, Job& job, Core::Duration patience)
 {
-    // The longest chain of steps, each as long as its declared time.
-    std::vector<double> chain;
+    KindModel& model = this->modelOf(now, job.queue);
+    // The longest chain of steps.
+    std::vector<double> chains;
     double longest = 0;
-    for (const StepSpecification& step : job.steps) {
+    double lowest = 0;
+    double coreSeconds = 0;
+    for (const StepSpecification& step : job.specification.steps) {
+        const double declared = step.declaredMilliseconds / 1000.0;
+        const TimeEstimate time = model.stepTime(declared);
         double before = 0;
         for (std::uint32_t earlier : step.after)
-            before = std::max(before, chain[earlier]);
-        chain.push_back(before + step.declaredMilliseconds);
-        longest = std::max(longest, chain.back());
+            before = std::max(before, chains[earlier]);
+        chains.push_back(before + time.seconds);
+        if (chains.back() > longest) {
+            longest = chains.back();
+            lowest = longest * std::exp(-time.deviation);
+        }
+        coreSeconds
+            += model.taskSeconds(declared) * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
     }
-    return std::chrono::microseconds(
-        static_cast<std::int64_t>((longest * queue.stretch + queue.targetMilliseconds) * 1000));
+    model.arrived(now, coreSeconds);
+    job.rank = static_cast<float>(model.rank(now, coreSeconds));
+    const double target = job.queue.targetMilliseconds / 1000.0;
+    const double goal = longest * job.queue.stretch + target;
+    const double travel = std::chrono::duration<double>(this->settings.travelTime).count();
+    const double wait = std::chrono::duration<double>(patience).count();
+    job.goal = after(now, goal - travel);
+    job.limit = after(now, std::min(wait, goal * this->settings.lateFactor) - travel);
+    // The goal follows from the true time, which may be shorter than the expected one.
+    job.waitUntil = after(now, (lowest * job.queue.stretch + target) * this->settings.waitShare - travel);
 }
 
 bool JobScheduler::isSupported(const JobSpecification& job, std::string& reason) const
@@ -82,23 +135,18 @@
     Core::Duration patience = std::chrono::milliseconds(queue.timeoutMilliseconds);
     if (submission.patience > Core::Duration::zero())
         patience = std::min(patience, submission.patience);
-    job.deadline = now + std::chrono::duration_cast<SteadyTime::duration>(patience);
-    const Core::Duration goal = this->responseGoal(queue, submission.job);
-    job.waitUntil = now
-        + std::chrono::duration_cast<SteadyTime::duration>(
-            std::chrono::duration<double>(goal) * this->settings.waitShare);
     for (const StepSpecification& step : submission.job.steps) {
         job.steps.emplace_back();
         job.steps.back().tasks.resize(step.count);
         job.steps.back().waiting = step.count;
     }
     job.specification = std::move(submission.job);
+    this->estimate(now, job, patience);
     this->log.write(LogLevel::Debug, "job admitted",
-        { { "job", id }, { "queue", queue.name }, { "goal_ms", milliseconds(goal) },
-            { "patience_ms", milliseconds(patience) } });
-    this->jobs.emplace(id, std::move(job));
-    this->waitingJobs.push_back(id);
-    this->isPlacingDue = true;
+        { { "job", id }, { "queue", queue.name }, { "rank_per_mille", static_cast<std::int64_t>(job.rank * 1e6F) },
+            { "goal_ms", milliseconds(job.goal - now) }, { "limit_ms", milliseconds(job.limit - now) },
+            { "wait_ms", milliseconds(job.waitUntil - now) } });
+    this->queue(this->jobs.emplace(id, std::move(job)).first->second);
 }
 
 void JobScheduler::query(RequestNumber request, const QueryJob& query)
@@ -149,7 +197,7 @@
     worker.sidecar = sidecar;
     worker.dataCentre = dataCentre;
     worker.isConnected = true;
-    worker.status.isReady = false;
+    worker.load.isReady = false;
     worker.lastSequence = 0;
     worker.underway.clear();
     worker.heardAt = std::max(worker.heardAt, now);
@@ -174,9 +222,9 @@
         found->second.isConnected = false;
 }
 
-void JobScheduler::sidecarRemoved(SteadyTime now, const Core::InstanceId& sidecar)
+void JobScheduler::sidecarRemoved(const Core::InstanceId& sidecar)
 {
-    this->loseRuns(now, sidecar, "sidecar removed");
+    this->loseRuns(sidecar, "sidecar removed");
     this->board.erase(sidecar);
     this->aliveSentAt.erase(sidecar);
 }
@@ -187,7 +235,9 @@
     worker.incarnation = update.incarnation;
     worker.clockSample = update.clockSample;
     worker.heardAt = now;
-    worker.status = std::move(update.status);
+    if (!update.profile.empty())
+        worker.profile = std::move(update.profile.front());
+    worker.load = std::move(update.load);
     while (!worker.underway.empty() && worker.underway.front().first <= update.handledSequence)
         worker.underway.pop_front();
     for (const Messages::RunReport& report : update.reports)
@@ -202,32 +252,28 @@
         || report.task.index >= found->second.steps[report.task.step].tasks.size())
         return;
     Job& job = found->second;
-    Step& step = job.steps[report.task.step];
-    Task& task = step.tasks[report.task.index];
+    Task& task = job.steps[report.task.step].tasks[report.task.index];
     if (task.phase != TaskPhase::Ordered || task.sidecar != sidecar || report.run < task.run)
         return;
     task.run = report.run;
-    if (report.state == RunState::Running)
+    job.hasRun = job.hasRun || report.state == RunState::Running || report.end != RunEnd::NotStarted;
+    if (report.state == RunState::Running) {
+        this->progressed(now, found, report);
         return;
+    }
     ++task.run;
-    if (report.end != RunEnd::Done)
-        this->log.write(LogLevel::Info, "run ended without success",
-            { { "job", report.task.job }, { "task", report.task.index }, { "run", report.run },
-                { "sidecar", sidecar }, { "end", std::string(Core::enumName(report.end)) },
-                { "refusal", std::string(Core::enumName(report.refusal)) } });
     if (report.end == RunEnd::Done) {
-        task.phase = TaskPhase::Done;
-        ++step.done;
-        const bool isComplete = std::all_of(job.steps.begin(), job.steps.end(),
-            [](const Step& each) { return each.done == each.tasks.size(); });
-        if (isComplete)
-            this->end(now, found, { AnswerKind::State, JobState::Completed, 0, {}, {} });
-        else if (step.done == step.tasks.size())
-            this->waitingJobs.push_back(report.task.job);
+        const WorkerView& worker = this->board.at(sidecar);
+        this->taskDone(now, found, report, worker.pace());
         return;
     }
+    this->log.write(LogLevel::Info, "run ended without success",
+        { { "job", report.task.job }, { "task", report.task.index }, { "run", report.run }, { "sidecar", sidecar },
+            { "end", std::string(Core::enumName(report.end)) },
+            { "refusal", std::string(Core::enumName(report.refusal)) },
+            { "ran_ms", report.runMicroseconds / 1000 } });
     if (report.end == RunEnd::Failed) {
-        task.failedAt.push_back(sidecar);
+        task.avoided.push_back(sidecar);
         if (++task.failures >= job.queue.maximumAttempts) {
             this->end(now, found, { AnswerKind::State, JobState::Failed, 0, {}, "attempts used up" });
             return;
@@ -236,18 +282,103 @@
     this->taskBack(job, report.task.step, task);
 }
 
+void JobScheduler::taskDone(SteadyTime now, Jobs::iterator found, const Messages::RunReport& report, double pace)
+{
+    Job& job = found->second;
+    Step& step = job.steps[report.task.step];
+    Task& task = step.tasks[report.task.index];
+    const std::uint64_t id = found->first;
+    task.phase = TaskPhase::Done;
+    ++step.done;
+    const double seconds = static_cast<double>(report.runMicroseconds) / 1e6 * pace / medianPace(this->board);
+    step.longestSeconds = std::max(step.longestSeconds, seconds);
+    step.sumSeconds += seconds;
+    if (step.done < step.tasks.size())
+        return;
+    this->modelOf(now, job.queue)
+        .observed(job.specification.steps[report.task.step].declaredMilliseconds / 1000.0, step.longestSeconds,
+            step.sumSeconds / static_cast<double>(step.tasks.size()));
+    const bool isComplete = std::all_of(
+        job.steps.begin(), job.steps.end(), [](const Step& each) { return each.done == each.tasks.size(); });
+    if (isComplete)
+        this->end(now, found, { AnswerKind::State, JobState::Completed, 0, {}, {} });
+    else
+        this->queue(this->jobs.at(id));
+}
+
+void JobScheduler::progressed(SteadyTime now, Jobs::iterator found, const Messages::RunReport& report)
+{
+    Job& job = found->second;
+    Task& task = job.steps[report.task.step].tasks[report.task.index];
+    if (task.isRestarting)
+        return;
+    const double elapsed = static_cast<double>(report.runMicroseconds) / 1e6;
+    const double declared = job.specification.steps[report.task.step].declaredMilliseconds / 1000.0;
+    double fresh = this->modelOf(now, job.queue).taskSeconds(declared);
+    double left = 0;
+    if (report.percent >= surePercent) {
+        left = elapsed * (100.0 - report.percent) / (report.percent + halfPercent);
+        // A long task is as long elsewhere; only a slow worker is worth leaving.
+        fresh = (elapsed + left) * this->board.at(task.sidecar).pace() / medianPace(this->board);
+    } else if (elapsed > stalledShare * fresh + stalledSeconds) {
+        left = stalledFactor * fresh + elapsed;
+    } else {
+        return;
+    }
+    task.expectedEnd = after(now, left);
+    // A run of which little is known is judged generously.
+    const double doubt = progressDoubt * (elapsed + left);
+    const double restarted = std::chrono::duration<double>(this->settings.restartTime).count() + fresh;
+    const bool isLate = left - doubt > secondsUntil(now, job.goal);
+    const bool isHopeless = left - doubt > secondsUntil(now, job.limit);
+    const bool isRestartInTime = restarted < secondsUntil(now, job.goal)
+        || (isHopeless && restarted < secondsUntil(now, job.limit));
+    if (isLate && isRestartInTime && left > restarted * worthwhileFactor) {
+        this->restart(now, job, report.task, task);
+    } else if (isHopeless && !isRestartInTime) {
+        this->log.write(LogLevel::Info, "job can't end in time",
+            { { "job", found->first }, { "task", report.task.index }, { "percent", report.percent },
+                { "ran_ms", report.runMicroseconds / 1000 }, { "left_ms", static_cast<std::int64_t>(left * 1000) },
+                { "limit_ms", milliseconds(job.limit - now) } });
+        this->end(now, found, { AnswerKind::GivenUp, {}, 0, {}, "can't end in time" });
+    }
+}
+
+void JobScheduler::restart(SteadyTime now, Job& job, const TaskId& id, Task& task)
+{
+    this->log.write(LogLevel::Info, "run restarted elsewhere",
+        { { "job", id.job }, { "task", id.index }, { "run", task.run }, { "sidecar", task.sidecar },
+            { "waited_ms", milliseconds(now - job.arrivedAt) },
+            { "expected_end_ms", milliseconds(task.expectedEnd - now) } });
+    task.isRestarting = true;
+    task.avoided.push_back(task.sidecar);
+    this->actions.push_back(
+        SendWork { task.sidecar, Messages::StopRuns { this->board[task.sidecar].clockSample, { id } } });
+}
+
 void JobScheduler::taskBack(Job& job, std::uint32_t stepIndex, Task& task)
 {
     task.phase = TaskPhase::Waiting;
     task.sidecar.clear();
+    task.isRestarting = false;
+    task.expectedEnd = SteadyTime::max();
     ++job.steps[stepIndex].waiting;
-    this->waitingJobs.push_front(job.specification.id);
+    // Once every order came back without a start, the job can still be refused as not run.
+    job.hasBegun = job.hasRun
+        || std::any_of(job.steps.begin(), job.steps.end(),
+            [](const Step& step) { return step.waiting + step.done < step.tasks.size(); });
+    this->queue(job);
+}
+
+void JobScheduler::queue(Job& job)
+{
+    if (!std::exchange(job.isQueued, true))
+        this->waitingJobs.push_back(job.specification.id);
     this->isPlacingDue = true;
 }
 
-void JobScheduler::loseRuns(SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason)
+void JobScheduler::loseRuns(const Core::InstanceId& sidecar, std::string_view reason)
 {
-    static_cast<void>(now);
     for (auto& [id, job] : this->jobs) {
         for (std::uint32_t stepIndex = 0; stepIndex < job.steps.size(); ++stepIndex) {
             for (Task& task : job.steps[stepIndex].tasks) {
@@ -256,6 +387,7 @@
                 this->log.write(LogLevel::Info, "run lost",
                     { { "job", id }, { "sidecar", sidecar }, { "reason", std::string(reason) } });
                 ++task.run;
+                job.hasRun = true;
                 this->taskBack(job, stepIndex, task);
             }
         }
@@ -264,24 +396,27 @@
 
 void JobScheduler::placeWaiting(SteadyTime now)
 {
-    if (!this->isPlacingDue)
+    if (!std::exchange(this->isPlacingDue, false) || this->waitingJobs.empty())
         return;
-    this->isPlacingDue = false;
-    std::deque<std::uint64_t> again;
+    std::vector<std::pair<float, std::uint64_t>> order;
     for (const std::uint64_t id : std::exchange(this->waitingJobs, {})) {
-        const auto found = this->jobs.find(id);
-        if (found == this->jobs.end() || std::find(again.begin(), again.end(), id) != again.end())
-            continue;
+        if (const auto found = this->jobs.find(id); found != this->jobs.end())
+            order.emplace_back(-found->second.rank, id);
+    }
+    std::sort(order.begin(), order.end());
+    const double ordinaryPace = medianPace(this->board);
+    for (const auto& [rank, id] : order) {
+        Job& job = this->jobs.at(id);
+        job.isQueued = false;
         bool isPlaced = true;
-        for (std::uint32_t step = 0; step < found->second.steps.size(); ++step)
-            isPlaced = this->placeStep(now, found->second, step) && isPlaced;
-        if (!isPlaced)
-            again.push_back(id);
+        for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+            isPlaced = this->placeStep(now, ordinaryPace, job, step) && isPlaced;
+        if (!isPlaced && !std::exchange(job.isQueued, true))
+            this->waitingJobs.push_back(id);
     }
-    this->waitingJobs = std::move(again);
 }
 
-bool JobScheduler::placeStep(SteadyTime now, Job& job, std::uint32_t stepIndex)
+bool JobScheduler::placeStep(SteadyTime now, double ordinaryPace, Job& job, std::uint32_t stepIndex)
 {
     Step& step = job.steps[stepIndex];
     const StepSpecification& specification = job.specification.steps[stepIndex];
@@ -291,19 +426,44 @@
         if (job.steps[earlier].done < job.steps[earlier].tasks.size())
             return true;
     }
-    PlacementRequest request { job.queue.service, specification.need, step.waiting, specification.requiredLabel,
-        specification.dataRack, specification.tasksPerWorker, this->settings.dataCentre, {} };
+    PlacementRequest request;
+    request.service = job.queue.service;
+    request.need = specification.need;
+    request.count = step.waiting;
+    request.requiredLabel = specification.requiredLabel;
+    request.dataRack = specification.dataRack;
+    request.tasksPerWorker = specification.tasksPerWorker;
+    request.dataCentre = this->settings.dataCentre;
+    request.time = this->modelOf(now, job.queue).stepTime(specification.declaredMilliseconds / 1000.0);
+    // What is left of a begun job carries the value of the whole.
+    request.rank = job.hasBegun
+        ? job.rank * static_cast<float>(step.tasks.size()) / static_cast<float>(step.waiting)
+        : job.rank;
+    request.budgetSeconds = secondsUntil(now, job.goal);
+    if (request.time.probabilityAbove(request.budgetSeconds) > lateProbability) {
+        request.budgetSeconds = secondsUntil(now, job.limit);
+        request.rank *= static_cast<float>(this->settings.lateValue);
+    }
+    const double slack = request.budgetSeconds - request.time.seconds;
+    request.longestWaitSeconds
+        = std::max(0.0, job.hasBegun ? slack : std::min(slack, secondsUntil(now, job.waitUntil) - orderSeconds));
+    bool hasFailed = false;
     for (const Task& task : step.tasks) {
-        if (task.phase == TaskPhase::Waiting)
-            request.avoided.insert(request.avoided.end(), task.failedAt.begin(), task.failedAt.end());
+        if (task.phase != TaskPhase::Waiting)
+            continue;
+        hasFailed = hasFailed || !task.avoided.empty();
+        request.avoided.insert(request.avoided.end(), task.avoided.begin(), task.avoided.end());
     }
-    const std::vector<Placement> placements = place(this->board, request);
+    request.isProbe = !hasFailed && job.queue.maximumAttempts > 1
+        && request.budgetSeconds > 2 * request.time.seconds + probeSeconds;
+    const std::vector<Placement> placements = place(this->board, ordinaryPace, request);
     for (const Placement& placement : placements)
-        this->order(now, job, stepIndex, placement);
+        this->order(now, job, stepIndex, placement, request);
     return !placements.empty();
 }
 
-void JobScheduler::order(SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement)
+void JobScheduler::order(SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
+    const PlacementRequest& request)
 {
     Step& step = job.steps[stepIndex];
     const StepSpecification& specification = job.specification.steps[stepIndex];
@@ -315,8 +475,13 @@
     start.step = stepIndex;
     start.content = job.specification.content;
     start.need = specification.need;
-    start.expectedMilliseconds = specification.declaredMilliseconds;
-    start.deadlineMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(job.deadline - now).count();
+    start.expectedMilliseconds = static_cast<std::uint32_t>(
+        this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000);
+    start.rank = request.rank;
+    start.startWithinMicroseconds
+        = static_cast<std::int64_t>(std::max(request.longestWaitSeconds, shortestWaitSeconds) * 1e6);
+    start.deadlineMicroseconds
+        = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.limit) * 1e6));
     for (std::uint32_t index = 0; index < step.tasks.size() && start.tasks.size() < placement.count; ++index) {
         Task& task = step.tasks[index];
         if (task.phase != TaskPhase::Waiting)
@@ -332,7 +497,8 @@
     this->log.write(LogLevel::Debug, "tasks placed",
         { { "job", job.specification.id }, { "sidecar", placement.sidecar },
             { "tasks", static_cast<std::uint64_t>(start.tasks.size()) },
-            { "free_millicores", worker.status.free.milliCores },
+            { "free_millicores", worker.load.free.milliCores },
+            { "wait_us", static_cast<std::int64_t>(placement.waitSeconds * 1e6) },
             { "waited_ms", milliseconds(now - job.arrivedAt) } });
     this->actions.push_back(SendWork { placement.sidecar, std::move(start) });
 }
@@ -390,7 +556,7 @@
         const auto found = next++;
         if (!found->second.hasBegun && now >= found->second.waitUntil)
             this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, "no room" });
-        else if (now >= found->second.deadline)
+        else if (now >= found->second.limit)
             this->end(now, found, { AnswerKind::GivenUp, {}, 0, {}, "deadline" });
     }
 }
@@ -401,7 +567,7 @@
         if (!worker.isConnected) {
             if (worker.heardAt != SteadyTime {} && now >= worker.heardAt + this->settings.runsOverTime) {
                 worker.heardAt = {};
-                this->loseRuns(now, sidecar, "sidecar out of contact");
+                this->loseRuns(sidecar, "sidecar out of contact");
             }
             continue;
         }
@@ -417,7 +583,7 @@
 {
     SteadyTime due = SteadyTime::max();
     for (const auto& [id, job] : this->jobs)
-        due = std::min(due, job.hasBegun ? job.deadline : job.waitUntil);
+        due = std::min(due, job.hasBegun ? job.limit : job.waitUntil);
     for (const auto& [sidecar, worker] : this->board) {
         const auto sent = this->aliveSentAt.find(sidecar);
         if (worker.isConnected && sent != this->aliveSentAt.end())
@@ -428,12 +594,4 @@
     return due;
 }
 
-std::size_t JobScheduler::usableWorkers() const
-{
-    std::size_t count = 0;
-    for (const auto& [sidecar, worker] : this->board)
-        count += worker.isUsable() ? 1 : 0;
-    return count;
-}
-
 }
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -3,6 +3,7 @@
 #include "celeryswitch/Configuration/RoutingDocument.h"
 #include "celeryswitch/Logging/StructuredLog.h"
 #include "celeryswitch/Scheduling/JobTypes.h"
+#include "celeryswitch/Scheduling/KindModel.h"
 #include "celeryswitch/Scheduling/WorkerBoard.h"
 #include <deque>
 #include <map>
@@ -15,7 +16,15 @@
 struct SchedulerSettings {
     std::string dataCentre;
     /// Part of a job's response goal for which it may wait for room before it is refused as not run.
-    double waitShare = 0.22;
+    double waitShare = 0.25;
+    /// Time between a caller's sending and the arrival here, and back.
+    Core::Duration travelTime = std::chrono::milliseconds(10);
+    /// Multiple of the response goal after which an answer has no value.
+    double lateFactor = 3;
+    /// Value of a late answer against one in time.
+    double lateValue = 0.2;
+    /// Time to stop a run and learn of it.
+    Core::Duration restartTime = std::chrono::milliseconds(60);
     /// Time between two signs of life to a sidecar.
     Core::Duration aliveInterval = std::chrono::milliseconds(200);
     /// Time after the last sign of life of a sidecar after which nothing that this entry ordered runs there any more: the
@@ -23,8 +32,6 @@
     Core::Duration runsOverTime = std::chrono::milliseconds(700 + 1030 + 120);
     /// Time for which the outcome of an ended job is remembered, so that a late copy of its request is not run again.
     Core::Duration outcomeRetention = std::chrono::seconds(10);
-    /// Time that a caller without a time of its own waits, at most.
-    Core::Duration longestPatience = std::chrono::seconds(60);
 };
 
 /// Answer a caller.
@@ -61,7 +68,7 @@
     /// The connection to a sidecar is lost.
     void sidecarDisconnected(const Core::InstanceId& sidecar);
     /// A sidecar is no member any more.
-    void sidecarRemoved(Core::SteadyTime now, const Core::InstanceId& sidecar);
+    void sidecarRemoved(const Core::InstanceId& sidecar);
     /// A sidecar reports.
     void received(Core::SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update);
 
@@ -72,8 +79,6 @@
 
     /// Jobs without an outcome.
     std::size_t openJobs() const { return this->jobs.size(); }
-    /// Workers that could run tasks now.
-    std::size_t usableWorkers() const;
     /// Every worker that is known.
     const WorkerBoard& workers() const { return this->board; }
 
@@ -89,25 +94,38 @@
         std::uint32_t run = 1;
         std::uint32_t failures = 0;
         Core::InstanceId sidecar;
-        /// Sidecars whose workers failed the task.
-        std::vector<Core::InstanceId> failedAt;
+        /// Whether a stop was ordered so that the task can run elsewhere.
+        bool isRestarting = false;
+        /// When its run is expected to end; the largest time before anything is known.
+        Core::SteadyTime expectedEnd = Core::SteadyTime::max();
+        /// Sidecars whose workers failed or stalled the task.
+        std::vector<Core::InstanceId> avoided;
     };
     struct Step {
         std::vector<Task> tasks;
         std::uint32_t waiting = 0;
         std::uint32_t done = 0;
+        /// Times of the tasks that are done, on an ordinary worker, in seconds.
+        double longestSeconds = 0;
+        double sumSeconds = 0;
     };
     struct Job {
         JobSpecification specification;
         Configuration::Queue queue;
         RequestNumber request = 0;
+        float rank = 0;
         Core::SteadyTime arrivedAt;
-        /// When it is given up.
-        Core::SteadyTime deadline;
+        /// When it should be answered, and when an answer has no value any more or the caller stops waiting.
+        Core::SteadyTime goal;
+        Core::SteadyTime limit;
         /// When it is refused if it has not begun.
         Core::SteadyTime waitUntil;
         std::vector<Step> steps;
+        /// Whether tasks were ordered that may have run.
         bool hasBegun = false;
+        /// Whether a run is known to have started.
+        bool hasRun = false;
+        bool isQueued = false;
     };
     struct Outcome {
         CallerAnswer answer;
@@ -115,14 +133,20 @@
     };
     using Jobs = std::map<std::uint64_t, Job>;
 
-    Core::Duration responseGoal(const Configuration::Queue& queue, const JobSpecification& job) const;
+    KindModel& modelOf(Core::SteadyTime now, const Configuration::Queue& queue);
     bool isSupported(const JobSpecification& job, std::string& reason) const;
+    void estimate(Core::SteadyTime now, Job& job, Core::Duration patience);
     void placeWaiting(Core::SteadyTime now);
-    bool placeStep(Core::SteadyTime now, Job& job, std::uint32_t stepIndex);
-    void order(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement);
+    bool placeStep(Core::SteadyTime now, double ordinaryPace, Job& job, std::uint32_t stepIndex);
+    void order(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
+        const PlacementRequest& request);
     void takeReport(Core::SteadyTime now, const Core::InstanceId& sidecar, const Messages::RunReport& report);
+    void taskDone(Core::SteadyTime now, Jobs::iterator found, const Messages::RunReport& report, double pace);
+    void progressed(Core::SteadyTime now, Jobs::iterator found, const Messages::RunReport& report);
+    void restart(Core::SteadyTime now, Job& job, const TaskId& id, Task& task);
     void taskBack(Job& job, std::uint32_t stepIndex, Task& task);
-    void loseRuns(Core::SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason);
+    void queue(Job& job);
+    void loseRuns(const Core::InstanceId& sidecar, std::string_view reason);
     void end(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
     void answer(RequestNumber request, CallerAnswer answer);
     void expireJobs(Core::SteadyTime now);
@@ -133,9 +157,11 @@
     WorkerBoard board;
     /// When each sidecar was last sent a sign of life.
     std::map<Core::InstanceId, Core::SteadyTime> aliveSentAt;
-    /// Open jobs by id; those that wait are tried in the order of their arrival.
+    /// What was learned of each queue, by name.
+    std::map<std::string, KindModel> models;
     Jobs jobs;
-    std::deque<std::uint64_t> waitingJobs;
+    /// Jobs with tasks that wait for a place.
+    std::vector<std::uint64_t> waitingJobs;
     std::unordered_map<std::uint64_t, Outcome> outcomes;
     std::deque<std::pair<Core::SteadyTime, std::uint64_t>> outcomeOrder;
     bool isPlacingDue = false;
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -168,7 +168,7 @@
             sidecars.push_back(member);
     }
     for (const Core::InstanceId& gone : this->links.setMembers(sidecars))
-        this->scheduler.sidecarRemoved(this->clock.steadyNow(), gone);
+        this->scheduler.sidecarRemoved(gone);
     this->step();
 }
 
--- a/celeryswitch/Scheduling/WorkerBoard.cpp
+++ b/celeryswitch/Scheduling/WorkerBoard.cpp
@@ -1,60 +1,164 @@
 #include "celeryswitch/Scheduling/WorkerBoard.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace celeryswitch::Scheduling {
 
 namespace {
 
+constexpr double never = std::numeric_limits<double>::infinity();
+
+// Costs of a choice, in parts of the value of the work. The chance to miss the budget counts most; the rest decides
+// between choices that are about as good in that.
+constexpr double waitCost = 0.5;
+constexpr double farCost = 0.03;
+constexpr double avoidedCost = 4;
+constexpr double farDataCost = 0.5;
+// Using a faster worker than is needed, and a slower one than the ordinary.
+constexpr double fastCost = 0.1;
+constexpr double slowCost = 0.5;
+constexpr double slowPace = 0.85;
+// A worker that has most of its room left, so that holes stay large for wide jobs.
+constexpr double emptyCost = 0.02;
+
 /// A worker that could run some of the tasks.
 struct Candidate {
     const WorkerView* worker = nullptr;
-    std::uint32_t fitting = 0;
-    bool isAvoided = false;
-    bool isNear = false;
-    bool hasData = false;
+    /// Room after the queue and after the tasks that were given to it here.
+    Messages::Room room;
+    std::uint32_t given = 0;
+    std::uint32_t limit = 0;
+    double fixedCost = 0;
+    double pace = 1;
+    double waitSeconds = 0;
 };
 
+// Time until a task fits, in seconds.
+double waitFor(const Candidate& candidate, const Messages::Room& need)
+{
+    if (need.fits(candidate.room))
+        return 0;
+    // Only processor room is given back at a known rate; a lack of the others is waited for as long.
+    const std::int64_t rate = candidate.worker->load.freedMilliCoresPerSecond;
+    const std::int64_t lack = std::max<std::int64_t>(need.milliCores - candidate.room.milliCores, 1);
+    return rate > 0 ? static_cast<double>(lack) / static_cast<double>(rate) : never;
+}
+
+double costOf(const Candidate& candidate, const PlacementRequest& request)
+{
+    TimeEstimate time = request.time;
+    time.seconds /= candidate.pace;
+    const double left = request.budgetSeconds - candidate.waitSeconds;
+    const double miss = time.probabilityAbove(left);
+    const double wait = request.budgetSeconds > 0 ? candidate.waitSeconds / request.budgetSeconds : 0;
+    const double speed
+        = candidate.pace >= slowPace ? fastCost * candidate.pace : slowCost * (1 / candidate.pace - 1) + fastCost;
+    return miss + waitCost * wait + speed + candidate.fixedCost;
+}
+
+bool isEligible(const WorkerView& worker, const PlacementRequest& request)
+{
+    if (!worker.isUsable() || worker.profile.service != request.service
+        || !request.need.fits(worker.profile.capacity)
+        || (!request.requiredLabel.empty() && !worker.hasLabel(request.requiredLabel)))
+        return false;
+    return !worker.load.isOnProbation
+        || (request.isProbe && worker.underway.empty() && worker.load.free == worker.profile.capacity);
+}
+
+Candidate makeCandidate(const WorkerView& worker, double ordinaryPace, const PlacementRequest& request)
+{
+    Candidate candidate;
+    candidate.worker = &worker;
+    candidate.room = worker.roomFor(request.rank);
+    candidate.limit = request.tasksPerWorker > 0 ? request.tasksPerWorker : UINT32_MAX;
+    if (worker.load.isOnProbation)
+        candidate.limit = 1;
+    candidate.pace = std::max(0.01, worker.pace() / ordinaryPace);
+    const bool isAvoided = std::find(request.avoided.begin(), request.avoided.end(), worker.sidecar)
+        != request.avoided.end();
+    candidate.fixedCost = (isAvoided ? avoidedCost : 0) + (worker.dataCentre == request.dataCentre ? 0 : farCost)
+        + (request.dataRack.empty() || worker.hasLabel(request.dataRack) ? 0 : farDataCost)
+        + emptyCost * static_cast<double>(std::max<std::int64_t>(0, candidate.room.milliCores))
+            / static_cast<double>(std::max<std::int64_t>(1, worker.profile.capacity.milliCores));
+    return candidate;
+}
+
+}
+
+Messages::Room WorkerView::roomFor(float rank) const
+{
+    Messages::Room room = this->load.free;
+    const std::int8_t exponent = Messages::rankExponentOf(rank);
+    for (const Messages::QueuedRoom& queued : this->load.queued) {
+        if (queued.rankExponent >= exponent)
+            room.milliCores -= queued.milliCores;
+    }
+    for (const auto& [sequence, used] : this->underway)
+        room -= used;
+    return room;
+}
+
+bool WorkerView::hasLabel(const std::string& label) const
+{
+    const auto& labels = this->profile.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+double medianPace(const WorkerBoard& board)
+{
+    std::vector<double> paces;
+    for (const auto& [sidecar, worker] : board) {
+        if (worker.isUsable())
+            paces.push_back(worker.pace());
+    }
+    if (paces.empty())
+        return 1;
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return std::max(0.01, *middle);
 }
 
-std::vector<Placement> place(const WorkerBoard& board, const PlacementRequest& request)
+std::vector<Placement> place(const WorkerBoard& board, double ordinaryPace, const PlacementRequest& request)
 {
     std::vector<Candidate> candidates;
     for (const auto& [sidecar, worker] : board) {
-        if (!worker.isUsable() || worker.status.service != request.service
-            || (!request.requiredLabel.empty() && !worker.hasLabel(request.requiredLabel)))
-            continue;
-        std::int64_t fitting = std::min<std::int64_t>(request.count, request.need.countIn(worker.free()));
-        if (request.tasksPerWorker > 0)
-            fitting = std::min<std::int64_t>(fitting, request.tasksPerWorker);
-        if (fitting <= 0)
-            continue;
-        const bool isAvoided
-            = std::find(request.avoided.begin(), request.avoided.end(), sidecar) != request.avoided.end();
-        candidates.push_back({ &worker, static_cast<std::uint32_t>(fitting), isAvoided,
-            worker.dataCentre == request.dataCentre, !request.dataRack.empty() && worker.hasLabel(request.dataRack) });
+        if (isEligible(worker, request))
+            candidates.push_back(makeCandidate(worker, ordinaryPace, request));
     }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        if (left.isAvoided != right.isAvoided)
-            return right.isAvoided;
-        if (left.hasData != right.hasData)
-            return left.hasData;
-        if (left.fitting != right.fitting)
-            return left.fitting > right.fitting;
-        if (left.isNear != right.isNear)
-            return left.isNear;
-        return left.worker->free().milliCores > right.worker->free().milliCores;
-    });
     std::vector<Placement> placements;
-    std::uint32_t left = request.count;
-    for (const Candidate& candidate : candidates) {
-        const std::uint32_t count = std::min(left, candidate.fitting);
-        if (count > 0)
-            placements.push_back({ candidate.worker->sidecar, count });
+    for (std::uint32_t left = request.count; left > 0;) {
+        Candidate* best = nullptr;
+        double bestCost = never;
+        for (Candidate& candidate : candidates) {
+            if (candidate.given >= candidate.limit)
+                continue;
+            candidate.waitSeconds = waitFor(candidate, request.need);
+            if (candidate.waitSeconds > request.longestWaitSeconds)
+                continue;
+            const double cost = costOf(candidate, request);
+            if (cost < bestCost) {
+                best = &candidate;
+                bestCost = cost;
+            }
+        }
+        if (!best)
+            return {};
+        // Tasks that find room at once go together; those that wait are spread.
+        const std::int64_t fitting = best->waitSeconds > 0 ? 1 : request.need.countIn(best->room);
+        const auto count = static_cast<std::uint32_t>(
+            std::min<std::int64_t>({ left, best->limit - best->given, std::max<std::int64_t>(1, fitting) }));
+        best->given += count;
+        best->room -= request.need * count;
         left -= count;
+        const auto known = std::find_if(placements.begin(), placements.end(),
+            [&](const Placement& placement) { return placement.sidecar == best->worker->sidecar; });
+        if (known == placements.end())
+            placements.push_back({ best->worker->sidecar, count, best->waitSeconds });
+        else
+            known->count += count;
     }
-    if (left > 0)
-        placements.clear();
     return placements;
 }
 
--- a/celeryswitch/Scheduling/WorkerBoard.h
+++ b/celeryswitch/Scheduling/WorkerBoard.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "celeryswitch/Core/Clock.h"
 #include "celeryswitch/Messages/WorkMessages.h"
+#include "celeryswitch/Scheduling/KindModel.h"
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,37 +15,33 @@
     Core::Incarnation incarnation = 0;
     std::string dataCentre;
     bool isConnected = false;
-    Messages::WorkerStatus status;
+    Messages::WorkerProfile profile;
+    Messages::WorkerLoad load;
     /// Newest clock sample of the sidecar, returned to it as the proof that this entry lives.
     std::int64_t clockSample = 0;
     /// When that sample came.
     Core::SteadyTime heardAt;
-    /// Last order, and the room of orders that `status` does not count yet.
+    /// Last order, and the room of orders that `load` does not count yet.
     std::uint64_t lastSequence = 0;
     std::deque<std::pair<std::uint64_t, Messages::Room>> underway;
 
-    /// Room that is free as far as this entry knows.
-    Messages::Room free() const
-    {
-        Messages::Room room = this->status.free;
-        for (const auto& [sequence, used] : this->underway)
-            room -= used;
-        return room;
-    }
+    /// Room that a run of a rank finds, after those that are queued before it; negative when it has to wait.
+    Messages::Room roomFor(float rank) const;
     /// Whether runs may be ordered.
-    bool isUsable() const { return this->isConnected && this->status.isReady; }
+    bool isUsable() const { return this->isConnected && this->load.isReady && !this->profile.workerId.empty(); }
     /// Whether the worker has a label.
-    bool hasLabel(const std::string& label) const
-    {
-        const auto& labels = this->status.labels;
-        return std::find(labels.begin(), labels.end(), label) != labels.end();
-    }
+    bool hasLabel(const std::string& label) const;
+    /// Speed against an ordinary worker.
+    double pace() const { return this->load.pacePercent / 100.0; }
 };
 
 /// Every worker that an entry knows, by sidecar.
 using WorkerBoard = std::map<Core::InstanceId, WorkerView>;
 
-/// What a step's tasks ask of a worker.
+/// Speed of the worker in the middle; 1 when there is none.
+double medianPace(const WorkerBoard& board);
+
+/// What a step's tasks ask of their workers.
 struct PlacementRequest {
     std::string service;
     Messages::Room need;
@@ -59,16 +54,27 @@
     std::string dataCentre;
     /// Sidecars whose workers are avoided when there is another choice.
     std::vector<Core::InstanceId> avoided;
+    float rank = 0;
+    /// Time that the tasks take on an ordinary worker.
+    TimeEstimate time;
+    /// Time in which they should be done, in seconds.
+    double budgetSeconds = 0;
+    /// Longest wait for room, in seconds.
+    double longestWaitSeconds = 0;
+    /// Whether a task may go to a worker on probation.
+    bool isProbe = false;
 };
 
 /// Tasks for one worker.
 struct Placement {
     Core::InstanceId sidecar;
     std::uint32_t count = 0;
+    /// Time that they are expected to wait there, in seconds.
+    double waitSeconds = 0;
 };
 
-/// Chooses workers for all tasks of a request, or none when there is no room for all. Prefers few workers, near ones,
-/// and among equal ones the one with the most free room.
-std::vector<Placement> place(const WorkerBoard& board, const PlacementRequest& request);
+/// Chooses workers for all tasks of a request, or none when some would wait for too long. `ordinaryPace` is the speed of
+/// an ordinary worker.
+std::vector<Placement> place(const WorkerBoard& board, double ordinaryPace, const PlacementRequest& request);
 
 }
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -105,7 +105,7 @@
     const Run* known = this->runs.find(task);
     if (known && known->phase != RunPhase::Ended)
         return RunRefusal::TaskBusy;
-    if (!order.need.fits(this->life.profile->capacity - this->runs.used()))
+    if (!order.need.fits(this->life.profile->capacity))
         return RunRefusal::NoRoom;
     return RunRefusal::None;
 }
@@ -121,7 +121,7 @@
         if (refusal == RunRefusal::None && now >= entry.permittedUntil)
             refusal = RunRefusal::Late;
         if (refusal != RunRefusal::None) {
-            entry.reports.push_back({ task, number, RunState::Ended, RunEnd::NotStarted, refusal, 0 });
+            entry.reports.push_back({ task, number, RunState::Ended, RunEnd::NotStarted, refusal, 0, 0 });
             entry.isUpdateDue = true;
             if (refusal == RunRefusal::TaskBusy)
                 this->fire(now, *this->runs.find(task), RunEvent::StopWanted);
@@ -135,11 +135,35 @@
         run.entry = id;
         run.entryIncarnation = entry.incarnation;
         run.need = order.need;
+        run.rank = order.rank;
         run.content = content;
         run.expectedTime = std::chrono::milliseconds(order.expectedMilliseconds);
+        run.startBy = now + std::chrono::microseconds(order.startWithinMicroseconds);
         if (order.deadlineMicroseconds > 0)
             run.deadline = now + std::chrono::microseconds(order.deadlineMicroseconds);
-        this->giveStart(now, this->runs.add(std::move(run)));
+        this->runs.add(std::move(run));
+    }
+    this->startQueued(now);
+}
+
+bool RunSupervisor::isStartable(const Run& run) const
+{
+    if (!this->isReady() || !run.need.fits(this->life.profile->capacity - this->runs.used()))
+        return false;
+    return !this->health.isOnProbation() || this->runs.activeCount() == 0;
+}
+
+void RunSupervisor::startQueued(SteadyTime now)
+{
+    // The best run waits for room that is large enough; smaller ones behind it would take it away.
+    while (!this->runs.queue().empty()) {
+        Run& best = *this->runs.find(this->runs.queue().begin()->second);
+        if (now >= best.startBy)
+            this->endRun(now, best, RunEvent::StopWanted, RunEnd::NotStarted, RunRefusal::NoRoom);
+        else if (this->isStartable(best))
+            this->fire(now, best, RunEvent::RoomGranted);
+        else
+            break;
     }
 }
 
@@ -147,7 +171,7 @@
 {
     for (const TaskId& task : order.tasks) {
         Run* run = this->runs.find(task);
-        if (run && run->phase != RunPhase::Ended && run->entryIncarnation == entry.incarnation)
+        if (run && run->entryIncarnation == entry.incarnation)
             this->fire(now, *run, RunEvent::StopWanted);
     }
 }
@@ -169,11 +193,12 @@
         Entry& entry = this->entries[id];
         Run* run = this->runs.find(claim.task);
         if (!run || (run->number != claim.run && run->entry != id)) {
-            entry.reports.push_back({ claim.task, claim.run, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0 });
+            entry.reports.push_back({ claim.task, claim.run, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0, 0 });
             continue;
         }
         if (run->entry.empty() && run->phase != RunPhase::Ended) {
             run->deadline = SteadyTime::max();
+            this->runs.setNeed(*run, claim.need);
             this->log.write(LogLevel::Info, "run adopted",
                 { { "job", run->task.job }, { "task", run->task.index }, { "entry", id } });
         }
@@ -228,8 +253,11 @@
     this->isLookOut = false;
     this->unansweredCalls = 0;
     this->nextLook = now;
+    this->health = {};
     for (auto& [task, run] : this->runs.all()) {
-        if (run.phase != RunPhase::Ended)
+        if (run.phase == RunPhase::Queued)
+            this->endRun(now, run, RunEvent::Lost, RunEnd::NotStarted, RunRefusal::Unhealthy);
+        else if (run.phase != RunPhase::Ended)
             this->endRun(now, run, RunEvent::Lost, RunEnd::Lost);
     }
 }
@@ -240,6 +268,7 @@
 {
     this->stopExpired(now);
     this->loseLapsed(now);
+    this->startQueued(now);
     this->holdIfDue(now);
     this->sendUpdates(now);
     this->runs.forgetEndedBefore(now - this->settings.endedRetention);
@@ -253,6 +282,11 @@
             this->fire(now, run, RunEvent::StopUnanswered);
         if (run.phase == RunPhase::Ended || run.phase == RunPhase::Stopping)
             continue;
+        if (run.phase == RunPhase::Queued && (now >= run.startBy || this->life.isDraining || this->isDrained)) {
+            this->endRun(now, run, RunEvent::StopWanted, RunEnd::NotStarted,
+                now >= run.startBy ? RunRefusal::NoRoom : RunRefusal::Draining);
+            continue;
+        }
         const auto entry = this->entries.find(run.entry);
         const bool isUnwanted = entry != this->entries.end()
             && (entry->second.incarnation != run.entryIncarnation || now >= entry->second.permittedUntil);
@@ -261,6 +295,7 @@
         this->log.write(LogLevel::Info, "run stopped",
             { { "job", task.job }, { "task", task.index }, { "entry", run.entry },
                 { "reason", isUnwanted ? "entry silent" : "deadline" } });
+        run.refusal = RunRefusal::Late;
         this->fire(now, run, RunEvent::StopWanted);
     }
 }
@@ -271,29 +306,35 @@
         || now < this->life.clock.passedAt(this->life.leaseEnd) + this->settings.stopTime)
         return;
     for (auto& [task, run] : this->runs.all()) {
-        if (run.phase != RunPhase::Ended)
+        if (run.phase != RunPhase::Ended && run.phase != RunPhase::Queued)
             this->endRun(now, run, RunEvent::Lost, RunEnd::Lapsed);
     }
 }
 
 void RunSupervisor::sendUpdates(SteadyTime now)
 {
-    const Messages::WorkerStatus current = this->status();
+    const Messages::Room free = this->freeRoom();
     for (auto& [id, entry] : this->entries) {
         if (entry.connection == 0)
             continue;
-        const bool hasNews = !(current == entry.statusSent);
-        const bool isDue = entry.isUpdateDue || !entry.reports.empty()
-            || (hasNews && now >= entry.updatedAt + this->settings.statusInterval)
+        const bool hasNews = entry.isReadySent != this->isReady() || !(entry.freeSent == free);
+        const bool isDue = entry.isUpdateDue || (hasNews && now >= entry.updatedAt + this->settings.statusInterval)
             || now >= entry.updatedAt + this->settings.aliveInterval;
         if (!isDue)
             continue;
+        SendUpdate send { entry.connection,
+            { this->settings.incarnation, Core::toClockSample(now), entry.handledSequence,
+                std::exchange(entry.reports, {}), {}, this->load(now) } };
+        Messages::WorkerProfile current = this->profile();
+        if (!(current == entry.profileSent)) {
+            entry.profileSent = current;
+            send.update.profile.push_back(std::move(current));
+        }
         entry.isUpdateDue = false;
         entry.updatedAt = now;
-        entry.statusSent = current;
-        this->actions.push_back(SendUpdate { entry.connection,
-            { this->settings.incarnation, Core::toClockSample(now), entry.handledSequence,
-                std::exchange(entry.reports, {}), current } });
+        entry.freeSent = free;
+        entry.isReadySent = this->isReady();
+        this->actions.push_back(std::move(send));
     }
 }
 
@@ -302,49 +343,79 @@
     SteadyTime due = this->nextLook;
     if (this->runs.activeCount() == 0 && this->life.isListed && this->unansweredCalls == 0)
         due = SteadyTime::max();
-    const Messages::WorkerStatus current = this->status();
+    const Messages::Room free = this->freeRoom();
     for (const auto& [id, entry] : this->entries) {
+        const bool hasNews = entry.isReadySent != this->isReady() || !(entry.freeSent == free);
         if (entry.connection != 0)
-            due = std::min(due,
-                entry.updatedAt
-                    + (current == entry.statusSent ? this->settings.aliveInterval : this->settings.statusInterval));
+            due = std::min(
+                due, entry.updatedAt + (hasNews ? this->settings.statusInterval : this->settings.aliveInterval));
         if (this->runs.activeCount() > 0)
             due = std::min(due, entry.permittedUntil);
     }
     for (const auto& [task, run] : this->runs.all()) {
-        if (run.phase != RunPhase::Ended)
-            due = std::min(due, run.phase == RunPhase::Stopping ? run.stopAgainAt : run.deadline);
+        if (run.phase == RunPhase::Queued)
+            due = std::min(due, run.startBy);
+        else if (run.phase == RunPhase::Stopping)
+            due = std::min(due, run.stopAgainAt);
+        else if (run.phase != RunPhase::Ended)
+            due = std::min(due, run.deadline);
     }
     return due;
 }
 
-Messages::WorkerStatus RunSupervisor::status() const
+Messages::Room RunSupervisor::freeRoom() const
+{
+    return this->life.profile ? this->life.profile->capacity - this->runs.used() : Messages::Room {};
+}
+
+bool RunSupervisor::isReady() const
+{
+    return this->life.profile && this->life.isListed && !this->life.isDraining && !this->isDrained
+        && this->unansweredCalls < unansweredLimit;
+}
+
+Messages::WorkerProfile RunSupervisor::profile() const
 {
-    Messages::WorkerStatus status;
     if (!this->life.profile)
-        return status;
-    const WorkerAnnouncement& profile = *this->life.profile;
-    status.workerId = profile.workerId;
-    status.bornAt = profile.bornAt;
-    status.service = profile.service;
-    status.capacity = profile.capacity;
-    status.free = profile.capacity - this->runs.used();
-    status.labels = profile.labels;
-    status.isDraining = this->life.isDraining || this->isDrained;
-    status.isReady = !status.isDraining && this->life.isListed && this->unansweredCalls < unansweredLimit;
-    return status;
+        return {};
+    const WorkerAnnouncement& known = *this->life.profile;
+    return { known.workerId, known.bornAt, known.service, known.capacity, known.labels };
+}
+
+Messages::WorkerLoad RunSupervisor::load(SteadyTime now) const
+{
+    Messages::WorkerLoad load;
+    load.free = this->freeRoom();
+    for (const auto& [place, task] : this->runs.queue()) {
+        const Run& run = this->runs.all().at(task);
+        const std::int8_t exponent = Messages::rankExponentOf(run.rank);
+        if (load.queued.empty() || load.queued.back().rankExponent != exponent)
+            load.queued.push_back({ exponent, 0 });
+        load.queued.back().milliCores += run.need.milliCores;
+    }
+    load.freedMilliCoresPerSecond = this->health.freedMilliCoresPerSecond(now);
+    load.pacePercent = this->health.pacePercent(now);
+    load.isReady = this->isReady();
+    load.isDraining = this->life.isDraining || this->isDrained;
+    load.isOnProbation = this->health.isOnProbation();
+    return load;
 }
 
 void RunSupervisor::fire(SteadyTime now, Run& run, RunEvent event)
 {
     this->runs.fire(run, event, now, [&](RunAction action) {
         switch (action) {
+        case RunAction::OrderStart:
+            this->giveStart(now, run);
+            break;
         case RunAction::ReportRunning:
             run.startedAt = now;
-            run.progressAt = now;
+            run.percentAt = now;
             run.expectedEnd = now + run.expectedTime;
             break;
         case RunAction::ReportEnd:
+            if (run.startedAt != SteadyTime {})
+                this->health.ended(now, run.end, run.need);
             this->report(now, run);
             break;
         case RunAction::VoidOlderOrders:
@@ -377,7 +448,7 @@
         ? 0
         : std::chrono::duration_cast<std::chrono::microseconds>(until - run.startedAt).count();
     found->second.reports.push_back({ run.task, run.number, hasEnded ? RunState::Ended : RunState::Running,
-        hasEnded ? run.end : RunEnd::NotStarted, run.refusal, time });
+        hasEnded ? run.end : RunEnd::NotStarted, run.refusal, time, static_cast<std::uint8_t>(run.percent) });
     found->second.isUpdateDue = true;
 }
 
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -3,6 +3,7 @@
 #include "celeryswitch/Logging/StructuredLog.h"
 #include "celeryswitch/Workers/RunTable.h"
 #include "celeryswitch/Workers/WorkerClock.h"
+#include "celeryswitch/Workers/WorkerHealth.h"
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -30,6 +31,8 @@
     /// Shortest time between two updates that only tell of changed room, and longest time between two updates.
     Core::Duration statusInterval = std::chrono::milliseconds(15);
     Core::Duration aliveInterval = std::chrono::milliseconds(200);
+    /// Age of a run from which on its progress is reported, and time between two reports of it.
+    Core::Duration progressInterval = std::chrono::milliseconds(100);
 };
 
 /// Give an order to the worker; its result comes back under `callId`.
@@ -77,10 +80,8 @@
     /// When `poll` is due although nothing else happens.
     Core::SteadyTime nextWakeUp() const;
 
-    /// Runs that have not ended.
+    /// Runs that were ordered and have not ended.
     std::size_t activeRuns() const { return this->runs.activeCount(); }
-    /// What entries are told of the worker.
-    Messages::WorkerStatus status() const;
 
 private:
     /// An entry and what it may rely on.
@@ -92,7 +93,10 @@
         Core::SteadyTime permittedUntil;
         std::uint64_t handledSequence = 0;
         std::vector<Messages::RunReport> reports;
-        Messages::WorkerStatus statusSent;
+        Messages::WorkerProfile profileSent;
+        /// Room and readiness as they were sent last.
+        Messages::Room freeSent;
+        bool isReadySent = false;
         Core::SteadyTime updatedAt;
         bool isUpdateDue = true;
     };
@@ -123,6 +127,12 @@
     void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ClaimRuns& claims);
     void permit(Core::SteadyTime now, Entry& entry, std::int64_t clockEcho);
     RunRefusal refusalOf(const Messages::StartRuns& order, const TaskId& task);
+    void startQueued(Core::SteadyTime now);
+    bool isStartable(const Run& run) const;
+    Messages::WorkerProfile profile() const;
+    Messages::WorkerLoad load(Core::SteadyTime now) const;
+    bool isReady() const;
+    Messages::Room freeRoom() const;
     void answerClaims(Core::SteadyTime now);
 
     void endLife(Core::SteadyTime now, std::string_view reason);
@@ -133,6 +143,8 @@
     void stopAnswered(Core::SteadyTime now, const StopCall& call, const CallResult& result);
     void holdAnswered(Core::SteadyTime now, const PendingCall& pending, const CallResult& result);
     void takeEnded(Core::SteadyTime now, const EndedRow& row);
+    void noteProgress(Core::SteadyTime now, Run& run, std::uint32_t percent);
+    void reportProgress(Core::SteadyTime now, Run& run);
     void noteContact(Core::SteadyTime now, const CallResult& result);
     void raiseToken(Core::SteadyTime now);
     std::int64_t extendLease(Core::SteadyTime now);
@@ -151,6 +163,7 @@
     Logging::StructuredLog& log;
     Core::SteadyTime startedAt;
     WorkerLife life;
+    WorkerHealth health;
     RunTable runs;
     std::map<Core::InstanceId, Entry> entries;
     /// Claims that wait for the first reading of the worker's lists.
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -243,21 +243,23 @@
             found.need = { row.milliCores, 0, 0 };
             found.phase = RunPhase::Running;
             found.startedAt = now;
+            found.percent = row.percent;
+            found.percentAt = now;
             found.orderedAt = now;
             found.deadline = now + this->settings.claimTime;
             found.expectedEnd = SteadyTime::max();
             this->runs.add(std::move(found));
         } else if (run && run->number == row.run) {
-            if (run->percent != row.percent)
-                run->progressAt = now;
-            run->percent = row.percent;
+            this->noteProgress(now, *run, row.percent);
             this->fire(now, *run, RunEvent::Listed);
+            this->reportProgress(now, *run);
         }
     }
     for (auto& [task, run] : this->runs.all()) {
         const auto found = listed.find(task);
         const bool isListed = found != listed.end() && found->second->run == run.number;
-        if (run.phase != RunPhase::Ended && !isListed && run.orderedAt <= call.sentAt)
+        if (run.phase != RunPhase::Ended && run.phase != RunPhase::Queued && !isListed
+            && run.orderedAt <= call.sentAt)
             this->endRun(now, run, RunEvent::Unlisted,
                 run.phase == RunPhase::Running ? RunEnd::Lost : RunEnd::NotStarted, RunRefusal::Unanswered);
     }
@@ -267,6 +269,25 @@
     }
 }
 
+void RunSupervisor::noteProgress(SteadyTime now, Run& run, std::uint32_t percent)
+{
+    if (run.phase != RunPhase::Running || run.expectedTime <= Core::Duration::zero() || percent < run.percent)
+        return;
+    this->health.progressed(now, run.expectedTime * (percent - run.percent) / 100, now - run.percentAt);
+    run.percent = percent;
+    run.percentAt = now;
+}
+
+void RunSupervisor::reportProgress(SteadyTime now, Run& run)
+{
+    // Only a percentage that was read just now says something about the time that is left.
+    if (run.phase != RunPhase::Running || now < run.startedAt + this->settings.progressInterval
+        || now < run.reportedAt + this->settings.progressInterval)
+        return;
+    run.reportedAt = now;
+    this->report(now, run);
+}
+
 void RunSupervisor::takeEnded(SteadyTime now, const EndedRow& row)
 {
     if (row.number <= this->life.notedEnds)
@@ -276,6 +297,8 @@
     if (run && run->phase != RunPhase::Ended && run->number == row.run) {
         if (run->startedAt == SteadyTime {})
             run->startedAt = now;
+        if (row.end == RunEnd::Done)
+            this->noteProgress(now, *run, 100);
         this->endRun(now, *run, RunEvent::EndListed, row.end);
         return;
     }
--- a/celeryswitch/Workers/RunTable.cpp
+++ b/celeryswitch/Workers/RunTable.cpp
@@ -32,9 +32,14 @@
         this->runs.erase(found);
     }
     CELERY_ASSERT(run.phase != RunPhase::Ended);
-    this->usedRoom += run.need;
-    ++this->active;
     const TaskId task = run.task;
+    run.arrival = ++this->lastArrival;
+    if (run.phase == RunPhase::Queued) {
+        this->waiting.emplace(std::pair(-run.rank, run.arrival), task);
+    } else {
+        this->usedRoom += run.need;
+        ++this->active;
+    }
     return this->runs.emplace(task, std::move(run)).first->second;
 }
 
@@ -52,15 +57,32 @@
         return;
     const RunPhase before = run.phase;
     run.phase = static_cast<RunPhase>(transition->target);
-    if (run.phase == RunPhase::Ended && before != RunPhase::Ended) {
-        run.endedAt = now;
+    const bool wasActive = before != RunPhase::Queued && before != RunPhase::Ended;
+    const bool isActive = run.phase != RunPhase::Queued && run.phase != RunPhase::Ended;
+    if (before == RunPhase::Queued && run.phase != RunPhase::Queued)
+        this->waiting.erase({ -run.rank, run.arrival });
+    if (isActive && !wasActive) {
+        this->usedRoom += run.need;
+        ++this->active;
+    } else if (wasActive && !isActive) {
         this->usedRoom -= run.need;
         --this->active;
     }
+    if (run.phase == RunPhase::Ended && before != RunPhase::Ended)
+        run.endedAt = now;
     for (std::size_t action : transition->actions)
         perform(static_cast<RunAction>(action));
 }
 
+void RunTable::setNeed(Run& run, const Room& need)
+{
+    if (run.phase != RunPhase::Queued && run.phase != RunPhase::Ended) {
+        this->usedRoom -= run.need;
+        this->usedRoom += need;
+    }
+    run.need = need;
+}
+
 void RunTable::forgetEndedBefore(Core::SteadyTime time)
 {
     std::erase_if(this->runs, [&](const auto& entry) {
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -10,6 +10,7 @@
 
 /// Phase of a run; the transitions stand in Charts/run.toml.
 enum class RunPhase : std::uint8_t {
+    Queued,
     Starting,
     Uncertain,
     Running,
@@ -19,6 +20,8 @@
 
 /// What may change the phase of a run.
 enum class RunEvent : std::uint8_t {
+    /// There is room for the run, and no better one waits.
+    RoomGranted,
     StartAccepted,
     /// The run did not start and never will.
     StartRefused,
@@ -41,6 +44,7 @@
 
 /// Actions in the chart.
 enum class RunAction : std::uint8_t {
+    OrderStart,
     ReportRunning,
     ReportEnd,
     VoidOlderOrders,
@@ -56,12 +60,16 @@
     Core::Incarnation entryIncarnation = 0;
     Room need;
     std::shared_ptr<const std::string> content;
-    RunPhase phase = RunPhase::Starting;
+    RunPhase phase = RunPhase::Queued;
+    /// Value of the work for the room and time that it takes; more goes first.
+    float rank = 0;
+    /// Refused if it has not started by then.
+    Core::SteadyTime startBy = Core::SteadyTime::max();
     /// Set before the phase becomes Ended.
     RunEnd end = RunEnd::NotStarted;
     RunRefusal refusal = RunRefusal::None;
     /// When the order about this run that counts now was given; an answer asked for earlier says nothing about it.
-    Core::SteadyTime orderedAt;
+    Core::SteadyTime orderedAt = Core::SteadyTime::max();
     Core::SteadyTime startedAt;
     Core::SteadyTime endedAt;
     /// When the run is expected to end.
@@ -70,15 +78,19 @@
     Core::SteadyTime deadline = Core::SteadyTime::max();
     Core::Duration expectedTime {};
     std::uint32_t percent = 0;
-    /// When the worker was last seen to make progress with it.
-    Core::SteadyTime progressAt;
+    /// When `percent` was read.
+    Core::SteadyTime percentAt;
+    /// When its progress was reported last.
+    Core::SteadyTime reportedAt;
     /// When an order to stop that could not be sent is repeated; the largest time when none has to be.
     Core::SteadyTime stopAgainAt = Core::SteadyTime::max();
+    /// Place in the order of arrival.
+    std::uint64_t arrival = 0;
     /// Times that the order to start was repeated because the worker refused an old token or run number.
     std::uint32_t repeats = 0;
 };
 
-/// The runs on one worker and the room that they use. A run counts until its end is known.
+/// The runs on one worker and the room that they use. A run uses room from its order to start until its end is known.
 class RunTable {
 public:
     /// Adds a run; there must be none of its task that has not ended.
@@ -90,10 +102,14 @@
     const std::map<TaskId, Run>& all() const { return this->runs; }
     /// Feeds the phase chart of a run; `perform` carries out the actions of the transition, after the phase has changed.
     void fire(Run& run, RunEvent event, Core::SteadyTime now, const std::function<void(RunAction)>& perform);
+    /// Corrects the room that an adopted run needs.
+    void setNeed(Run& run, const Room& need);
     /// Room that the runs use which have not ended.
     const Room& used() const { return this->usedRoom; }
-    /// Runs that have not ended.
+    /// Runs that were ordered and have not ended.
     std::size_t activeCount() const { return this->active; }
+    /// Runs that wait for room, best first.
+    const std::map<std::pair<float, std::uint64_t>, TaskId>& queue() const { return this->waiting; }
     /// Forgets runs that ended before a time.
     void forgetEndedBefore(Core::SteadyTime time);
 
@@ -101,6 +117,9 @@
     std::map<TaskId, Run> runs;
     Room usedRoom;
     std::size_t active = 0;
+    /// By negative rank, then by arrival.
+    std::map<std::pair<float, std::uint64_t>, TaskId> waiting;
+    std::uint64_t lastArrival = 0;
 };
 
 }
@@ -109,7 +128,8 @@
 
 template <> struct EnumTable<Workers::RunPhase> {
     static constexpr std::string_view type = "RunPhase";
-    static constexpr std::array<std::pair<Workers::RunPhase, std::string_view>, 5> names { {
+    static constexpr std::array<std::pair<Workers::RunPhase, std::string_view>, 6> names { {
+        { Workers::RunPhase::Queued, "queued" },
         { Workers::RunPhase::Starting, "starting" },
         { Workers::RunPhase::Uncertain, "uncertain" },
         { Workers::RunPhase::Running, "running" },
@@ -120,7 +140,8 @@
 
 template <> struct EnumTable<Workers::RunEvent> {
     static constexpr std::string_view type = "RunEvent";
-    static constexpr std::array<std::pair<Workers::RunEvent, std::string_view>, 9> names { {
+    static constexpr std::array<std::pair<Workers::RunEvent, std::string_view>, 10> names { {
+        { Workers::RunEvent::RoomGranted, "roomGranted" },
         { Workers::RunEvent::StartAccepted, "startAccepted" },
         { Workers::RunEvent::StartRefused, "startRefused" },
         { Workers::RunEvent::StartUnanswered, "startUnanswered" },
@@ -142,7 +163,8 @@
 
 template <> struct EnumTable<Workers::RunAction> {
     static constexpr std::string_view type = "RunAction";
-    static constexpr std::array<std::pair<Workers::RunAction, std::string_view>, 4> names { {
+    static constexpr std::array<std::pair<Workers::RunAction, std::string_view>, 5> names { {
+        { Workers::RunAction::OrderStart, "orderStart" },
         { Workers::RunAction::ReportRunning, "reportRunning" },
         { Workers::RunAction::ReportEnd, "reportEnd" },
         { Workers::RunAction::VoidOlderOrders, "voidOlderOrders" },
--- /dev/null
+++ b/celeryswitch/Workers/WorkerHealth.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "celeryswitch/Core/FadingSum.h"
+#include "celeryswitch/Messages/WorkMessages.h"
+#include <cstdint>
+
+namespace celeryswitch::Workers {
+
+/// Judges one worker by what became of its runs: its speed against the expected times, the room that it gives back, and
+/// whether it fails or stalls what it runs. A worker that does is on probation: it gets one run at a time until one
+/// succeeds at a usable speed.
+class WorkerHealth {
+public:
+    /// A run made progress: `expected` of its expected time in `elapsed`.
+    void progressed(Core::SteadyTime now, Core::Duration expected, Core::Duration elapsed);
+    /// A run ended and gave its room back; `isFailed` is set for a failure of the run or the worker.
+    void ended(Core::SteadyTime now, Messages::RunEnd end, const Messages::Room& room);
+
+    /// Speed of the worker, in percent of the ordinary one.
+    std::uint16_t pacePercent(Core::SteadyTime now) const;
+    /// Room that ends of runs give back, in thousandths of a core a second.
+    std::int64_t freedMilliCoresPerSecond(Core::SteadyTime now) const;
+    /// Whether the worker gets one run at a time.
+    bool isOnProbation() const { return this->onProbation; }
+
+private:
+    void judge(Core::SteadyTime now);
+
+    Core::FadingSum expectedTime { std::chrono::milliseconds(1000) };
+    Core::FadingSum elapsedTime { std::chrono::milliseconds(1000) };
+    Core::FadingSum freed { std::chrono::milliseconds(500) };
+    std::uint32_t failuresInARow = 0;
+    bool onProbation = false;
+};
+
+}
