Judge lateness against the goal that follows from the true time

Cause: the goal was taken from the declared time, so that long tasks seemed to be late when their goal was later too.

--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -14,8 +14,6 @@
 
 // What a caller that was refused is told to wait at least.
 constexpr Core::Duration retryAfterRefusal = std::chrono::seconds(1);
-// Probability to miss the goal above which a job is treated as one that can only be late.
-constexpr double lateProbability = 0.7;
 // Progress, in percent, from which on the end of a run is extrapolated.
 constexpr std::uint32_t surePercent = 4;
 // Percentages are rounded down.
@@ -25,12 +23,13 @@
 constexpr double stalledShare = 0.3;
 constexpr double stalledSeconds = 0.1;
 constexpr double stalledFactor = 10;
-// Share of the extrapolated time by which it may be wrong.
-constexpr double progressDoubt = 0.06;
+// Shares of the extrapolated time by which it may be wrong: always, and at a progress of 1 %.
+constexpr double progressDoubt = 0.02;
+constexpr double percentDoubt = 0.7;
 // How much longer a run must need than a new one elsewhere to be restarted.
 constexpr double worthwhileFactor = 1.3;
 // Time to spare, beyond two runs, that a job must have for one of its tasks to test a worker on probation.
-constexpr double probeSeconds = 0.2;
+constexpr double probeSeconds = -0.1;
 // Time of an order's way to a sidecar and of the refusal's way back.
 constexpr double orderSeconds = 0.005;
 // A sidecar may be a little behind what this entry knows.
@@ -68,8 +67,7 @@
     KindModel& model = this->modelOf(now, job.queue);
     // The longest chain of steps.
     std::vector<double> chains;
-    double longest = 0;
-    double lowest = 0;
+    TimeEstimate longest;
     double coreSeconds = 0;
     for (const StepSpecification& step : job.specification.steps) {
         const double declared = step.declaredMilliseconds / 1000.0;
@@ -78,23 +76,26 @@
         for (std::uint32_t earlier : step.after)
             before = std::max(before, chains[earlier]);
         chains.push_back(before + time.seconds);
-        if (chains.back() > longest) {
-            longest = chains.back();
-            lowest = longest * std::exp(-time.deviation);
-        }
+        if (chains.back() > longest.seconds)
+            longest = { chains.back(), time.deviation };
         coreSeconds
             += model.taskSeconds(declared) * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
     }
     model.arrived(now, coreSeconds);
     job.rank = static_cast<float>(model.rank(now, coreSeconds));
-    const double target = job.queue.targetMilliseconds / 1000.0;
-    const double goal = longest * job.queue.stretch + target;
+    job.patienceEnd
+        = after(now, std::chrono::duration<double>(patience - this->settings.travelTime).count());
+    // The goal follows from the true time, which is not known yet.
+    job.limit = this->goalOf(job, longest.seconds * std::exp(2 * longest.deviation), this->settings.lateFactor);
+    job.waitUntil
+        = this->goalOf(job, longest.seconds * std::exp(-longest.deviation), this->settings.waitShare);
+}
+
+SteadyTime JobScheduler::goalOf(const Job& job, double chainSeconds, double factor) const
+{
+    const double goal = chainSeconds * job.queue.stretch + job.queue.targetMilliseconds / 1000.0;
     const double travel = std::chrono::duration<double>(this->settings.travelTime).count();
-    const double wait = std::chrono::duration<double>(patience).count();
-    job.goal = after(now, goal - travel);
-    job.limit = after(now, std::min(wait, goal * this->settings.lateFactor) - travel);
-    // The goal follows from the true time, which may be shorter than the expected one.
-    job.waitUntil = after(now, (lowest * job.queue.stretch + target) * this->settings.waitShare - travel);
+    return std::min(job.patienceEnd, after(job.arrivedAt, goal * factor - travel));
 }
 
 bool JobScheduler::isSupported(const JobSpecification& job, std::string& reason) const
@@ -144,7 +145,7 @@
     this->estimate(now, job, patience);
     this->log.write(LogLevel::Debug, "job admitted",
         { { "job", id }, { "queue", queue.name }, { "rank_per_mille", static_cast<std::int64_t>(job.rank * 1e6F) },
-            { "goal_ms", milliseconds(job.goal - now) }, { "limit_ms", milliseconds(job.limit - now) },
+            { "limit_ms", milliseconds(job.limit - now) },
             { "wait_ms", milliseconds(job.waitUntil - now) } });
     this->queue(this->jobs.emplace(id, std::move(job)).first->second);
 }
@@ -326,20 +327,21 @@
         return;
     }
     task.expectedEnd = after(now, left);
-    // A run of which little is known is judged generously.
-    const double doubt = progressDoubt * (elapsed + left);
+    // Percentages are whole numbers, so that early ones say little.
+    const double doubt = (elapsed + left) * (progressDoubt + percentDoubt / (report.percent + 1));
     const double restarted = std::chrono::duration<double>(this->settings.restartTime).count() + fresh;
-    const bool isLate = left - doubt > secondsUntil(now, job.goal);
-    const bool isHopeless = left - doubt > secondsUntil(now, job.limit);
-    const bool isRestartInTime = restarted < secondsUntil(now, job.goal)
-        || (isHopeless && restarted < secondsUntil(now, job.limit));
+    const SteadyTime goal = this->goalOf(job, fresh, 1);
+    const SteadyTime limit = this->goalOf(job, fresh, this->settings.lateFactor);
+    const bool isLate = left - doubt > secondsUntil(now, goal);
+    const bool isHopeless = left - doubt > secondsUntil(now, limit);
+    const bool isRestartInTime = restarted < secondsUntil(now, isHopeless ? limit : goal);
     if (isLate && isRestartInTime && left > restarted * worthwhileFactor) {
         this->restart(now, job, report.task, task);
     } else if (isHopeless && !isRestartInTime) {
         this->log.write(LogLevel::Info, "job can't end in time",
             { { "job", found->first }, { "task", report.task.index }, { "percent", report.percent },
                 { "ran_ms", report.runMicroseconds / 1000 }, { "left_ms", static_cast<std::int64_t>(left * 1000) },
-                { "limit_ms", milliseconds(job.limit - now) } });
+                { "limit_ms", milliseconds(limit - now) } });
         this->end(now, found, { AnswerKind::GivenUp, {}, 0, {}, "can't end in time" });
     }
 }
@@ -439,14 +441,18 @@
     request.rank = job.hasBegun
         ? job.rank * static_cast<float>(step.tasks.size()) / static_cast<float>(step.waiting)
         : job.rank;
-    request.budgetSeconds = secondsUntil(now, job.goal);
-    if (request.time.probabilityAbove(request.budgetSeconds) > lateProbability) {
-        request.budgetSeconds = secondsUntil(now, job.limit);
+    request.stretch = job.queue.stretch;
+    request.slackSeconds = secondsUntil(now, this->goalOf(job, 0, 1));
+    request.patienceSeconds = secondsUntil(now, job.patienceEnd);
+    double longestWait = request.time.seconds * (request.stretch - 1) + request.slackSeconds;
+    if (longestWait < 0) {
+        // It can only be late.
         request.rank *= static_cast<float>(this->settings.lateValue);
+        longestWait = secondsUntil(now, job.limit) - request.time.seconds;
     }
-    const double slack = request.budgetSeconds - request.time.seconds;
-    request.longestWaitSeconds
-        = std::max(0.0, job.hasBegun ? slack : std::min(slack, secondsUntil(now, job.waitUntil) - orderSeconds));
+    if (!job.hasBegun)
+        longestWait = std::min(longestWait, secondsUntil(now, job.waitUntil) - orderSeconds);
+    request.longestWaitSeconds = std::max(0.0, longestWait);
     bool hasFailed = false;
     for (const Task& task : step.tasks) {
         if (task.phase != TaskPhase::Waiting)
@@ -455,7 +461,7 @@
         request.avoided.insert(request.avoided.end(), task.avoided.begin(), task.avoided.end());
     }
     request.isProbe = !hasFailed && job.queue.maximumAttempts > 1
-        && request.budgetSeconds > 2 * request.time.seconds + probeSeconds;
+        && request.slackSeconds + request.time.seconds * (request.stretch - 2) > probeSeconds;
     const std::vector<Placement> placements = place(this->board, ordinaryPace, request);
     for (const Placement& placement : placements)
         this->order(now, job, stepIndex, placement, request);
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -115,8 +115,8 @@
         RequestNumber request = 0;
         float rank = 0;
         Core::SteadyTime arrivedAt;
-        /// When it should be answered, and when an answer has no value any more or the caller stops waiting.
-        Core::SteadyTime goal;
+        /// When the caller stops waiting, and when an answer has no value any more at the latest.
+        Core::SteadyTime patienceEnd;
         Core::SteadyTime limit;
         /// When it is refused if it has not begun.
         Core::SteadyTime waitUntil;
@@ -136,6 +136,8 @@
     KindModel& modelOf(Core::SteadyTime now, const Configuration::Queue& queue);
     bool isSupported(const JobSpecification& job, std::string& reason) const;
     void estimate(Core::SteadyTime now, Job& job, Core::Duration patience);
+    // When a job has to be answered whose longest chain of steps takes this long.
+    Core::SteadyTime goalOf(const Job& job, double chainSeconds, double factor) const;
     void placeWaiting(Core::SteadyTime now);
     bool placeStep(Core::SteadyTime now, double ordinaryPace, Job& job, std::uint32_t stepIndex);
     void order(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
--- a/celeryswitch/Scheduling/WorkerBoard.cpp
+++ b/celeryswitch/Scheduling/WorkerBoard.cpp
@@ -9,18 +9,20 @@
 
 constexpr double never = std::numeric_limits<double>::infinity();
 
-// Costs of a choice, in parts of the value of the work. The chance to miss the budget counts most; the rest decides
-// between choices that are about as good in that.
-constexpr double waitCost = 0.5;
-constexpr double farCost = 0.03;
+// Costs of a choice, in parts of the value of the work. The chance to miss the end counts most; the rest decides between
+// choices that are about as good in that.
+constexpr double lateCost = 0.8;
+constexpr double farCost = 0.01;
 constexpr double avoidedCost = 4;
 constexpr double farDataCost = 0.5;
-// Using a faster worker than is needed, and a slower one than the ordinary.
+// A second of waiting.
+constexpr double waitCost = 0.5;
+// Using a faster worker than the ordinary, and a slower one.
 constexpr double fastCost = 0.1;
 constexpr double slowCost = 0.5;
 constexpr double slowPace = 0.85;
 // A worker that has most of its room left, so that holes stay large for wide jobs.
-constexpr double emptyCost = 0.02;
+constexpr double emptyCost = 0.01;
 
 /// A worker that could run some of the tasks.
 struct Candidate {
@@ -45,16 +47,25 @@
     return rate > 0 ? static_cast<double>(lack) / static_cast<double>(rate) : never;
 }
 
+// Probability that the tasks end too late for an answer in time.
+double lateProbability(const Candidate& candidate, const PlacementRequest& request)
+{
+    const double lack = candidate.waitSeconds - request.slackSeconds;
+    const double gain = request.stretch - 1 / candidate.pace;
+    if (gain > 0)
+        return lack <= 0 ? 0 : 1 - request.time.probabilityAbove(lack / gain);
+    return lack >= 0 ? 1 : request.time.probabilityAbove(lack / gain);
+}
+
 double costOf(const Candidate& candidate, const PlacementRequest& request)
 {
     TimeEstimate time = request.time;
     time.seconds /= candidate.pace;
-    const double left = request.budgetSeconds - candidate.waitSeconds;
-    const double miss = time.probabilityAbove(left);
-    const double wait = request.budgetSeconds > 0 ? candidate.waitSeconds / request.budgetSeconds : 0;
-    const double speed
-        = candidate.pace >= slowPace ? fastCost * candidate.pace : slowCost * (1 / candidate.pace - 1) + fastCost;
-    return miss + waitCost * wait + speed + candidate.fixedCost;
+    const double miss = time.probabilityAbove(request.patienceSeconds - candidate.waitSeconds);
+    const double speed = candidate.pace >= slowPace ? fastCost * std::max(0.0, candidate.pace - 1)
+                                                    : slowCost * (1 / candidate.pace - 1);
+    return miss + lateCost * lateProbability(candidate, request) + waitCost * candidate.waitSeconds + speed
+        + candidate.fixedCost;
 }
 
 bool isEligible(const WorkerView& worker, const PlacementRequest& request)
--- a/celeryswitch/Scheduling/WorkerBoard.h
+++ b/celeryswitch/Scheduling/WorkerBoard.h
@@ -57,8 +57,12 @@
     float rank = 0;
     /// Time that the tasks take on an ordinary worker.
     TimeEstimate time;
-    /// Time in which they should be done, in seconds.
-    double budgetSeconds = 0;
+    /// The job is answered in time when its tasks take no longer than `stretch` times their time on an ordinary worker
+    /// and `slackSeconds` more, from now on; the slack shrinks, below 0 as well, while the job waits.
+    double stretch = 1;
+    double slackSeconds = 0;
+    /// Time until the caller stops waiting, in seconds.
+    double patienceSeconds = 0;
     /// Longest wait for room, in seconds.
     double longestWaitSeconds = 0;
     /// Whether a task may go to a worker on probation.
