--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -329,7 +329,10 @@
     task.expectedEnd = after(now, left);
     // Percentages are whole numbers, so that early ones say little.
     const double doubt = (elapsed + left) * (progressDoubt + percentDoubt / (report.percent + 1));
-    const double restarted = std::chrono::duration<double>(this->settings.restartTime).count() + fresh;
+    const double pace = fastestPace(
+        this->board, job.queue.service, job.specification.steps[report.task.step].need, job.rank);
+    const double restarted = std::chrono::duration<double>(this->settings.restartTime).count()
+        + fresh * medianPace(this->board) / std::max(0.01, pace);
     const SteadyTime goal = this->goalOf(job, fresh, 1);
     const SteadyTime limit = this->goalOf(job, fresh, this->settings.lateFactor);
     const bool isLate = left - doubt > secondsUntil(now, goal);
@@ -503,7 +506,7 @@
     this->log.write(LogLevel::Debug, "tasks placed",
         { { "job", job.specification.id }, { "sidecar", placement.sidecar },
             { "tasks", static_cast<std::uint64_t>(start.tasks.size()) },
-            { "free_millicores", worker.load.free.milliCores },
+            { "free_millicores", worker.load.free.milliCores }, { "pace_percent", worker.load.pacePercent },
             { "wait_us", static_cast<std::int64_t>(placement.waitSeconds * 1e6) },
             { "waited_ms", milliseconds(now - job.arrivedAt) } });
     this->actions.push_back(SendWork { placement.sidecar, std::move(start) });
--- a/celeryswitch/Scheduling/WorkerBoard.cpp
+++ b/celeryswitch/Scheduling/WorkerBoard.cpp
@@ -12,17 +12,17 @@
 // Costs of a choice, in parts of the value of the work. The chance to miss the end counts most; the rest decides between
 // choices that are about as good in that.
 constexpr double lateCost = 0.8;
-constexpr double farCost = 0.01;
+constexpr double farCost = 0.004;
 constexpr double avoidedCost = 4;
 constexpr double farDataCost = 0.5;
 // A second of waiting.
 constexpr double waitCost = 0.5;
 // Using a faster worker than the ordinary, and a slower one.
-constexpr double fastCost = 0.1;
+constexpr double fastCost = 0.03;
 constexpr double slowCost = 0.5;
 constexpr double slowPace = 0.85;
 // A worker that has most of its room left, so that holes stay large for wide jobs.
-constexpr double emptyCost = 0.01;
+constexpr double emptyCost = 0.004;
 
 /// A worker that could run some of the tasks.
 struct Candidate {
@@ -117,6 +117,17 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+double fastestPace(const WorkerBoard& board, const std::string& service, const Messages::Room& need, float rank)
+{
+    double fastest = 0;
+    for (const auto& [sidecar, worker] : board) {
+        if (worker.isUsable() && worker.profile.service == service && !worker.load.isOnProbation
+            && need.fits(worker.roomFor(rank)))
+            fastest = std::max(fastest, worker.pace());
+    }
+    return fastest;
+}
+
 double medianPace(const WorkerBoard& board)
 {
     std::vector<double> paces;
--- a/celeryswitch/Scheduling/WorkerBoard.h
+++ b/celeryswitch/Scheduling/WorkerBoard.h
@@ -41,6 +41,9 @@
 /// Speed of the worker in the middle; 1 when there is none.
 double medianPace(const WorkerBoard& board);
 
+/// Speed of the fastest worker of a service that has room now; 0 when none has.
+double fastestPace(const WorkerBoard& board, const std::string& service, const Messages::Room& need, float rank);
+
 /// What a step's tasks ask of their workers.
 struct PlacementRequest {
     std::string service;
