--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -221,18 +221,22 @@
 
 /// Room that queued runs of similar rank need.
 struct QueuedRoom {
-    /// The ranks' power of two.
-    std::int8_t rankExponent = 0;
+    /// Class of the ranks, see rankClassOf.
+    std::int16_t rankClass = 0;
     std::int64_t milliCores = 0;
 
     friend bool operator==(const QueuedRoom&, const QueuedRoom&) = default;
-    template <typename Archive> void serialize(Archive& archive) { archive(this->rankExponent, this->milliCores); }
+    template <typename Archive> void serialize(Archive& archive) { archive(this->rankClass, this->milliCores); }
 };
 
-/// Power of two of a rank, the unit in which sidecars tell what is queued.
-inline std::int8_t rankExponentOf(float rank)
+/// Class of a rank: runs of one class are about as good and go in the order in which they have to start.
+inline std::int16_t rankClassOf(float rank)
 {
-    return rank > 0 ? static_cast<std::int8_t>(std::clamp(std::ilogb(rank), -100, 100)) : std::int8_t(-100);
+    constexpr float classesAnOctave = 4;
+    constexpr float limit = 400;
+    return rank > 0
+        ? static_cast<std::int16_t>(std::clamp(std::floor(std::log2(rank) * classesAnOctave), -limit, limit))
+        : static_cast<std::int16_t>(-limit);
 }
 
 /// State of a worker at a moment.
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -82,7 +82,7 @@
             += model.taskSeconds(declared) * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
     }
     model.arrived(now, coreSeconds);
-    job.rank = static_cast<float>(model.rank(now, coreSeconds));
+    job.rank = static_cast<float>(model.rank(now));
     job.patienceEnd
         = after(now, std::chrono::duration<double>(patience - this->settings.travelTime).count());
     // The goal follows from the true time, which is not known yet.
@@ -133,9 +133,10 @@
     job.queue = queue;
     job.request = request;
     job.arrivedAt = now;
-    Core::Duration patience = std::chrono::milliseconds(queue.timeoutMilliseconds);
-    if (submission.patience > Core::Duration::zero())
-        patience = std::min(patience, submission.patience);
+    // The queue's timeout is for callers that don't say how long they wait.
+    Core::Duration patience = submission.patience;
+    if (patience <= Core::Duration::zero())
+        patience = std::chrono::milliseconds(queue.timeoutMilliseconds);
     for (const StepSpecification& step : submission.job.steps) {
         job.steps.emplace_back();
         job.steps.back().tasks.resize(step.count);
@@ -291,6 +292,7 @@
     const std::uint64_t id = found->first;
     task.phase = TaskPhase::Done;
     ++step.done;
+    job.longestRunSeconds = std::max(job.longestRunSeconds, static_cast<double>(report.runMicroseconds) / 1e6);
     const double seconds = static_cast<double>(report.runMicroseconds) / 1e6 * pace / medianPace(this->board);
     step.longestSeconds = std::max(step.longestSeconds, seconds);
     step.sumSeconds += seconds;
@@ -327,6 +329,8 @@
         return;
     }
     task.expectedEnd = after(now, left);
+    if (report.percent >= surePercent)
+        job.longestRunSeconds = std::max(job.longestRunSeconds, elapsed + left);
     // Percentages are whole numbers, so that early ones say little.
     const double doubt = (elapsed + left) * (progressDoubt + percentDoubt / (report.percent + 1));
     const double pace = fastestPace(
@@ -533,6 +537,10 @@
     this->log.write(isExpected ? LogLevel::Debug : LogLevel::Info, "job ended",
         { { "job", id }, { "queue", job.queue.name }, { "answer", std::string(Core::enumName(answer.kind)) },
             { "state", std::string(Core::enumName(answer.state)) }, { "reason", answer.reason },
+            { "tasks", static_cast<std::uint64_t>(job.steps.front().tasks.size()) },
+            { "millicores", job.specification.steps.front().need.milliCores },
+            { "declared_ms", job.specification.steps.front().declaredMilliseconds },
+            { "longest_run_ms", static_cast<std::int64_t>(job.longestRunSeconds * 1000) },
             { "response_ms", milliseconds(now - job.arrivedAt) } });
     if (answer.kind == AnswerKind::State) {
         this->outcomes[id] = { answer, now };
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -125,6 +125,8 @@
         bool hasBegun = false;
         /// Whether a run is known to have started.
         bool hasRun = false;
+        /// Time of the longest run so far, or to which the longest one is extrapolated, in seconds.
+        double longestRunSeconds = 0;
         bool isQueued = false;
     };
     struct Outcome {
--- a/celeryswitch/Scheduling/KindModel.cpp
+++ b/celeryswitch/Scheduling/KindModel.cpp
@@ -15,9 +15,6 @@
 constexpr double priorDeviation = 0.45;
 constexpr double priorVarianceOfX = 0.16;
 constexpr double smallestDeviation = 0.08;
-// Part of a job's value that its size does not change.
-constexpr double fixedValue = 0.3;
-constexpr double largestValue = 4;
 
 }
 
@@ -86,14 +83,9 @@
     return this->stepTime(declaredSeconds).seconds * std::exp(this->taskShare);
 }
 
-double KindModel::rank(Core::SteadyTime now, double coreSeconds) const
+double KindModel::rank(Core::SteadyTime now) const
 {
-    const double demand = std::max(1e-3, this->work.rate(now, this->since));
-    const double count = this->arrivals.at(now);
-    const double meanWork = count > 0 ? this->work.at(now) / count : coreSeconds;
-    const double size = meanWork > 0 ? std::max(0.01, coreSeconds / meanWork) : 1;
-    const double value = std::min(largestValue, fixedValue + (1 - fixedValue) * size);
-    return value / size / demand;
+    return 1 / std::max(1e-3, this->work.rate(now, this->since));
 }
 
 }
--- a/celeryswitch/Scheduling/KindModel.h
+++ b/celeryswitch/Scheduling/KindModel.h
@@ -31,10 +31,9 @@
     TimeEstimate stepTime(double declaredSeconds) const;
     /// Time of one of its tasks.
     double taskSeconds(double declaredSeconds) const;
-    /// Value of a job for the room and time that it takes. Kinds that ask for little work go before those that ask for
-    /// much, so that each kind's jobs are worth the same in sum; within a kind small jobs do, because a part of a job's
-    /// value does not depend on its size.
-    double rank(Core::SteadyTime now, double coreSeconds) const;
+    /// Value of a job for the room and time that it takes: each kind's jobs are worth the same in sum, so that kinds that
+    /// ask for little work go before those that ask for much. Small and large jobs of a kind have the same rank.
+    double rank(Core::SteadyTime now) const;
 
 private:
     Core::SteadyTime since;
--- a/celeryswitch/Scheduling/WorkerBoard.cpp
+++ b/celeryswitch/Scheduling/WorkerBoard.cpp
@@ -101,9 +101,9 @@
 Messages::Room WorkerView::roomFor(float rank) const
 {
     Messages::Room room = this->load.free;
-    const std::int8_t exponent = Messages::rankExponentOf(rank);
+    const std::int16_t rankClass = Messages::rankClassOf(rank);
     for (const Messages::QueuedRoom& queued : this->load.queued) {
-        if (queued.rankExponent >= exponent)
+        if (queued.rankClass >= rankClass)
             room.milliCores -= queued.milliCores;
     }
     for (const auto& [sequence, used] : this->underway)
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -388,9 +388,9 @@
     load.free = this->freeRoom();
     for (const auto& [place, task] : this->runs.queue()) {
         const Run& run = this->runs.all().at(task);
-        const std::int8_t exponent = Messages::rankExponentOf(run.rank);
-        if (load.queued.empty() || load.queued.back().rankExponent != exponent)
-            load.queued.push_back({ exponent, 0 });
+        const std::int16_t rankClass = Messages::rankClassOf(run.rank);
+        if (load.queued.empty() || load.queued.back().rankClass != rankClass)
+            load.queued.push_back({ rankClass, 0 });
         load.queued.back().milliCores += run.need.milliCores;
     }
     load.freedMilliCoresPerSecond = this->health.freedMilliCoresPerSecond(now);
--- a/celeryswitch/Workers/RunTable.cpp
+++ b/celeryswitch/Workers/RunTable.cpp
@@ -35,7 +35,7 @@
     const TaskId task = run.task;
     run.arrival = ++this->lastArrival;
     if (run.phase == RunPhase::Queued) {
-        this->waiting.emplace(std::pair(-run.rank, run.arrival), task);
+        this->waiting.emplace(placeOf(run), task);
     } else {
         this->usedRoom += run.need;
         ++this->active;
@@ -43,6 +43,11 @@
     return this->runs.emplace(task, std::move(run)).first->second;
 }
 
+QueuePlace RunTable::placeOf(const Run& run)
+{
+    return { static_cast<std::int16_t>(-Messages::rankClassOf(run.rank)), run.startBy, run.arrival };
+}
+
 Run* RunTable::find(const TaskId& task)
 {
     const auto found = this->runs.find(task);
@@ -60,7 +65,7 @@
     const bool wasActive = before != RunPhase::Queued && before != RunPhase::Ended;
     const bool isActive = run.phase != RunPhase::Queued && run.phase != RunPhase::Ended;
     if (before == RunPhase::Queued && run.phase != RunPhase::Queued)
-        this->waiting.erase({ -run.rank, run.arrival });
+        this->waiting.erase(placeOf(run));
     if (isActive && !wasActive) {
         this->usedRoom += run.need;
         ++this->active;
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -90,6 +90,15 @@
     std::uint32_t repeats = 0;
 };
 
+/// Place in the queue: better classes first, then what has to start first, then what came first.
+struct QueuePlace {
+    std::int16_t negativeRankClass = 0;
+    Core::SteadyTime startBy;
+    std::uint64_t arrival = 0;
+
+    friend auto operator<=>(const QueuePlace&, const QueuePlace&) = default;
+};
+
 /// The runs on one worker and the room that they use. A run uses room from its order to start until its end is known.
 class RunTable {
 public:
@@ -109,7 +118,7 @@
     /// Runs that were ordered and have not ended.
     std::size_t activeCount() const { return this->active; }
     /// Runs that wait for room, best first.
-    const std::map<std::pair<float, std::uint64_t>, TaskId>& queue() const { return this->waiting; }
+    const std::map<QueuePlace, TaskId>& queue() const { return this->waiting; }
     /// Forgets runs that ended before a time.
     void forgetEndedBefore(Core::SteadyTime time);
 
@@ -117,8 +126,10 @@
     std::map<TaskId, Run> runs;
     Room usedRoom;
     std::size_t active = 0;
-    /// By negative rank, then by arrival.
-    std::map<std::pair<float, std::uint64_t>, TaskId> waiting;
+    // Place of a run in the queue.
+    static QueuePlace placeOf(const Run& run);
+
+    std::map<QueuePlace, TaskId> waiting;
     std::uint64_t lastArrival = 0;
 };
 
