--- a/celeryswitch/Network/HandshakeSession.cpp
+++ b/celeryswitch/Network/HandshakeSession.cpp
@@ -10,11 +10,11 @@
 using boost::system::error_code;
 
 void HandshakeSession::connect(asio::io_context& context, const tcp::endpoint& endpoint, const AuthenticationKeys& keys,
-    RejectCounter rejected, DoneHandler onDone)
+    RejectCounter rejected, std::chrono::milliseconds limit, DoneHandler onDone)
 {
     const auto session
         = std::make_shared<HandshakeSession>(tcp::socket(context), keys, std::move(rejected), std::move(onDone));
-    session->startTimer();
+    session->startTimer(limit);
     session->socket.async_connect(endpoint, [session](const error_code& error) {
         if (error)
             return session->fail({ TransportError::ConnectFailed, error.message() });
@@ -31,7 +31,7 @@
 {
     const auto session
         = std::make_shared<HandshakeSession>(std::move(socket), keys, std::move(rejected), std::move(onDone));
-    session->startTimer();
+    session->startTimer(timeLimit);
     session->exchange(
         Handshake::offerBytes, [session](auto bytes) { return session->handshake.takeOffer(bytes); },
         [session] {
@@ -55,9 +55,9 @@
 {
 }
 
-void HandshakeSession::startTimer()
+void HandshakeSession::startTimer(std::chrono::milliseconds limit)
 {
-    this->timer.expires_after(timeLimit);
+    this->timer.expires_after(limit);
     this->timer.async_wait([self = this->shared_from_this()](const error_code& error) {
         if (!error)
             self->fail({ TransportError::ConnectFailed, "no handshake within the time limit" });
--- a/celeryswitch/Network/HandshakeSession.h
+++ b/celeryswitch/Network/HandshakeSession.h
@@ -5,16 +5,16 @@
 
 namespace celeryswitch::Network {
 
-/// Runs the handshake over a fresh socket and hands over the connection, or the error, within `timeLimit`.
+/// Runs the handshake over a fresh socket and hands over the connection, or the error, within a time limit.
 class HandshakeSession : public std::enable_shared_from_this<HandshakeSession> {
 public:
     /// Time from the start of the connect, or from the accept, until both sides have proved their key.
     static constexpr std::chrono::seconds timeLimit { 2 };
     using DoneHandler = std::function<void(Core::Result<PeerConnectionPointer>)>;
 
-    /// Connects to `endpoint`. `onDone` is called once, from the event loop.
+    /// Connects to `endpoint` within `limit`. `onDone` is called once, from the event loop.
     static void connect(boost::asio::io_context& context, const boost::asio::ip::tcp::endpoint& endpoint,
-        const AuthenticationKeys& keys, RejectCounter rejected, DoneHandler onDone);
+        const AuthenticationKeys& keys, RejectCounter rejected, std::chrono::milliseconds limit, DoneHandler onDone);
     /// Takes an accepted socket. `onDone` is called once, from the event loop.
     static void accept(boost::asio::ip::tcp::socket socket, const AuthenticationKeys& keys, RejectCounter rejected,
         DoneHandler onDone);
@@ -27,7 +27,7 @@
     using Step = std::function<Core::Result<std::string>(std::string_view)>;
 
     // Ends the session when the time is over.
-    void startTimer();
+    void startTimer(std::chrono::milliseconds limit);
     // Reads `count` bytes, takes them with `step`, sends the reply, then calls `next`.
     void exchange(std::size_t count, Step step, std::function<void()> next);
     // Sends a message, then calls `next`.
--- a/celeryswitch/Network/PeerTransport.cpp
+++ b/celeryswitch/Network/PeerTransport.cpp
@@ -76,7 +76,7 @@
             asio::post(this->context, [handler = std::move(handler), error = endpoint.error()] { handler(error); });
             return;
         }
-        HandshakeSession::connect(this->context, endpoint.value(), this->keys, this->rejected,
+        HandshakeSession::connect(this->context, endpoint.value(), this->keys, this->rejected, this->connectLimit,
             [handler = std::move(handler)](auto result) { handler(std::move(result)); });
     }
 
@@ -123,6 +123,8 @@
 
     const RejectCounter& rejectCounter() const { return this->rejected; }
 
+    std::chrono::milliseconds connectLimit { HandshakeSession::timeLimit };
+
 private:
     void accept()
     {
@@ -217,6 +219,8 @@
     this->implementation->connect(address, std::move(onConnect));
 }
 
+void PeerTransport::setConnectLimit(std::chrono::milliseconds limit) { this->implementation->connectLimit = limit; }
+
 Core::Result<std::string> PeerTransport::bindDatagram(const std::string& address, DatagramHandler onDatagram)
 {
     return this->implementation->bindDatagram(address, std::move(onDatagram));
--- a/celeryswitch/Network/PeerTransport.h
+++ b/celeryswitch/Network/PeerTransport.h
@@ -3,6 +3,7 @@
 #include "celeryswitch/Core/Result.h"
 #include "celeryswitch/Network/PeerConnection.h"
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -38,8 +39,11 @@
     /// Listens on "address:port" (port 0: chosen by the system); returns the bound "address:port". `onAccept` is called
     /// after the peer has proved that it has a key.
     Core::Result<std::string> listen(const std::string& address, AcceptHandler onAccept);
-    /// Connects to "address:port" within 2 s and authenticates both sides.
+    /// Connects to "address:port" within the connect limit and authenticates both sides.
     void connect(const std::string& address, ConnectHandler onConnect);
+    /// Changes the connect limit, which is 2 s by default. A machine that is down does not answer, and its operating
+    /// system's next attempt comes after a second, so that a short limit finds it sooner once it is back.
+    void setConnectLimit(std::chrono::milliseconds limit);
     /// Binds the datagram socket to "address:port"; returns the bound "address:port".
     Core::Result<std::string> bindDatagram(const std::string& address, DatagramHandler onDatagram);
     /// Sends an authenticated datagram of at most 1,200 bytes; failures are counted, not reported.
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -86,6 +86,7 @@
 
 Core::Result<void> SchedulingEntry::start()
 {
+    this->transport.setConnectLimit(this->settings.connectLimit);
     BOOST_OUTCOME_TRY(this->callers.listen(this->settings.callerAddress));
     if (!this->settings.readinessAddress.empty()) {
         BOOST_OUTCOME_TRY(this->readiness.listen(this->settings.readinessAddress));
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -24,6 +24,8 @@
     /// Addresses of state replicas to begin with.
     std::vector<std::string> stateAddresses;
     Network::AuthenticationKeys authenticationKeys;
+    /// Time to connect to another process.
+    std::chrono::milliseconds connectLimit { 2000 };
     /// Connections of callers at most.
     std::size_t connectionsLimit = 3500;
     /// Times of a graceful stop: until no connection is accepted, and until the process ends at the latest.
--- a/celeryswitch/State/PeerLinks.h
+++ b/celeryswitch/State/PeerLinks.h
@@ -28,6 +28,8 @@
     PeerLinks(boost::asio::io_context& context, Network::AuthenticationKeys keys, Messages::Hello identity,
         EventHandler onEvent);
 
+    /// Changes the time to connect to another replica.
+    void setConnectLimit(std::chrono::milliseconds limit) { this->transport.setConnectLimit(limit); }
     /// Listens; returns the bound address.
     Core::Result<std::string> listen(const std::string& address);
     /// Sends an answer or a message; what can't be sent is dropped, and the other side asks again.
--- a/celeryswitch/State/StateClient.cpp
+++ b/celeryswitch/State/StateClient.cpp
@@ -19,6 +19,8 @@
 
 // Time for which a replica that refused a connection is not taken for the leader; about an election.
 constexpr std::chrono::milliseconds unreachableTime { 500 };
+// Time for which one attempt to connect is waited for before the next replica is tried as well.
+constexpr std::chrono::milliseconds nextAttemptDelay { 60 };
 
 }
 
@@ -32,6 +34,7 @@
         , settings(std::move(settings))
         , random(this->settings.seed)
         , reconnectTimer(context)
+        , attemptTimer(context)
     {
         if (!this->settings.replicas.empty())
             this->replica
@@ -179,30 +182,59 @@
         node.mapped().handler(Core::Error(StateClientError::TimedOut, std::move(detail)));
     }
 
-    // Connects to the current replica unless that is under way.
+    // Connects to the current replica unless that is under way. A replica that does not answer soon is not waited for:
+    // the next one is tried beside it, and the first connection is used.
     void openConnection()
     {
         if (this->isConnecting || this->isReconnectPlanned || this->isStopped)
             return;
         this->isConnecting = true;
+        this->attempts = 0;
+        this->failedAttempts = 0;
+        this->attempt();
+    }
+
+    // Begins one more attempt to connect.
+    void attempt()
+    {
+        ++this->attempts;
         this->transport.connect(this->replica,
-            [weak = this->weak_from_this(), generation = this->generation](
+            [weak = this->weak_from_this(), generation = this->generation, address = this->replica](
                 Core::Result<Network::PeerConnectionPointer> result) {
                 const auto self = weak.lock();
-                if (!self || self->isStopped || generation != self->generation) {
+                if (!self || self->isStopped || generation != self->generation || self->connection) {
                     if (result)
                         result.value()->close();
                     return;
                 }
-                self->isConnecting = false;
-                if (result) {
-                    self->connected(std::move(result).value());
-                } else {
-                    self->unreachable = self->replica;
-                    self->unreachableUntil = SteadyClock::now() + unreachableTime;
-                    self->connectionFailed();
-                }
+                self->attemptDone(address, std::move(result));
             });
+        if (this->attempts >= this->settings.replicas.size())
+            return;
+        this->attemptTimer.expires_after(nextAttemptDelay);
+        this->attemptTimer.async_wait([weak = this->weak_from_this(), generation = this->generation](
+                                          const boost::system::error_code& error) {
+            const auto self = weak.lock();
+            if (self && !error && generation == self->generation && self->isConnecting && !self->connection) {
+                self->turnToNextReplica();
+                self->attempt();
+            }
+        });
+    }
+
+    void attemptDone(const std::string& address, Core::Result<Network::PeerConnectionPointer> result)
+    {
+        if (result) {
+            this->isConnecting = false;
+            this->attemptTimer.cancel();
+            this->replica = address;
+            this->connected(std::move(result).value());
+            return;
+        }
+        this->unreachable = address;
+        this->unreachableUntil = SteadyClock::now() + unreachableTime;
+        if (++this->failedAttempts >= this->attempts)
+            this->connectionFailed();
     }
 
     // Identifies itself on a new connection and sends every waiting request.
@@ -280,10 +312,7 @@
     void connectionFailed()
     {
         this->dropConnection();
-        const auto& replicas = this->settings.replicas;
-        const auto current = std::find(replicas.begin(), replicas.end(), this->replica);
-        this->replica = current == replicas.end() || std::next(current) == replicas.end() ? replicas.front()
-                                                                                          : *std::next(current);
+        this->turnToNextReplica();
         if (this->isReconnectPlanned || this->isStopped || this->pending.empty())
             return;
         this->isReconnectPlanned = true;
@@ -296,6 +325,14 @@
         });
     }
 
+    void turnToNextReplica()
+    {
+        const auto& replicas = this->settings.replicas;
+        const auto current = std::find(replicas.begin(), replicas.end(), this->replica);
+        this->replica = current == replicas.end() || std::next(current) == replicas.end() ? replicas.front()
+                                                                                          : *std::next(current);
+    }
+
     // Full jitter over an exponentially growing bound.
     Duration nextBackoff()
     {
@@ -311,6 +348,7 @@
     {
         ++this->generation;
         this->isConnecting = false;
+        this->attemptTimer.cancel();
         if (this->connection)
             this->connection->close();
         this->connection.reset();
@@ -332,6 +370,10 @@
     /// Attempts without a final answer since the last one.
     unsigned failures = 0;
     boost::asio::steady_timer reconnectTimer;
+    /// Begins the next attempt beside one that takes long.
+    boost::asio::steady_timer attemptTimer;
+    std::size_t attempts = 0;
+    std::size_t failedAttempts = 0;
     std::uint64_t lastRequestId = 0;
     std::map<std::uint64_t, Pending> pending;
 };
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -63,6 +63,7 @@
     // Listens and starts the threads.
     Result<void> start()
     {
+        this->links.setConnectLimit(this->settings.connectLimit);
         BOOST_OUTCOME_TRY(this->boundAddress, this->links.listen(this->settings.peerAddress));
         if (this->settings.initialReplicas.empty())
             this->settings.initialReplicas[this->settings.replicaName] = this->boundAddress;
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -26,6 +26,8 @@
     Network::AuthenticationKeys authenticationKeys;
     /// Applied records after which a snapshot shortens the log; 1 or more.
     std::uint64_t snapshotThreshold = 1000;
+    /// Time to connect to another replica.
+    std::chrono::milliseconds connectLimit { 2000 };
     Core::Duration heartbeatInterval = std::chrono::milliseconds(100);
     Core::Duration electionTimeoutMinimum = std::chrono::milliseconds(400);
     Core::Duration electionTimeoutMaximum = std::chrono::milliseconds(800);
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -62,6 +62,7 @@
 
 Core::Result<void> WorkerSidecar::start()
 {
+    this->transport.setConnectLimit(this->settings.connectLimit);
     BOOST_OUTCOME_TRY(this->transport.listen(this->settings.peerAddress,
         [this](Network::PeerConnectionPointer connection) { this->accepted(std::move(connection)); }));
     BOOST_OUTCOME_TRY(this->announcements.listen(this->settings.announcementAddress));
--- a/celeryswitch/Workers/WorkerSidecar.h
+++ b/celeryswitch/Workers/WorkerSidecar.h
@@ -23,6 +23,8 @@
     /// Addresses of state replicas to begin with.
     std::vector<std::string> stateAddresses;
     Network::AuthenticationKeys authenticationKeys;
+    /// Time to connect to another process.
+    std::chrono::milliseconds connectLimit { 2000 };
     /// Connections to the worker at most.
     std::size_t workerConnections = 8;
     /// Time for which a graceful stop waits for runs to end.
