Let kinds of high rank wait longer for room; rank kinds by their share of all work

Cause: entries ranked by their own demand, so that the same kind had other ranks at busier entries; wide jobs of the best kind were refused although their wait would have been short.

--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -32,6 +32,12 @@
 constexpr double probeSeconds = -0.1;
 // Time of an order's way to a sidecar and of the refusal's way back.
 constexpr double orderSeconds = 0.005;
+// Share of the time that a job can wait up to which a predicted wait is trusted at most, and share of work of higher
+// rank at which it is not trusted at all.
+constexpr double waitConfidence = 0.7;
+constexpr double distrustedShare = 0.35;
+// Share of all work that a kind counts for at least.
+constexpr double smallestShare = 0.001;
 // A sidecar may be a little behind what this entry knows.
 constexpr double shortestWaitSeconds = 0.005;
 
@@ -82,7 +88,8 @@
             += model.taskSeconds(declared) * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
     }
     model.arrived(now, coreSeconds);
-    job.rank = static_cast<float>(model.rank(now));
+    job.rank = static_cast<float>(this->rankOf(now, model));
+    job.waitTrust = std::max(0.0, 1 - this->workBefore(now, model) / distrustedShare);
     job.patienceEnd
         = after(now, std::chrono::duration<double>(patience - this->settings.travelTime).count());
     // The goal follows from the true time, which is not known yet.
@@ -91,6 +98,27 @@
         = this->goalOf(job, longest.seconds * std::exp(-longest.deviation), this->settings.waitShare);
 }
 
+double JobScheduler::rankOf(SteadyTime now, const KindModel& model) const
+{
+    double all = 0;
+    for (const auto& [name, each] : this->models)
+        all += each.demand(now);
+    return all / std::max(model.demand(now), smallestShare * all);
+}
+
+double JobScheduler::workBefore(SteadyTime now, const KindModel& model) const
+{
+    const double own = model.demand(now);
+    double before = 0;
+    double all = 0;
+    for (const auto& [name, each] : this->models) {
+        const double demand = each.demand(now);
+        all += demand;
+        before += demand < own ? demand : 0;
+    }
+    return all > 0 ? before / all : 0;
+}
+
 SteadyTime JobScheduler::goalOf(const Job& job, double chainSeconds, double factor) const
 {
     const double goal = chainSeconds * job.queue.stretch + job.queue.targetMilliseconds / 1000.0;
@@ -451,14 +479,17 @@
     request.stretch = job.queue.stretch;
     request.slackSeconds = secondsUntil(now, this->goalOf(job, 0, 1));
     request.patienceSeconds = secondsUntil(now, job.patienceEnd);
-    double longestWait = request.time.seconds * (request.stretch - 1) + request.slackSeconds;
+    const double shortest = request.time.seconds * std::exp(-request.time.deviation);
+    double longestWait = shortest * (request.stretch - 1) + request.slackSeconds;
     if (longestWait < 0) {
         // It can only be late.
         request.rank *= static_cast<float>(this->settings.lateValue);
         longestWait = secondsUntil(now, job.limit) - request.time.seconds;
     }
-    if (!job.hasBegun)
-        longestWait = std::min(longestWait, secondsUntil(now, job.waitUntil) - orderSeconds);
+    if (!job.hasBegun) {
+        const double unpriced = secondsUntil(now, job.waitUntil) - orderSeconds;
+        longestWait = std::min(longestWait, unpriced + std::max(0.0, longestWait - unpriced) * job.waitTrust * waitConfidence);
+    }
     request.longestWaitSeconds = std::max(0.0, longestWait);
     bool hasFailed = false;
     for (const Task& task : step.tasks) {
@@ -567,12 +598,38 @@
     return std::exchange(this->actions, {});
 }
 
+void JobScheduler::logRoom(const Job& job)
+{
+    std::uint64_t usable = 0;
+    std::uint64_t probation = 0;
+    std::int64_t free = 0;
+    std::int64_t queued = 0;
+    std::int64_t places = 0;
+    for (const auto& [sidecar, worker] : this->board) {
+        if (!worker.isUsable() || worker.profile.service != job.queue.service)
+            continue;
+        ++usable;
+        probation += worker.load.isOnProbation ? 1 : 0;
+        free += worker.load.free.milliCores;
+        for (const Messages::QueuedRoom& room : worker.load.queued)
+            queued += room.milliCores;
+        places += std::max<std::int64_t>(
+            0, job.specification.steps.front().need.countIn(worker.roomFor(job.rank)));
+    }
+    this->log.write(LogLevel::Info, "job finds no room",
+        { { "job", job.specification.id }, { "queue", job.queue.name }, { "workers", usable },
+            { "on_probation", probation }, { "free_millicores", free }, { "queued_millicores", queued },
+            { "places", places }, { "rank_class", Messages::rankClassOf(job.rank) } });
+}
+
 void JobScheduler::expireJobs(SteadyTime now)
 {
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
-        if (!found->second.hasBegun && now >= found->second.waitUntil)
+        if (!found->second.hasBegun && now >= found->second.waitUntil) {
+            this->logRoom(found->second);
             this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, "no room" });
+        }
         else if (now >= found->second.limit)
             this->end(now, found, { AnswerKind::GivenUp, {}, 0, {}, "deadline" });
     }
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -114,6 +114,8 @@
         Configuration::Queue queue;
         RequestNumber request = 0;
         float rank = 0;
+        /// How far a predicted wait is trusted, 0 to 1: work of higher rank may come and go first.
+        double waitTrust = 0;
         Core::SteadyTime arrivedAt;
         /// When the caller stops waiting, and when an answer has no value any more at the latest.
         Core::SteadyTime patienceEnd;
@@ -135,6 +137,11 @@
     };
     using Jobs = std::map<std::uint64_t, Job>;
 
+    // Value of a kind's work for the room and time that it takes, against all work: the jobs of each kind are worth the
+    // same in sum, so that kinds that ask for little go before those that ask for much.
+    double rankOf(Core::SteadyTime now, const KindModel& model) const;
+    // Part of all work that is asked for by kinds of higher rank.
+    double workBefore(Core::SteadyTime now, const KindModel& model) const;
     KindModel& modelOf(Core::SteadyTime now, const Configuration::Queue& queue);
     bool isSupported(const JobSpecification& job, std::string& reason) const;
     void estimate(Core::SteadyTime now, Job& job, Core::Duration patience);
@@ -154,6 +161,8 @@
     void end(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
     void answer(RequestNumber request, CallerAnswer answer);
     void expireJobs(Core::SteadyTime now);
+    // Tells what a job that is refused found.
+    void logRoom(const Job& job);
     void keepAlive(Core::SteadyTime now);
 
     SchedulerSettings settings;
--- a/celeryswitch/Scheduling/KindModel.cpp
+++ b/celeryswitch/Scheduling/KindModel.cpp
@@ -83,9 +83,4 @@
     return this->stepTime(declaredSeconds).seconds * std::exp(this->taskShare);
 }
 
-double KindModel::rank(Core::SteadyTime now) const
-{
-    return 1 / std::max(1e-3, this->work.rate(now, this->since));
-}
-
 }
--- a/celeryswitch/Scheduling/KindModel.h
+++ b/celeryswitch/Scheduling/KindModel.h
@@ -31,9 +31,8 @@
     TimeEstimate stepTime(double declaredSeconds) const;
     /// Time of one of its tasks.
     double taskSeconds(double declaredSeconds) const;
-    /// Value of a job for the room and time that it takes: each kind's jobs are worth the same in sum, so that kinds that
-    /// ask for little work go before those that ask for much. Small and large jobs of a kind have the same rank.
-    double rank(Core::SteadyTime now) const;
+    /// Work that the kind asks for, in cores.
+    double demand(Core::SteadyTime now) const { return this->work.rate(now, this->since); }
 
 private:
     Core::SteadyTime since;
--- a/celeryswitch/Scheduling/WorkerBoard.cpp
+++ b/celeryswitch/Scheduling/WorkerBoard.cpp
@@ -16,7 +16,7 @@
 constexpr double avoidedCost = 4;
 constexpr double farDataCost = 0.5;
 // A second of waiting.
-constexpr double waitCost = 0.5;
+constexpr double waitCost = 3;
 // Using a faster worker than the ordinary, and a slower one.
 constexpr double fastCost = 0.03;
 constexpr double slowCost = 0.5;
