Bring runs back that wait much longer than expected; give all kinds the same rank before anything is known

Cause: two entries chose the same worker at once and the later one waited there while others had room; the rank of the very first job was no number, which the sidecar's decoder refuses by closing the connection.

--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -38,8 +38,9 @@
 constexpr double distrustedShare = 0.35;
 // Share of all work that a kind counts for at least.
 constexpr double smallestShare = 0.001;
-// A sidecar may be a little behind what this entry knows.
-constexpr double shortestWaitSeconds = 0.005;
+// How much longer than expected a run may wait at a sidecar: as a factor, and in any case.
+constexpr double waitTolerance = 2;
+constexpr double shortestWaitSeconds = 0.008;
 
 // A time in a number of seconds, or now when the number is negative.
 SteadyTime after(SteadyTime now, double seconds)
@@ -103,7 +104,8 @@
     double all = 0;
     for (const auto& [name, each] : this->models)
         all += each.demand(now);
-    return all / std::max(model.demand(now), smallestShare * all);
+    // Before anything is known, all kinds are alike.
+    return all > 0 ? all / std::max(model.demand(now), smallestShare * all) : 1;
 }
 
 double JobScheduler::workBefore(SteadyTime now, const KindModel& model) const
@@ -522,8 +524,10 @@
     start.expectedMilliseconds = static_cast<std::uint32_t>(
         this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000);
     start.rank = request.rank;
-    start.startWithinMicroseconds
-        = static_cast<std::int64_t>(std::max(request.longestWaitSeconds, shortestWaitSeconds) * 1e6);
+    // A run that waits for much longer than was expected comes back, and finds another place.
+    const double startWithin = std::min(
+        request.longestWaitSeconds, placement.waitSeconds * waitTolerance + shortestWaitSeconds);
+    start.startWithinMicroseconds = static_cast<std::int64_t>(std::max(startWithin, shortestWaitSeconds) * 1e6);
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.limit) * 1e6));
     for (std::uint32_t index = 0; index < step.tasks.size() && start.tasks.size() < placement.count; ++index) {
