Let entries tell a restarted sidecar of its worker, and hold requests while a restarted entry finds its workers

Cause: after a restart sidecars waited up to 1.5 s for the worker's next announcement, and entries refused what came in the 300 ms before they knew the routing document.

--- a/celeryswitch/Membership/MemberTable.cpp
+++ b/celeryswitch/Membership/MemberTable.cpp
@@ -13,7 +13,8 @@
     const Messages::Hello& b = right.identity;
     return a.role == b.role && a.incarnation == b.incarnation && a.dataCentre == b.dataCentre && a.rack == b.rack
         && a.service == b.service && a.slots == b.slots && left.peerAddress == right.peerAddress
-        && left.datagramAddress == right.datagramAddress && left.removedAt == right.removedAt;
+        && left.datagramAddress == right.datagramAddress && left.removedAt == right.removedAt
+        && left.worker == right.worker;
 }
 
 }
@@ -25,6 +26,9 @@
     Member updated = member;
     updated.removedAt = 0;
     updated.replacedIncarnations = stored.replacedIncarnations;
+    // A registration that was sent before the worker was known may arrive after one that names it.
+    if (updated.identity.incarnation == stored.identity.incarnation && updated.worker.workerId.empty())
+        updated.worker = stored.worker;
     const Core::Incarnation before = stored.identity.incarnation;
     // A late copy of an earlier registration must not bring a replaced incarnation back.
     if (updated.replacedIncarnations.count(updated.identity.incarnation) > 0)
--- a/celeryswitch/Messages/StateMessages.h
+++ b/celeryswitch/Messages/StateMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Messages/TaskMessages.h"
+#include "celeryswitch/Messages/WorkerProfile.h"
 #include <cereal/types/map.hpp>
 #include <map>
 
@@ -17,10 +18,13 @@
     std::map<Core::Incarnation, std::int64_t> replacedIncarnations;
     /// Milliseconds since 1970 when the member was removed; 0 while it is a member.
     std::int64_t removedAt = 0;
+    /// The leased worker beside a sidecar; without an id when there is none or it is not known.
+    WorkerProfile worker;
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->identity, this->peerAddress, this->datagramAddress, this->replacedIncarnations, this->removedAt);
+        archive(this->identity, this->peerAddress, this->datagramAddress, this->replacedIncarnations, this->removedAt,
+            this->worker);
     }
 };
 
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -36,6 +36,8 @@
 // rank at which it is not trusted at all.
 constexpr double waitConfidence = 0.7;
 constexpr double distrustedShare = 0.35;
+// Time by which the wait is extended while an entry finds its workers.
+constexpr Core::Duration findingStep = std::chrono::milliseconds(50);
 // Share of all work that a kind counts for at least.
 constexpr double smallestShare = 0.001;
 // How much longer than expected a run may wait at a sidecar: as a factor, and in any case.
@@ -69,7 +71,24 @@
     return this->models.try_emplace(queue.name, now).first->second;
 }
 
-void JobScheduler::estimate(SteadyTime now, Job& job, Core::Duration patience)
+void JobScheduler::setSidecarCount(SteadyTime now, std::size_t count)
+{
+    if (count > 0 && this->sidecarCount == 0)
+        this->foundSidecarsAt = now;
+    this->sidecarCount = count;
+}
+
+bool JobScheduler::isFindingWorkers(SteadyTime now) const
+{
+    if (this->foundSidecarsAt != SteadyTime::max() && now >= this->foundSidecarsAt + this->settings.findingTime)
+        return false;
+    std::size_t usable = 0;
+    for (const auto& [sidecar, worker] : this->board)
+        usable += worker.isUsable() ? 1 : 0;
+    return static_cast<double>(usable) < static_cast<double>(this->sidecarCount) * this->settings.findingShare;
+}
+
+void JobScheduler::estimate(SteadyTime now, Job& job)
 {
     KindModel& model = this->modelOf(now, job.queue);
     // The longest chain of steps.
@@ -92,7 +111,7 @@
     job.rank = static_cast<float>(this->rankOf(now, model));
     job.waitTrust = std::max(0.0, 1 - this->workBefore(now, model) / distrustedShare);
     job.patienceEnd
-        = after(now, std::chrono::duration<double>(patience - this->settings.travelTime).count());
+        = after(job.arrivedAt, std::chrono::duration<double>(job.patience - this->settings.travelTime).count());
     // The goal follows from the true time, which is not known yet.
     job.limit = this->goalOf(job, longest.seconds * std::exp(2 * longest.deviation), this->settings.lateFactor);
     job.waitUntil
@@ -141,7 +160,8 @@
     return reason.empty();
 }
 
-void JobScheduler::submit(SteadyTime now, RequestNumber request, const Queue& queue, SubmitJob submission)
+void JobScheduler::submit(
+    SteadyTime now, SteadyTime arrivedAt, RequestNumber request, const Queue& queue, SubmitJob submission)
 {
     const std::uint64_t id = submission.job.id;
     if (const auto known = this->outcomes.find(id); known != this->outcomes.end()) {
@@ -162,7 +182,7 @@
     Job job;
     job.queue = queue;
     job.request = request;
-    job.arrivedAt = now;
+    job.arrivedAt = arrivedAt;
     // The queue's timeout is for callers that don't say how long they wait.
     Core::Duration patience = submission.patience;
     if (patience <= Core::Duration::zero())
@@ -172,8 +192,9 @@
         job.steps.back().tasks.resize(step.count);
         job.steps.back().waiting = step.count;
     }
+    job.patience = patience;
     job.specification = std::move(submission.job);
-    this->estimate(now, job, patience);
+    this->estimate(now, job);
     this->log.write(LogLevel::Debug, "job admitted",
         { { "job", id }, { "queue", queue.name }, { "rank_per_mille", static_cast<std::int64_t>(job.rank * 1e6F) },
             { "limit_ms", milliseconds(job.limit - now) },
@@ -223,11 +244,14 @@
     }
 }
 
-void JobScheduler::sidecarConnected(SteadyTime now, const Core::InstanceId& sidecar, const std::string& dataCentre)
+void JobScheduler::sidecarConnected(SteadyTime now, const Messages::Member& member)
 {
+    const Core::InstanceId& sidecar = member.identity.instanceId;
     WorkerView& worker = this->board[sidecar];
     worker.sidecar = sidecar;
-    worker.dataCentre = dataCentre;
+    worker.dataCentre = member.identity.dataCentre;
+    if (worker.profile.workerId.empty() || worker.profile.bornAt < member.worker.bornAt)
+        worker.profile = member.worker;
     worker.isConnected = true;
     worker.load.isReady = false;
     worker.lastSequence = 0;
@@ -245,6 +269,9 @@
         }
     }
     this->actions.push_back(SendWork { sidecar, std::move(claims) });
+    if (!worker.profile.workerId.empty())
+        this->actions.push_back(
+            SendWork { sidecar, Messages::KnownWorker { worker.profile, worker.load.isDraining } });
 }
 
 void JobScheduler::sidecarDisconnected(const Core::InstanceId& sidecar)
@@ -631,6 +658,13 @@
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
         if (!found->second.hasBegun && now >= found->second.waitUntil) {
+            const SteadyTime longest = after(found->second.arrivedAt,
+                std::chrono::duration<double>(found->second.patience).count() * this->settings.findingPatience);
+            if (now < longest && this->isFindingWorkers(now)) {
+                found->second.waitUntil = std::min(longest, now + findingStep);
+                this->isPlacingDue = true;
+                continue;
+            }
             this->logRoom(found->second);
             this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, "no room" });
         }
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Configuration/RoutingDocument.h"
 #include "celeryswitch/Logging/StructuredLog.h"
+#include "celeryswitch/Messages/StateMessages.h"
 #include "celeryswitch/Scheduling/JobTypes.h"
 #include "celeryswitch/Scheduling/KindModel.h"
 #include "celeryswitch/Scheduling/WorkerBoard.h"
@@ -30,6 +31,11 @@
     /// Time after the last sign of life of a sidecar after which nothing that this entry ordered runs there any more: the
     /// time that the sidecar keeps runs of a silent entry, the worker's longest lease on a slow clock, and a margin.
     Core::Duration runsOverTime = std::chrono::milliseconds(700 + 1030 + 120);
+    /// After its start an entry is taken to find its workers within this time. Until it has found this share of them, jobs
+    /// wait for up to this share of their callers' patience.
+    Core::Duration findingTime = std::chrono::seconds(3);
+    double findingShare = 0.7;
+    double findingPatience = 0.45;
     /// Time for which the outcome of an ended job is remembered, so that a late copy of its request is not run again.
     Core::Duration outcomeRetention = std::chrono::seconds(10);
 };
@@ -54,8 +60,9 @@
     /// `log` outlives the scheduler.
     JobScheduler(SchedulerSettings settings, Logging::StructuredLog& log);
 
-    /// A caller hands in a job for a queue.
-    void submit(Core::SteadyTime now, RequestNumber request, const Configuration::Queue& queue, SubmitJob submission);
+    /// A caller hands in a job for a queue; the request came at `arrivedAt`.
+    void submit(Core::SteadyTime now, Core::SteadyTime arrivedAt, RequestNumber request,
+        const Configuration::Queue& queue, SubmitJob submission);
     /// A caller asks for a job's state, cancels it, or asks for a queue's length.
     void query(RequestNumber request, const QueryJob& query);
     void cancel(Core::SteadyTime now, RequestNumber request, const CancelJob& cancellation);
@@ -63,8 +70,10 @@
     /// The caller of a request has gone.
     void abandoned(Core::SteadyTime now, RequestNumber request);
 
+    /// This many sidecars are members; the first time, the entry has just learned of them.
+    void setSidecarCount(Core::SteadyTime now, std::size_t count);
     /// A sidecar is reached, and has not yet told of its worker.
-    void sidecarConnected(Core::SteadyTime now, const Core::InstanceId& sidecar, const std::string& dataCentre);
+    void sidecarConnected(Core::SteadyTime now, const Messages::Member& sidecar);
     /// The connection to a sidecar is lost.
     void sidecarDisconnected(const Core::InstanceId& sidecar);
     /// A sidecar is no member any more.
@@ -117,6 +126,7 @@
         /// How far a predicted wait is trusted, 0 to 1: work of higher rank may come and go first.
         double waitTrust = 0;
         Core::SteadyTime arrivedAt;
+        Core::Duration patience {};
         /// When the caller stops waiting, and when an answer has no value any more at the latest.
         Core::SteadyTime patienceEnd;
         Core::SteadyTime limit;
@@ -142,9 +152,10 @@
     double rankOf(Core::SteadyTime now, const KindModel& model) const;
     // Part of all work that is asked for by kinds of higher rank.
     double workBefore(Core::SteadyTime now, const KindModel& model) const;
+    bool isFindingWorkers(Core::SteadyTime now) const;
     KindModel& modelOf(Core::SteadyTime now, const Configuration::Queue& queue);
     bool isSupported(const JobSpecification& job, std::string& reason) const;
-    void estimate(Core::SteadyTime now, Job& job, Core::Duration patience);
+    void estimate(Core::SteadyTime now, Job& job);
     // When a job has to be answered whose longest chain of steps takes this long.
     Core::SteadyTime goalOf(const Job& job, double chainSeconds, double factor) const;
     void placeWaiting(Core::SteadyTime now);
@@ -178,6 +189,8 @@
     std::unordered_map<std::uint64_t, Outcome> outcomes;
     std::deque<std::pair<Core::SteadyTime, std::uint64_t>> outcomeOrder;
     bool isPlacingDue = false;
+    std::size_t sidecarCount = 0;
+    Core::SteadyTime foundSidecarsAt = Core::SteadyTime::max();
     std::vector<SchedulerAction> actions;
 };
 
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t readinessConnections = 64;
 constexpr Core::Duration bodyTime = std::chrono::seconds(10);
 constexpr Core::Duration retryWhileStarting = std::chrono::seconds(1);
+// Requests that wait for the first routing document, and for how long.
+constexpr std::size_t heldLimit = 1000;
+constexpr Core::Duration holdTime = std::chrono::milliseconds(800);
 
 Messages::Hello identityOf(const SchedulingEntrySettings& settings)
 {
@@ -64,8 +67,7 @@
               {} })
     , links(context, this->transport, clock, log, identityOf(this->settings),
           { [this](const Messages::Member& member) {
-               this->scheduler.sidecarConnected(
-                   this->clock.steadyNow(), member.identity.instanceId, member.identity.dataCentre);
+               this->scheduler.sidecarConnected(this->clock.steadyNow(), member);
                this->step();
            },
               [this](const Core::InstanceId& sidecar) {
@@ -109,9 +111,33 @@
 {
     if (this->onDrained)
         session->closeAfterResponse();
-    if (this->routing.version == 0)
-        return this->respond(
-            session, { AnswerKind::NotRun, {}, 0, retryWhileStarting, "no routing document yet" });
+    const Core::SteadyTime now = this->clock.steadyNow();
+    if (this->routing.version > 0)
+        this->handle(session, request, now);
+    else if (this->held.size() < heldLimit)
+        this->held.push_back({ session, std::move(request), now });
+    else
+        this->respond(session, { AnswerKind::NotRun, {}, 0, retryWhileStarting, "no routing document yet" });
+}
+
+void SchedulingEntry::answerHeld(bool isRoutingKnown)
+{
+    // After a restart the document comes within moments, unless no state replica can be reached.
+    const Core::SteadyTime now = this->clock.steadyNow();
+    while (!this->held.empty() && (isRoutingKnown || now >= this->held.front().arrivedAt + holdTime)) {
+        const HeldRequest next = std::move(this->held.front());
+        this->held.pop_front();
+        if (isRoutingKnown)
+            this->handle(next.session, next.request, next.arrivedAt);
+        else
+            this->respond(
+                next.session, { AnswerKind::NotRun, {}, 0, retryWhileStarting, "no routing document yet" });
+    }
+}
+
+void SchedulingEntry::handle(
+    const Http::HttpSession::Pointer& session, const Http::HttpRequest& request, Core::SteadyTime arrivedAt)
+{
     const Configuration::Queue* queue = this->routing.find(this->protocol.host(request), request.path);
     if (!queue)
         return this->respond(session, { AnswerKind::UnknownQueue, {}, 0, {}, "no such queue" });
@@ -126,7 +152,7 @@
     this->waiting[number] = session;
     this->numbers[session.get()] = number;
     if (auto* submission = std::get_if<SubmitJob>(&decoded))
-        this->scheduler.submit(this->clock.steadyNow(), number, *queue, std::move(*submission));
+        this->scheduler.submit(this->clock.steadyNow(), arrivedAt, number, *queue, std::move(*submission));
     else if (const auto* query = std::get_if<QueryJob>(&decoded))
         this->scheduler.query(number, *query);
     else if (const auto* cancellation = std::get_if<CancelJob>(&decoded))
@@ -144,8 +170,10 @@
 void SchedulingEntry::abandoned(const Http::HttpSession::Pointer& session)
 {
     const auto found = this->numbers.find(session.get());
-    if (found == this->numbers.end())
+    if (found == this->numbers.end()) {
+        std::erase_if(this->held, [&](const HeldRequest& each) { return each.session == session; });
         return;
+    }
     const RequestNumber number = found->second;
     this->numbers.erase(found);
     this->waiting.erase(number);
@@ -159,6 +187,7 @@
         this->log.write(LogLevel::Info, "ready", { { "version", document.version } });
     this->routing = std::move(document);
     this->callers.setLimits(limitsOf(this->routing.limits));
+    this->answerHeld(true);
 }
 
 void SchedulingEntry::membersReceived(const std::vector<Messages::Member>& members)
@@ -168,6 +197,7 @@
         if (member.identity.role == Messages::Role::Sidecar)
             sidecars.push_back(member);
     }
+    this->scheduler.setSidecarCount(this->clock.steadyNow(), sidecars.size());
     for (const Core::InstanceId& gone : this->links.setMembers(sidecars))
         this->scheduler.sidecarRemoved(gone);
     this->step();
@@ -206,6 +236,7 @@
 void SchedulingEntry::tick()
 {
     this->links.dropSilent();
+    this->answerHeld(false);
     this->finishDraining();
     this->step();
     this->tickTimer.expires_after(tickInterval);
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -6,6 +6,7 @@
 #include "celeryswitch/Scheduling/JobScheduler.h"
 #include "celeryswitch/Scheduling/SidecarLinks.h"
 #include "celeryswitch/State/FleetWatcher.h"
+#include <deque>
 #include <unordered_map>
 
 namespace celeryswitch::Scheduling {
@@ -51,6 +52,8 @@
 
 private:
     void received(const Http::HttpSession::Pointer& session, Http::HttpRequest request);
+    void handle(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request, Core::SteadyTime arrivedAt);
+    void answerHeld(bool isRoutingKnown);
     void readinessAsked(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request);
     void routingReceived(Configuration::RoutingDocument document);
     void respond(const Http::HttpSession::Pointer& session, const CallerAnswer& answer);
@@ -75,6 +78,13 @@
     boost::asio::steady_timer timer;
     boost::asio::steady_timer tickTimer;
     Configuration::RoutingDocument routing;
+    /// A request that came before the first routing document.
+    struct HeldRequest {
+        Http::HttpSession::Pointer session;
+        Http::HttpRequest request;
+        Core::SteadyTime arrivedAt;
+    };
+    std::deque<HeldRequest> held;
     RequestNumber lastRequest = 0;
     /// Requests without a response, both ways.
     std::unordered_map<RequestNumber, Http::HttpSession::Pointer> waiting;
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -83,9 +83,27 @@
         this->permit(now, *entry, alive->clockEcho);
     } else if (const auto* claimed = std::get_if<Messages::ClaimRuns>(&message)) {
         this->handle(now, id, *entry, *claimed);
+    } else if (auto* known = std::get_if<Messages::KnownWorker>(&message)) {
+        if (!this->offered || known->profile.bornAt >= this->offered->profile.bornAt)
+            this->offered = std::move(*known);
+        this->useKnownWorker();
     }
 }
 
+void RunSupervisor::useKnownWorker()
+{
+    // An answer of the worker has shown which life it lives.
+    if (this->life.profile || !this->offered || !this->life.bornAt
+        || *this->life.bornAt != this->offered->profile.bornAt)
+        return;
+    const Messages::WorkerProfile& known = this->offered->profile;
+    this->log.write(LogLevel::Info, "worker known from an entry",
+        { { "worker", known.workerId }, { "born", known.bornAt } });
+    this->life.profile = WorkerAnnouncement { known.workerId, known.bornAt, known.service, known.capacity, known.labels,
+        this->offered->isDraining, 0, 0 };
+    this->life.isDraining = this->offered->isDraining;
+}
+
 void RunSupervisor::permit(SteadyTime now, Entry& entry, std::int64_t clockEcho)
 {
     // An echo shows that the entry lived after the sample was taken, however long the message was on its way.
@@ -363,6 +381,11 @@
     return due;
 }
 
+std::optional<Messages::WorkerProfile> RunSupervisor::workerProfile() const
+{
+    return this->life.profile ? std::optional(this->profile()) : std::nullopt;
+}
+
 Messages::Room RunSupervisor::freeRoom() const
 {
     return this->life.profile ? this->life.profile->capacity - this->runs.used() : Messages::Room {};
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -75,6 +75,8 @@
     void called(Core::SteadyTime now, std::uint64_t callId, CallResult result);
     /// This process is about to end: no more runs are started.
     void drain();
+    /// What is known of the worker; nothing before its first announcement.
+    std::optional<Messages::WorkerProfile> workerProfile() const;
     /// Does what is due and returns everything to carry out.
     std::vector<SupervisorAction> poll(Core::SteadyTime now);
     /// When `poll` is due although nothing else happens.
@@ -126,6 +128,7 @@
     void handle(Core::SteadyTime now, Entry& entry, const Messages::StopRuns& order);
     void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ClaimRuns& claims);
     void permit(Core::SteadyTime now, Entry& entry, std::int64_t clockEcho);
+    void useKnownWorker();
     RunRefusal refusalOf(const Messages::StartRuns& order, const TaskId& task);
     void startQueued(Core::SteadyTime now);
     bool isStartable(const Run& run) const;
@@ -166,6 +169,8 @@
     WorkerHealth health;
     RunTable runs;
     std::map<Core::InstanceId, Entry> entries;
+    /// What entries said of the worker, until it is known.
+    std::optional<Messages::KnownWorker> offered;
     /// Claims that wait for the first reading of the worker's lists.
     std::vector<std::pair<Core::InstanceId, Messages::ClaimedRun>> claims;
     std::uint64_t lastCall = 0;
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -145,8 +145,10 @@
             { { "worker", this->life.profile ? this->life.profile->workerId : "" } });
     this->unansweredCalls = 0;
     this->contactAt = now;
-    if (result.bornAt && !this->life.bornAt)
+    if (result.bornAt && !this->life.bornAt) {
         this->life.bornAt = result.bornAt;
+        this->useKnownWorker();
+    }
     if (result.clock) {
         this->life.clock.sample(now, *result.clock);
         if (this->life.fencingToken == 0)
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -146,6 +146,7 @@
     for (SupervisorAction& action : this->supervisor.poll(now))
         this->perform(action);
     this->isStepping = false;
+    this->registerWorker();
     this->finishDraining();
     const Core::Duration sleep
         = std::clamp<Core::Duration>(this->supervisor.nextWakeUp() - now, std::chrono::milliseconds(1), longestSleep);
@@ -156,6 +157,16 @@
     });
 }
 
+void WorkerSidecar::registerWorker()
+{
+    const std::optional<Messages::WorkerProfile> worker = this->supervisor.workerProfile();
+    if (!worker || *worker == this->registered)
+        return;
+    this->registered = *worker;
+    this->watcher.setRegistration(
+        Messages::Member { identityOf(this->settings), this->settings.peerAddress, "", {}, 0, *worker });
+}
+
 void WorkerSidecar::perform(SupervisorAction& action)
 {
     if (auto* call = std::get_if<CallWorker>(&action)) {
--- a/celeryswitch/Workers/WorkerSidecar.h
+++ b/celeryswitch/Workers/WorkerSidecar.h
@@ -54,6 +54,7 @@
     void closed(std::uint64_t number);
     void step();
     void perform(SupervisorAction& action);
+    void registerWorker();
     void finishDraining();
 
     boost::asio::io_context& context;
@@ -74,6 +75,7 @@
     };
     std::map<std::uint64_t, EntryConnection> connections;
     std::uint64_t lastConnection = 0;
+    Messages::WorkerProfile registered;
     bool isStepping = false;
     std::function<void()> onDrained;
     Core::SteadyTime drainUntil;
