--- a/celeryswitch/State/FleetWatcher.cpp
+++ b/celeryswitch/State/FleetWatcher.cpp
@@ -126,6 +126,14 @@
     if (view.isUnchanged || view.viewVersion <= this->viewVersion)
         return;
     this->viewVersion = view.viewVersion;
+    // Members come first: requests that wait for the document need them.
+    std::vector<Messages::Member> members;
+    for (const Messages::Member& member : view.members) {
+        if (member.removedAt == 0)
+            members.push_back(member);
+    }
+    if (this->handlers.onMembers)
+        this->handlers.onMembers(members);
     if (view.routingVersion > this->knownRoutingVersion && !view.routing.empty()) {
         Core::Result<Configuration::RoutingDocument> document
             = Network::decodeMessage<Configuration::RoutingDocument>(view.routing);
@@ -139,13 +147,6 @@
                 { { "version", view.routingVersion }, { "detail", document.error().message() } });
         }
     }
-    std::vector<Messages::Member> members;
-    for (const Messages::Member& member : view.members) {
-        if (member.removedAt == 0)
-            members.push_back(member);
-    }
-    if (this->handlers.onMembers)
-        this->handlers.onMembers(members);
 }
 
 void FleetWatcher::registerMember()
