--- /dev/null
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "celeryswitch/Experiment/LeasedWorkerModel.h"
+#include "celeryswitch/Workers/RunSupervisor.h"
+#include <memory>
+
+namespace celeryswitch::Workers {
+
+using Core::SteadyTime;
+
+/// A supervisor with a model of its worker; calls take no time unless a test holds them back.
+class SupervisorFixture {
+public:
+    SupervisorFixture()
+        : log(logSettings(), this->clock)
+        , worker({ "w1", 77, "loans", { 32'000, 65'536, 0 } }, [this](const TaskId&, std::uint32_t) { return this->plan; },
+              this->now())
+    {
+        this->restart(5);
+    }
+
+    /// Begins a new life of the sidecar, which forgets everything.
+    void restart(Core::Incarnation incarnation)
+    {
+        SupervisorSettings settings;
+        settings.incarnation = incarnation;
+        this->supervisor = std::make_unique<RunSupervisor>(settings, this->log, this->now());
+        this->timeouts.clear();
+    }
+    SteadyTime now() const { return this->clock.steadyNow(); }
+    /// Connects entry `name` under connection `number`.
+    void connect(std::uint64_t number, const std::string& name, Core::Incarnation incarnation = 1)
+    {
+        this->supervisor->entryConnected(
+            this->now(), number, { Messages::Role::Entry, name, incarnation, "a", "", "", 0 });
+    }
+    /// Makes the worker known and lets its lists be read.
+    void introduce()
+    {
+        this->supervisor->announced(this->now(), this->worker.announcement(this->now()));
+        this->run(std::chrono::milliseconds(5));
+    }
+    /// Orders one run.
+    void order(std::uint64_t connection, std::uint64_t job, std::uint32_t tasks = 1, std::int64_t milliCores = 3000,
+        float rank = 1, Core::Duration startWithin = std::chrono::milliseconds(500))
+    {
+        Messages::StartRuns start;
+        start.sequence = ++this->sequence;
+        start.clockEcho = Core::toClockSample(this->now());
+        start.job = job;
+        start.content = "content";
+        start.need = { milliCores, 64, 0 };
+        start.expectedMilliseconds = 200;
+        start.rank = rank;
+        start.startWithinMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(startWithin).count();
+        start.deadlineMicroseconds = 5'000'000;
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            start.tasks.emplace_back(index, 1);
+        this->supervisor->received(this->now(), connection, start);
+    }
+    /// Lets time pass in steps of 1 ms; entries whose connections are listed in `living` give signs of life.
+    void run(Core::Duration span)
+    {
+        const SteadyTime end = this->now() + std::chrono::duration_cast<SteadyTime::duration>(span);
+        while (this->now() < end) {
+            this->clock.advance(std::chrono::milliseconds(1));
+            for (const std::uint64_t connection : this->living)
+                this->supervisor->received(
+                    this->now(), connection, Messages::EntryAlive { Core::toClockSample(this->now()) });
+            this->turn();
+        }
+    }
+    /// Reports of a task so far, for any entry.
+    std::vector<Messages::RunReport> reportsOf(std::uint64_t job) const
+    {
+        std::vector<Messages::RunReport> found;
+        for (const Messages::RunReport& report : this->reports) {
+            if (report.task.job == job)
+                found.push_back(report);
+        }
+        return found;
+    }
+    /// Runs of a job that the worker has seen.
+    std::vector<Experiment::RunHistory> historyOf(std::uint64_t job) const
+    {
+        std::vector<Experiment::RunHistory> found;
+        for (const Experiment::RunHistory& run : this->worker.history()) {
+            if (run.task.job == job)
+                found.push_back(run);
+        }
+        return found;
+    }
+
+    Core::ManualClock clock;
+    Logging::StructuredLog log;
+    /// What runs will do.
+    Experiment::RunPlan plan { std::chrono::milliseconds(200), false, { 3000, 64, 0 } };
+    Experiment::LeasedWorkerModel worker;
+    std::unique_ptr<RunSupervisor> supervisor;
+    /// Connections whose entries live.
+    std::vector<std::uint64_t> living;
+    /// Whether orders reach the worker; those that don't are kept in `lost`.
+    bool isWorkerReached = true;
+    /// Whether the next start is not answered and kept in `lost`.
+    bool isNextStartLost = false;
+    std::vector<WorkerCall> lost;
+    /// Every report, and the newest load, that any entry was sent.
+    std::vector<Messages::RunReport> reports;
+    Messages::WorkerLoad load;
+    std::vector<WorkerCall> calls;
+
+private:
+    static Logging::LogSettings logSettings()
+    {
+        Logging::LogSettings settings;
+        settings.output = [](const std::string&) {};
+        return settings;
+    }
+    void turn()
+    {
+        for (auto& [ticket, result] : this->worker.advance(this->now()))
+            this->supervisor->called(this->now(), ticket, std::move(result));
+        // Calls may cause further calls.
+        for (int round = 0; round < 20; ++round) {
+            std::vector<SupervisorAction> actions = this->supervisor->poll(this->now());
+            if (actions.empty())
+                break;
+            for (SupervisorAction& action : actions)
+                this->perform(action);
+        }
+        std::erase_if(this->timeouts, [this](const auto& timeout) {
+            if (this->now() < timeout.second)
+                return false;
+            this->supervisor->called(this->now(), timeout.first, CallResult {});
+            return true;
+        });
+    }
+    void perform(SupervisorAction& action)
+    {
+        if (auto* send = std::get_if<SendUpdate>(&action)) {
+            for (const Messages::RunReport& report : send->update.reports)
+                this->reports.push_back(report);
+            this->load = send->update.load;
+        } else if (auto* call = std::get_if<CallWorker>(&action)) {
+            this->calls.push_back(call->call);
+            const bool isLost = !this->isWorkerReached
+                || (std::holds_alternative<StartCall>(call->call) && std::exchange(this->isNextStartLost, false));
+            if (isLost) {
+                this->lost.push_back(call->call);
+                this->timeouts.emplace_back(call->callId, this->now() + call->timeout);
+            } else if (std::optional<CallResult> result = this->worker.handle(this->now(), call->call, call->callId)) {
+                this->supervisor->called(this->now(), call->callId, std::move(*result));
+            }
+        }
+    }
+
+    std::uint64_t sequence = 0;
+    std::vector<std::pair<std::uint64_t, SteadyTime>> timeouts;
+};
+
+}
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -8,13 +8,6 @@
 using Logging::LogLevel;
 using Messages::RunState;
 
-namespace {
-
-// Unanswered orders in a row after which the worker counts as out of contact.
-constexpr std::uint32_t unansweredLimit = 2;
-
-}
-
 RunSupervisor::RunSupervisor(SupervisorSettings settings, Logging::StructuredLog& log, SteadyTime now)
     : settings(settings)
     , log(log)
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -86,6 +86,9 @@
     std::size_t activeRuns() const { return this->runs.activeCount(); }
 
 private:
+    /// Unanswered orders in a row after which the worker counts as out of contact.
+    static constexpr std::uint32_t unansweredLimit = 2;
+
     /// An entry and what it may rely on.
     struct Entry {
         Core::Incarnation incarnation = 0;
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -63,7 +63,8 @@
 void RunSupervisor::giveHold(SteadyTime now, bool isLongPoll)
 {
     HoldCall call { this->life.fencingToken, this->life.notedEnds, std::nullopt, {} };
-    if (this->life.clock.isKnown() && this->runs.activeCount() > 0)
+    // The lease of a worker that does not answer runs out, so that it is known when nothing runs there any more.
+    if (this->life.clock.isKnown() && this->runs.activeCount() > 0 && this->unansweredCalls < unansweredLimit)
         call.leaseEnd = this->extendLease(now);
     if (isLongPoll) {
         call.wait = this->settings.holdWait;
@@ -133,14 +134,14 @@
 void RunSupervisor::noteContact(SteadyTime now, const CallResult& result)
 {
     if (result.status == CallStatus::Unanswered || result.status == CallStatus::NotSent) {
-        if (++this->unansweredCalls == 2)
+        if (++this->unansweredCalls == unansweredLimit)
             this->log.write(LogLevel::Warning, "worker out of contact",
                 { { "worker", this->life.profile ? this->life.profile->workerId : "" },
                     { "result", std::string(Core::enumName(result.status)) } });
         this->nextLook = std::min(this->nextLook, now);
         return;
     }
-    if (this->unansweredCalls >= 2)
+    if (this->unansweredCalls >= unansweredLimit)
         this->log.write(LogLevel::Info, "worker answers again",
             { { "worker", this->life.profile ? this->life.profile->workerId : "" } });
     this->unansweredCalls = 0;
