--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -376,7 +376,8 @@
     const double declared = job.specification.steps[report.task.step].declaredMilliseconds / 1000.0;
     double fresh = this->modelOf(now, job.queue).taskSeconds(declared);
     double left = 0;
-    if (report.percent >= surePercent) {
+    const bool isMoving = report.percent >= surePercent;
+    if (isMoving) {
         left = elapsed * (100.0 - report.percent) / (report.percent + halfPercent);
         // A long task is as long elsewhere; only a slow worker is worth leaving.
         fresh = (elapsed + left) * this->board.at(task.sidecar).pace() / medianPace(this->board);
@@ -386,10 +387,11 @@
         return;
     }
     task.expectedEnd = after(now, left);
-    if (report.percent >= surePercent)
+    if (isMoving)
         job.longestRunSeconds = std::max(job.longestRunSeconds, elapsed + left);
     // Percentages are whole numbers, so that early ones say little.
-    const double doubt = (elapsed + left) * (progressDoubt + percentDoubt / (report.percent + 1));
+    const double doubt
+        = isMoving ? (elapsed + left) * (progressDoubt + percentDoubt / (report.percent + 1)) : 0;
     const double pace = fastestPace(
         this->board, job.queue.service, job.specification.steps[report.task.step].need, job.rank);
     const double restarted = std::chrono::duration<double>(this->settings.restartTime).count()
