--- /dev/null
+++ b/UnitTests/State/SelfKeptGroupTest.cpp
@@ -0,0 +1,179 @@
+#include "UnitTests/State/StateGroup.h"
+#include "celeryswitch/Network/MessageCodec.h"
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+using namespace celeryswitch;
+using namespace celeryswitch::State;
+using Messages::StateRefusal;
+namespace json = boost::json;
+
+namespace {
+
+// Replicas that know three seeds and keep their group by themselves.
+class SelfKeptGroup : public StateGroup {
+public:
+    explicit SelfKeptGroup(std::size_t seedCount)
+        : StateGroup(0)
+    {
+        for (std::size_t index = 0; index < seedCount; ++index)
+            this->seeds.push_back(freeAddress());
+        for (const std::string& seed : this->seeds)
+            this->run(seed, true);
+    }
+    // Starts the replica at an address.
+    void run(const std::string& address, bool isFirstStart)
+    {
+        StateSettings settings;
+        settings.replicaName = address;
+        settings.peerAddress = address;
+        settings.dataFolder = this->folder + "/" + address;
+        for (const std::string& seed : this->seeds) {
+            if (seed != address || isFirstStart)
+                settings.initialReplicas[seed] = seed;
+        }
+        settings.isGroupKept = true;
+        settings.connectLimit = std::chrono::milliseconds(250);
+        settings.authenticationKeys = this->keys;
+        auto started = StateProcess::Builder().setSettings(settings).start();
+        REQUIRE(started);
+        this->replicas[address] = std::move(started).value();
+        this->addresses[address] = address;
+    }
+    void end(const std::string& address)
+    {
+        this->replicas.erase(address);
+        this->addresses.erase(address);
+    }
+    // Identities of the voters as the leader sees them; empty when nobody leads.
+    std::vector<std::string> voters()
+    {
+        for (const auto& [address, replica] : this->replicas) {
+            if (replica->metrics().role != Consensus::ReplicaRole::Leader)
+                continue;
+            StateGroup only(0);
+            only.keys = this->keys;
+            only.addresses[address] = address;
+            BlockingClient client(only);
+            const auto reply = client.request(Messages::QueryReplicaStatus {}, std::chrono::seconds(2));
+            if (!reply)
+                continue;
+            std::vector<std::string> found;
+            const json::value status = json::parse(std::get<Messages::ReplicaStatus>(reply.value().body).json);
+            for (const json::value& voter : status.at("voters").as_array())
+                found.emplace_back(voter.at("id").as_string());
+            return found;
+        }
+        return {};
+    }
+    bool hasVoter(const std::string& id)
+    {
+        const auto found = this->voters();
+        return std::find(found.begin(), found.end(), id) != found.end();
+    }
+    // Puts a routing document of a version; returns whether it was acknowledged.
+    bool put(std::uint64_t version)
+    {
+        BlockingClient client(*this);
+        Configuration::RoutingDocument document;
+        document.version = version;
+        document.services.push_back({ "loans", "/health", true, false });
+        document.queues.push_back({ "q", "h", "/" + std::to_string(version) + "/", "loans", 1500, 60, 1.6, 0, 2 });
+        const auto reply = client.request(
+            Messages::PutRouting { "operator", Network::encodeMessage(document), "source " + std::to_string(version) });
+        return reply && reply.value().refusal == StateRefusal::None;
+    }
+    // Version of the document that a quorum vouches for.
+    std::uint64_t version()
+    {
+        BlockingClient client(*this);
+        const auto reply = client.request(Messages::QueryRouting {});
+        const auto* source = reply ? std::get_if<Messages::RoutingSource>(&reply.value().body) : nullptr;
+        REQUIRE(source);
+        REQUIRE((source->version == 0 || source->source == "source " + std::to_string(source->version)));
+        return source->version;
+    }
+
+    std::vector<std::string> seeds;
+};
+
+}
+
+// Guards against documents that are taken back, and against a resend of an older one that is refused or obeyed.
+TEST_CASE("the highest routing document stays in force", "[State][threads]")
+{
+    SelfKeptGroup group(1);
+    REQUIRE(group.version() == 0);
+    REQUIRE(group.put(5));
+    REQUIRE(group.put(9));
+    REQUIRE(group.put(5));
+    REQUIRE(group.version() == 9);
+    group.end(group.seeds[0]);
+    group.run(group.seeds[0], false);
+    REQUIRE(group.version() == 9);
+}
+
+// Guards against a lost disk that needs an operator at night, and against a second loss right after the repair.
+TEST_CASE("a replica that lost its disk is replaced without an operator", "[State][threads]")
+{
+    SelfKeptGroup group(3);
+    REQUIRE(group.put(1));
+    const std::string leader = group.waitForLeader();
+    const std::string lost = group.seeds[0] == leader ? group.seeds[1] : group.seeds[0];
+    const std::string oldId = group.replicas[lost]->replicaId();
+    group.end(lost);
+    group.loseDisk(lost);
+    group.run(lost, false);
+    const std::string newId = group.replicas[lost]->replicaId();
+    REQUIRE(StateGroup::waitUntil([&] { return group.hasVoter(newId) && !group.hasVoter(oldId); }));
+    REQUIRE(group.put(2));
+    group.end(leader);
+    REQUIRE(group.put(3));
+    REQUIRE(group.version() == 3);
+}
+
+// Guards against a second group beside the first, and against instances that nobody takes in.
+TEST_CASE("further replicas join the group that the seeds formed", "[State][threads]")
+{
+    SelfKeptGroup group(3);
+    group.run(StateGroup::freeAddress(), true);
+    group.run(StateGroup::freeAddress(), true);
+    REQUIRE(StateGroup::waitUntil([&] { return group.voters().size() == 5; }));
+    REQUIRE(group.put(1));
+    // Two of five may be lost.
+    group.end(group.waitForLeader());
+    group.end(group.waitForLeader());
+    REQUIRE(group.put(2));
+    REQUIRE(group.version() == 2);
+}
+
+// Guards against a group that keeps counting a replica that is gone for good, so that one more loss stops it.
+TEST_CASE("a silent replica of an even group is removed", "[State][threads]")
+{
+    SelfKeptGroup group(3);
+    const std::string added = StateGroup::freeAddress();
+    group.run(added, false);
+    REQUIRE(StateGroup::waitUntil([&] { return group.voters().size() == 4; }));
+    const std::string leader = group.waitForLeader();
+    const std::string gone = group.seeds[0] == leader ? group.seeds[1] : group.seeds[0];
+    group.end(gone);
+    REQUIRE(StateGroup::waitUntil([&] { return group.voters().size() == 3; }));
+    REQUIRE(group.put(1));
+    // The one that was taken for gone comes back with its disk.
+    group.run(gone, false);
+    REQUIRE(StateGroup::waitUntil([&] { return group.voters().size() == 4; }));
+    REQUIRE(group.version() == 1);
+}
+
+// Guards against acknowledged documents that are lost when all replicas go down at once.
+TEST_CASE("all replicas go down and come back with what they acknowledged", "[State][threads]")
+{
+    SelfKeptGroup group(3);
+    for (std::uint64_t version = 1; version <= 20; ++version)
+        REQUIRE(group.put(version));
+    for (const std::string& seed : group.seeds)
+        group.end(seed);
+    for (const std::string& seed : group.seeds)
+        group.run(seed, false);
+    REQUIRE(group.version() == 20);
+}
