--- a/Program/JobCommands.cpp
+++ b/Program/JobCommands.cpp
@@ -33,7 +33,8 @@
 }
 
 // The first answer that an entry gives.
-Core::Result<Http::HttpResponse> callEntries(const Settings::OperatorSettings& settings, const Http::HttpRequest& request)
+Core::Result<Http::HttpResponse> callEntries(
+    const Settings::OperatorSettings& settings, const Http::HttpRequest& request)
 {
     std::string failures;
     for (const std::string& entry : settings.entryAddresses) {
--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -106,7 +106,8 @@
         if (file.value().seeds == this->seeds)
             return;
         this->seeds = file.value().seeds;
-        this->log.write(LogLevel::Info, "settings read", { { "seeds", static_cast<std::uint64_t>(this->seeds.size()) } });
+        this->log.write(
+            LogLevel::Info, "settings read", { { "seeds", static_cast<std::uint64_t>(this->seeds.size()) } });
         this->onSettings(file.value());
     }
 
@@ -128,8 +129,7 @@
 {
     const Core::SystemClock clock;
     const Platform::ClientApi api;
-    Scheduling::SchedulingEntry entry(
-        loop.context, Platform::entrySettings(file, drawIncarnation()), clock, log, api);
+    Scheduling::SchedulingEntry entry(loop.context, Platform::entrySettings(file, drawIncarnation()), clock, log, api);
     if (const Core::Result<void> started = entry.start(); !started)
         return startFailure(started.error());
     loop.run([&] { entry.drain([&loop] { loop.stop(); }); },
@@ -141,8 +141,7 @@
 {
     const Core::SystemClock clock;
     const Platform::WorkerApi api;
-    Workers::WorkerSidecar sidecar(
-        loop.context, Platform::sidecarSettings(file, drawIncarnation()), clock, log, api);
+    Workers::WorkerSidecar sidecar(loop.context, Platform::sidecarSettings(file, drawIncarnation()), clock, log, api);
     if (const Core::Result<void> started = sidecar.start(); !started)
         return startFailure(started.error());
     loop.run([&] { sidecar.drain([&loop] { loop.stop(); }); },
--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -59,7 +59,8 @@
         RunRefusal refusal = RunRefusal::None, std::uint32_t run = 0)
     {
         this->update(sidecar, { 32'000, 65'536, 0 },
-            { { { job, 0, 0, index }, run ? run : this->runOf(job, index), RunState::Ended, end, refusal, 60'000, 0 } });
+            { { { job, 0, 0, index }, run ? run : this->runOf(job, index), RunState::Ended, end, refusal, 60'000,
+                0 } });
     }
     SubmitJob job(std::uint64_t id, std::uint32_t tasks = 1, std::int64_t milliCores = 3000) const
     {
@@ -282,8 +283,8 @@
     submission.job.steps[1].after = { 0 };
     fixture.submit(1, submission);
     const auto startsOf = [&](std::uint32_t step) {
-        return std::count_if(fixture.starts.begin(), fixture.starts.end(),
-            [&](const auto& start) { return start.second.step == step; });
+        return std::count_if(
+            fixture.starts.begin(), fixture.starts.end(), [&](const auto& start) { return start.second.step == step; });
     };
     REQUIRE(startsOf(1) == 0);
     fixture.report(fixture.orderOf(100, 0).first, 100, 0, RunEnd::Done);
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -13,7 +13,8 @@
 public:
     SupervisorFixture()
         : log(logSettings(), this->clock)
-        , worker({ "w1", 77, "loans", { 32'000, 65'536, 0 } }, [this](const TaskId&, std::uint32_t) { return this->plan; },
+        , worker(
+              { "w1", 77, "loans", { 32'000, 65'536, 0 } }, [this](const TaskId&, std::uint32_t) { return this->plan; },
               this->now())
     {
         this->restart(5);
--- a/celeryswitch/Consensus/Replica.cpp
+++ b/celeryswitch/Consensus/Replica.cpp
@@ -84,8 +84,7 @@
 
 bool Replica::isGroupChanging() const
 {
-    return this->leadership
-        && (this->leadership->replacement || this->replicaLog.groupIndex() > this->committedIndex);
+    return this->leadership && (this->leadership->replacement || this->replicaLog.groupIndex() > this->committedIndex);
 }
 
 void Replica::handle(const TimePassed&)
@@ -224,8 +223,7 @@
 void Replica::restartElectionTimer(Core::Duration minimum, Core::Duration maximum)
 {
     this->electionDue = this->now
-        + Core::Duration(
-            std::uniform_int_distribution<std::int64_t>(minimum.count(), maximum.count())(this->random));
+        + Core::Duration(std::uniform_int_distribution<std::int64_t>(minimum.count(), maximum.count())(this->random));
 }
 
 void Replica::adoptTerm(Term term, const ReplicaId& vote)
--- a/celeryswitch/Entry/OwnershipDriver.cpp
+++ b/celeryswitch/Entry/OwnershipDriver.cpp
@@ -164,7 +164,8 @@
 
 void OwnershipDriver::viewReceived(Messages::FleetView view)
 {
-    if (view.isUnchanged || view.viewVersion < this->fleet.viewVersion || view.configurationVersion < this->fleet.configurationVersion)
+    if (view.isUnchanged || view.viewVersion < this->fleet.viewVersion
+        || view.configurationVersion < this->fleet.configurationVersion)
         return;
     const bool isNew = view.viewVersion > this->fleet.viewVersion;
     this->fleet = std::move(view);
--- a/celeryswitch/Experiment/LeasedWorkerModel.cpp
+++ b/celeryswitch/Experiment/LeasedWorkerModel.cpp
@@ -34,8 +34,7 @@
 SteadyTime LeasedWorkerModel::timeOf(std::int64_t clock) const
 {
     return this->born
-        + std::chrono::nanoseconds(
-            static_cast<std::int64_t>(static_cast<double>(clock) * 1e6 / this->fixed.clockRate));
+        + std::chrono::nanoseconds(static_cast<std::int64_t>(static_cast<double>(clock) * 1e6 / this->fixed.clockRate));
 }
 
 bool LeasedWorkerModel::takeToken(std::uint64_t token)
--- a/celeryswitch/Load/LoadWorker.cpp
+++ b/celeryswitch/Load/LoadWorker.cpp
@@ -87,8 +87,9 @@
         ++job->attempts;
         ++this->openRequests;
         const JobName name { job->submission.team, job->submission.caller, job->submission.idempotencyKey };
-        Http::HttpRequest request = isSubmission ? submitRequest(job->submission, waitMilliseconds, this->settings.token)
-                                           : fetchRequest(name, waitMilliseconds, this->settings.token);
+        Http::HttpRequest request = isSubmission
+            ? submitRequest(job->submission, waitMilliseconds, this->settings.token)
+            : fetchRequest(name, waitMilliseconds, this->settings.token);
         const std::size_t entry = job->entry;
         Connection connection = this->take(entry);
         Http::HttpConnection* open = connection.get();
--- a/celeryswitch/Messages/StateMessages.h
+++ b/celeryswitch/Messages/StateMessages.h
@@ -314,8 +314,7 @@
     /// Detail of a refusal; for NotLeader the leader's address when known.
     std::string detail;
     /// Append only: the index is part of the format.
-    std::variant<Done, FleetView, LeaseGrant, ChangeAccepted, ReportAnswer, AuditAnswer, ReplicaStatus,
-        RoutingSource>
+    std::variant<Done, FleetView, LeaseGrant, ChangeAccepted, ReportAnswer, AuditAnswer, ReplicaStatus, RoutingSource>
         body;
 
     template <typename Archive> void serialize(Archive& archive)
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -5,9 +5,9 @@
 #include <algorithm>
 #include <cereal/types/utility.hpp>
 #include <cmath>
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace celeryswitch::Messages {
@@ -21,7 +21,12 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    friend auto operator<=>(const TaskId&, const TaskId&) = default;
+    friend bool operator==(const TaskId&, const TaskId&) = default;
+    friend bool operator<(const TaskId& left, const TaskId& right)
+    {
+        return std::tie(left.job, left.occurrence, left.step, left.index)
+            < std::tie(right.job, right.occurrence, right.step, right.index);
+    }
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(this->job, this->occurrence, this->step, this->index);
@@ -98,7 +103,8 @@
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(this->sequence, this->clockEcho, this->job, this->occurrence, this->step, this->content, this->need,
-            this->expectedMilliseconds, this->rank, this->startWithinMicroseconds, this->deadlineMicroseconds, this->tasks);
+            this->expectedMilliseconds, this->rank, this->startWithinMicroseconds, this->deadlineMicroseconds,
+            this->tasks);
     }
 };
 
@@ -126,7 +132,8 @@
     template <typename Archive> void serialize(Archive& archive) { archive(this->task, this->run, this->need); }
 };
 
-/// Entry to sidecar, first on each connection after Hello: runs that it believes are there; each is answered by a report.
+/// Entry to sidecar, first on each connection after Hello: runs that it believes are there; each is answered by a
+/// report.
 struct ClaimRuns {
     std::vector<ClaimedRun> runs;
 
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -104,8 +104,7 @@
         chains.push_back(before + time.seconds);
         if (chains.back() > longest.seconds)
             longest = { chains.back(), time.deviation };
-        coreSeconds
-            += model.taskSeconds(declared) * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
+        coreSeconds += model.taskSeconds(declared) * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
     }
     model.arrived(now, coreSeconds);
     job.rank = static_cast<float>(this->rankOf(now, model));
@@ -114,8 +113,7 @@
         = after(job.arrivedAt, std::chrono::duration<double>(job.patience - this->settings.travelTime).count());
     // The goal follows from the true time, which is not known yet.
     job.limit = this->goalOf(job, longest.seconds * std::exp(2 * longest.deviation), this->settings.lateFactor);
-    job.waitUntil
-        = this->goalOf(job, longest.seconds * std::exp(-longest.deviation), this->settings.waitShare);
+    job.waitUntil = this->goalOf(job, longest.seconds * std::exp(-longest.deviation), this->settings.waitShare);
 }
 
 double JobScheduler::rankOf(SteadyTime now, const KindModel& model) const
@@ -197,16 +195,15 @@
     this->estimate(now, job);
     this->log.write(LogLevel::Debug, "job admitted",
         { { "job", id }, { "queue", queue.name }, { "rank_per_mille", static_cast<std::int64_t>(job.rank * 1e6F) },
-            { "limit_ms", milliseconds(job.limit - now) },
-            { "wait_ms", milliseconds(job.waitUntil - now) } });
+            { "limit_ms", milliseconds(job.limit - now) }, { "wait_ms", milliseconds(job.waitUntil - now) } });
     this->queue(this->jobs.emplace(id, std::move(job)).first->second);
 }
 
 void JobScheduler::query(RequestNumber request, const QueryJob& query)
 {
     if (const auto open = this->jobs.find(query.id); open != this->jobs.end())
-        this->answer(request,
-            { AnswerKind::State, open->second.hasBegun ? JobState::Running : JobState::Queued, 0, {}, {} });
+        this->answer(
+            request, { AnswerKind::State, open->second.hasBegun ? JobState::Running : JobState::Queued, 0, {}, {} });
     else if (const auto known = this->outcomes.find(query.id);
              known != this->outcomes.end() && known->second.answer.kind == AnswerKind::State)
         this->answer(request, known->second.answer);
@@ -263,15 +260,13 @@
             for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
                 const Task& task = job.steps[step].tasks[index];
                 if (task.phase == TaskPhase::Ordered && task.sidecar == sidecar)
-                    claims.runs.push_back(
-                        { { id, 0, step, index }, task.run, job.specification.steps[step].need });
+                    claims.runs.push_back({ { id, 0, step, index }, task.run, job.specification.steps[step].need });
             }
         }
     }
     this->actions.push_back(SendWork { sidecar, std::move(claims) });
     if (!worker.profile.workerId.empty())
-        this->actions.push_back(
-            SendWork { sidecar, Messages::KnownWorker { worker.profile, worker.load.isDraining } });
+        this->actions.push_back(SendWork { sidecar, Messages::KnownWorker { worker.profile, worker.load.isDraining } });
 }
 
 void JobScheduler::sidecarDisconnected(const Core::InstanceId& sidecar)
@@ -329,8 +324,7 @@
     this->log.write(LogLevel::Info, "run ended without success",
         { { "job", report.task.job }, { "task", report.task.index }, { "run", report.run }, { "sidecar", sidecar },
             { "end", std::string(Core::enumName(report.end)) },
-            { "refusal", std::string(Core::enumName(report.refusal)) },
-            { "ran_ms", report.runMicroseconds / 1000 } });
+            { "refusal", std::string(Core::enumName(report.refusal)) }, { "ran_ms", report.runMicroseconds / 1000 } });
     if (report.end == RunEnd::Failed) {
         task.avoided.push_back(sidecar);
         if (++task.failures >= job.queue.maximumAttempts) {
@@ -390,10 +384,9 @@
     if (isMoving)
         job.longestRunSeconds = std::max(job.longestRunSeconds, elapsed + left);
     // Percentages are whole numbers, so that early ones say little.
-    const double doubt
-        = isMoving ? (elapsed + left) * (progressDoubt + percentDoubt / (report.percent + 1)) : 0;
-    const double pace = fastestPace(
-        this->board, job.queue.service, job.specification.steps[report.task.step].need, job.rank);
+    const double doubt = isMoving ? (elapsed + left) * (progressDoubt + percentDoubt / (report.percent + 1)) : 0;
+    const double pace
+        = fastestPace(this->board, job.queue.service, job.specification.steps[report.task.step].need, job.rank);
     const double restarted = std::chrono::duration<double>(this->settings.restartTime).count()
         + fresh * medianPace(this->board) / std::max(0.01, pace);
     const SteadyTime goal = this->goalOf(job, fresh, 1);
@@ -432,9 +425,9 @@
     task.expectedEnd = SteadyTime::max();
     ++job.steps[stepIndex].waiting;
     // Once every order came back without a start, the job can still be refused as not run.
-    job.hasBegun = job.hasRun
-        || std::any_of(job.steps.begin(), job.steps.end(),
-            [](const Step& step) { return step.waiting + step.done < step.tasks.size(); });
+    job.hasBegun = job.hasRun || std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
+        return step.waiting + step.done < step.tasks.size();
+    });
     this->queue(job);
 }
 
@@ -504,9 +497,8 @@
     request.dataCentre = this->settings.dataCentre;
     request.time = this->modelOf(now, job.queue).stepTime(specification.declaredMilliseconds / 1000.0);
     // What is left of a begun job carries the value of the whole.
-    request.rank = job.hasBegun
-        ? job.rank * static_cast<float>(step.tasks.size()) / static_cast<float>(step.waiting)
-        : job.rank;
+    request.rank
+        = job.hasBegun ? job.rank * static_cast<float>(step.tasks.size()) / static_cast<float>(step.waiting) : job.rank;
     request.stretch = job.queue.stretch;
     request.slackSeconds = secondsUntil(now, this->goalOf(job, 0, 1));
     request.patienceSeconds = secondsUntil(now, job.patienceEnd);
@@ -519,7 +511,8 @@
     }
     if (!job.hasBegun) {
         const double unpriced = secondsUntil(now, job.waitUntil) - orderSeconds;
-        longestWait = std::min(longestWait, unpriced + std::max(0.0, longestWait - unpriced) * job.waitTrust * waitConfidence);
+        longestWait
+            = std::min(longestWait, unpriced + std::max(0.0, longestWait - unpriced) * job.waitTrust * waitConfidence);
     }
     request.longestWaitSeconds = std::max(0.0, longestWait);
     bool hasFailed = false;
@@ -537,8 +530,8 @@
     return !placements.empty();
 }
 
-void JobScheduler::order(SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
-    const PlacementRequest& request)
+void JobScheduler::order(
+    SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement, const PlacementRequest& request)
 {
     Step& step = job.steps[stepIndex];
     const StepSpecification& specification = job.specification.steps[stepIndex];
@@ -554,8 +547,8 @@
         this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000);
     start.rank = request.rank;
     // A run that waits for much longer than was expected comes back, and finds another place.
-    const double startWithin = std::min(
-        request.longestWaitSeconds, placement.waitSeconds * waitTolerance + shortestWaitSeconds);
+    const double startWithin
+        = std::min(request.longestWaitSeconds, placement.waitSeconds * waitTolerance + shortestWaitSeconds);
     start.startWithinMicroseconds = static_cast<std::int64_t>(std::max(startWithin, shortestWaitSeconds) * 1e6);
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.limit) * 1e6));
@@ -646,8 +639,7 @@
         free += worker.load.free.milliCores;
         for (const Messages::QueuedRoom& room : worker.load.queued)
             queued += room.milliCores;
-        places += std::max<std::int64_t>(
-            0, job.specification.steps.front().need.countIn(worker.roomFor(job.rank)));
+        places += std::max<std::int64_t>(0, job.specification.steps.front().need.countIn(worker.roomFor(job.rank)));
     }
     this->log.write(LogLevel::Info, "job finds no room",
         { { "job", job.specification.id }, { "queue", job.queue.name }, { "workers", usable },
@@ -669,8 +661,7 @@
             }
             this->logRoom(found->second);
             this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, "no room" });
-        }
-        else if (now >= found->second.limit)
+        } else if (now >= found->second.limit)
             this->end(now, found, { AnswerKind::GivenUp, {}, 0, {}, "deadline" });
     }
 }
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -28,11 +28,12 @@
     Core::Duration restartTime = std::chrono::milliseconds(60);
     /// Time between two signs of life to a sidecar.
     Core::Duration aliveInterval = std::chrono::milliseconds(200);
-    /// Time after the last sign of life of a sidecar after which nothing that this entry ordered runs there any more: the
-    /// time that the sidecar keeps runs of a silent entry, the worker's longest lease on a slow clock, and a margin.
+    /// Time after the last sign of life of a sidecar after which nothing that this entry ordered runs there any more:
+    /// the time that the sidecar keeps runs of a silent entry, the worker's longest lease on a slow clock, and a
+    /// margin.
     Core::Duration runsOverTime = std::chrono::milliseconds(700 + 1030 + 120);
-    /// After its start an entry is taken to find its workers within this time. Until it has found this share of them, jobs
-    /// wait for up to this share of their callers' patience.
+    /// After its start an entry is taken to find its workers within this time. Until it has found this share of them,
+    /// jobs wait for up to this share of their callers' patience.
     Core::Duration findingTime = std::chrono::seconds(3);
     double findingShare = 0.7;
     double findingPatience = 0.45;
--- a/celeryswitch/Scheduling/KindModel.cpp
+++ b/celeryswitch/Scheduling/KindModel.cpp
@@ -67,14 +67,13 @@
     const double varianceX = this->sumXX - this->weight * meanX * meanX;
     const double covariance = this->sumXY - this->weight * meanX * meanY;
     const double varianceY = this->sumYY - this->weight * meanY * meanY;
-    const double slope
-        = (covariance + priorWeight * priorVarianceOfX) / (varianceX + priorWeight * priorVarianceOfX);
+    const double slope = (covariance + priorWeight * priorVarianceOfX) / (varianceX + priorWeight * priorVarianceOfX);
     // The prior pulls the level as well, as if it were observations at the declared time.
-    const double level = meanY * this->weight / (this->weight + priorWeight)
-        + meanX * priorWeight / (this->weight + priorWeight);
+    const double level
+        = meanY * this->weight / (this->weight + priorWeight) + meanX * priorWeight / (this->weight + priorWeight);
     const double residual = varianceY - 2 * slope * covariance + slope * slope * varianceX;
-    const double deviation = std::sqrt((std::max(0.0, residual) + priorWeight * priorDeviation * priorDeviation)
-        / (this->weight + priorWeight));
+    const double deviation = std::sqrt(
+        (std::max(0.0, residual) + priorWeight * priorDeviation * priorDeviation) / (this->weight + priorWeight));
     return { std::exp(level + slope * (x - meanX)), std::max(smallestDeviation, deviation) };
 }
 
--- a/celeryswitch/Scheduling/KindModel.h
+++ b/celeryswitch/Scheduling/KindModel.h
@@ -24,7 +24,8 @@
 
     /// A job arrived that is expected to be this much work, in core-seconds.
     void arrived(Core::SteadyTime now, double coreSeconds);
-    /// A step ended whose longest task took `longest` and whose tasks took `mean` seconds, on workers of ordinary speed.
+    /// A step ended whose longest task took `longest` and whose tasks took `mean` seconds, on workers of ordinary
+    /// speed.
     void observed(double declaredSeconds, double longest, double mean);
 
     /// Time of a step's longest task on a worker of ordinary speed.
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -51,8 +51,7 @@
                this->received(session, std::move(request));
            },
               [this](std::uint16_t status, const std::string& reason) {
-                  Http::HttpResponse response
-                      = this->protocol.encode({ AnswerKind::Malformed, {}, 0, {}, reason });
+                  Http::HttpResponse response = this->protocol.encode({ AnswerKind::Malformed, {}, 0, {}, reason });
                   response.statusCode = status;
                   return response;
               },
@@ -130,8 +129,7 @@
         if (isRoutingKnown)
             this->handle(next.session, next.request, next.arrivedAt);
         else
-            this->respond(
-                next.session, { AnswerKind::NotRun, {}, 0, retryWhileStarting, "no routing document yet" });
+            this->respond(next.session, { AnswerKind::NotRun, {}, 0, retryWhileStarting, "no routing document yet" });
     }
 }
 
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -52,7 +52,8 @@
 
 private:
     void received(const Http::HttpSession::Pointer& session, Http::HttpRequest request);
-    void handle(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request, Core::SteadyTime arrivedAt);
+    void handle(
+        const Http::HttpSession::Pointer& session, const Http::HttpRequest& request, Core::SteadyTime arrivedAt);
     void answerHeld(bool isRoutingKnown);
     void readinessAsked(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request);
     void routingReceived(Configuration::RoutingDocument document);
--- a/celeryswitch/Scheduling/SidecarLinks.h
+++ b/celeryswitch/Scheduling/SidecarLinks.h
@@ -12,8 +12,8 @@
 
 namespace celeryswitch::Scheduling {
 
-/// Connections of an entry to the sidecars of leased workers: opened when a sidecar becomes known, opened anew when they
-/// are lost or silent. Every function runs on the io_context's thread.
+/// Connections of an entry to the sidecars of leased workers: opened when a sidecar becomes known, opened anew when
+/// they are lost or silent. Every function runs on the io_context's thread.
 class SidecarLinks {
 public:
     /// What the links call.
--- a/celeryswitch/Scheduling/WorkerBoard.cpp
+++ b/celeryswitch/Scheduling/WorkerBoard.cpp
@@ -9,8 +9,8 @@
 
 constexpr double never = std::numeric_limits<double>::infinity();
 
-// Costs of a choice, in parts of the value of the work. The chance to miss the end counts most; the rest decides between
-// choices that are about as good in that.
+// Costs of a choice, in parts of the value of the work. The chance to miss the end counts most; the rest decides
+// between choices that are about as good in that.
 constexpr double lateCost = 0.8;
 constexpr double farCost = 0.004;
 constexpr double avoidedCost = 4;
@@ -70,8 +70,7 @@
 
 bool isEligible(const WorkerView& worker, const PlacementRequest& request)
 {
-    if (!worker.isUsable() || worker.profile.service != request.service
-        || !request.need.fits(worker.profile.capacity)
+    if (!worker.isUsable() || worker.profile.service != request.service || !request.need.fits(worker.profile.capacity)
         || (!request.requiredLabel.empty() && !worker.hasLabel(request.requiredLabel)))
         return false;
     return !worker.load.isOnProbation
@@ -87,8 +86,8 @@
     if (worker.load.isOnProbation)
         candidate.limit = 1;
     candidate.pace = std::max(0.01, worker.pace() / ordinaryPace);
-    const bool isAvoided = std::find(request.avoided.begin(), request.avoided.end(), worker.sidecar)
-        != request.avoided.end();
+    const bool isAvoided
+        = std::find(request.avoided.begin(), request.avoided.end(), worker.sidecar) != request.avoided.end();
     candidate.fixedCost = (isAvoided ? avoidedCost : 0) + (worker.dataCentre == request.dataCentre ? 0 : farCost)
         + (request.dataRack.empty() || worker.hasLabel(request.dataRack) ? 0 : farDataCost)
         + emptyCost * static_cast<double>(std::max<std::int64_t>(0, candidate.room.milliCores))
--- a/celeryswitch/Scheduling/WorkerBoard.h
+++ b/celeryswitch/Scheduling/WorkerBoard.h
@@ -80,8 +80,8 @@
     double waitSeconds = 0;
 };
 
-/// Chooses workers for all tasks of a request, or none when some would wait for too long. `ordinaryPace` is the speed of
-/// an ordinary worker.
+/// Chooses workers for all tasks of a request, or none when some would wait for too long. `ordinaryPace` is the speed
+/// of an ordinary worker.
 std::vector<Placement> place(const WorkerBoard& board, double ordinaryPace, const PlacementRequest& request);
 
 }
--- a/celeryswitch/State/FleetWatcher.cpp
+++ b/celeryswitch/State/FleetWatcher.cpp
@@ -82,11 +82,10 @@
 void FleetWatcher::later(boost::asio::steady_timer& timer, Core::Duration span, void (FleetWatcher::*next)())
 {
     timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(span));
-    timer.async_wait(
-        [this, guard = std::weak_ptr<bool>(this->alive), next](const boost::system::error_code& error) {
-            if (!error && !guard.expired())
-                (this->*next)();
-        });
+    timer.async_wait([this, guard = std::weak_ptr<bool>(this->alive), next](const boost::system::error_code& error) {
+        if (!error && !guard.expired())
+            (this->*next)();
+    });
 }
 
 void FleetWatcher::watch()
@@ -174,8 +173,8 @@
             if (reply && reply.value().refusal == StateRefusal::UnknownMember)
                 this->registerMember();
             else
-                this->later(this->memberTimer, reply ? this->settings.renewalInterval : failurePause,
-                    &FleetWatcher::renew);
+                this->later(
+                    this->memberTimer, reply ? this->settings.renewalInterval : failurePause, &FleetWatcher::renew);
         });
 }
 
--- a/celeryswitch/State/GroupKeeper.cpp
+++ b/celeryswitch/State/GroupKeeper.cpp
@@ -22,7 +22,8 @@
 {
     if (!this->settings.isEnabled)
         return std::nullopt;
-    std::erase_if(this->known, [&](const auto& entry) { return now - entry.second.at > this->settings.announcementAge; });
+    std::erase_if(
+        this->known, [&](const auto& entry) { return now - entry.second.at > this->settings.announcementAge; });
     const ReplicaGroup& group = leader.log().group();
     const auto silence = [&](const ReplicaInfo& replica) {
         return replica.id == leader.id() ? Core::Duration::zero() : now - leader.answeredAt(replica.id);
--- a/celeryswitch/State/StateClient.cpp
+++ b/celeryswitch/State/StateClient.cpp
@@ -212,14 +212,14 @@
         if (this->attempts >= this->settings.replicas.size())
             return;
         this->attemptTimer.expires_after(nextAttemptDelay);
-        this->attemptTimer.async_wait([weak = this->weak_from_this(), generation = this->generation](
-                                          const boost::system::error_code& error) {
-            const auto self = weak.lock();
-            if (self && !error && generation == self->generation && self->isConnecting && !self->connection) {
-                self->turnToNextReplica();
-                self->attempt();
-            }
-        });
+        this->attemptTimer.async_wait(
+            [weak = this->weak_from_this(), generation = this->generation](const boost::system::error_code& error) {
+                const auto self = weak.lock();
+                if (self && !error && generation == self->generation && self->isConnecting && !self->connection) {
+                    self->turnToNextReplica();
+                    self->attempt();
+                }
+            });
     }
 
     void attemptDone(const std::string& address, Core::Result<Network::PeerConnectionPointer> result)
--- a/celeryswitch/State/StateCore.cpp
+++ b/celeryswitch/State/StateCore.cpp
@@ -108,9 +108,8 @@
         return;
     }
     const std::uint32_t wait = std::min(body.waitMilliseconds, maximumWaitMilliseconds);
-    this->watchers.push_back(
-        { entry.connection, entry.request.requestId, body.knownVersion, body.knownRoutingVersion,
-            this->now + std::chrono::milliseconds(wait) });
+    this->watchers.push_back({ entry.connection, entry.request.requestId, body.knownVersion, body.knownRoutingVersion,
+        this->now + std::chrono::milliseconds(wait) });
     // A new watcher may know less than the version that was compared last.
     this->announcedVersion = 0;
     this->waiting.erase(token);
--- a/celeryswitch/Workers/RunTable.cpp
+++ b/celeryswitch/Workers/RunTable.cpp
@@ -90,9 +90,8 @@
 
 void RunTable::forgetEndedBefore(Core::SteadyTime time)
 {
-    std::erase_if(this->runs, [&](const auto& entry) {
-        return entry.second.phase == RunPhase::Ended && entry.second.endedAt < time;
-    });
+    std::erase_if(this->runs,
+        [&](const auto& entry) { return entry.second.phase == RunPhase::Ended && entry.second.endedAt < time; });
 }
 
 }
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <tuple>
 
 namespace celeryswitch::Workers {
 
@@ -96,7 +97,11 @@
     Core::SteadyTime startBy;
     std::uint64_t arrival = 0;
 
-    friend auto operator<=>(const QueuePlace&, const QueuePlace&) = default;
+    friend bool operator<(const QueuePlace& left, const QueuePlace& right)
+    {
+        return std::tie(left.negativeRankClass, left.startBy, left.arrival)
+            < std::tie(right.negativeRankClass, right.startBy, right.arrival);
+    }
 };
 
 /// The runs on one worker and the room that they use. A run uses room from its order to start until its end is known.
@@ -109,7 +114,8 @@
     /// Every run by task.
     std::map<TaskId, Run>& all() { return this->runs; }
     const std::map<TaskId, Run>& all() const { return this->runs; }
-    /// Feeds the phase chart of a run; `perform` carries out the actions of the transition, after the phase has changed.
+    /// Feeds the phase chart of a run; `perform` carries out the actions of the transition, after the phase has
+    /// changed.
     void fire(Run& run, RunEvent event, Core::SteadyTime now, const std::function<void(RunAction)>& perform);
     /// Corrects the room that an adopted run needs.
     void setNeed(Run& run, const Room& need);
