--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -27,8 +27,8 @@
     fixture.run(260ms);
     REQUIRE(fixture.historyOf(100).size() == 1);
     const auto reports = fixture.reportsOf(100);
-    const auto ended = std::count_if(reports.begin(), reports.end(),
-        [](const auto& report) { return report.state == Messages::RunState::Ended; });
+    const auto ended = std::count_if(
+        reports.begin(), reports.end(), [](const auto& report) { return report.state == Messages::RunState::Ended; });
     REQUIRE(ended == 1);
     REQUIRE(reports.back().end == Messages::RunEnd::Done);
     REQUIRE(reports.back().runMicroseconds >= 200'000);
@@ -80,7 +80,8 @@
     REQUIRE(fixture.reportsOf(1).back().end == Messages::RunEnd::Done);
 }
 
-// Guards against runs that go on after the death of their entry, whose caller sends the job to another entry 1.3 s later.
+// Guards against runs that go on after the death of their entry, whose caller sends the job to another entry 1.3 s
+// later.
 TEST_CASE("the runs of a silent entry are stopped before its callers come back", "[Workers]")
 {
     ReadySupervisor fixture;
@@ -88,7 +89,7 @@
     fixture.order(1, 1);
     fixture.run(100ms);
     fixture.living.clear();
-    fixture.supervisor->entryDisconnected(1);
+    fixture.supervisor->entryDisconnected(fixture.now(), 1);
     const SteadyTime death = fixture.now();
     fixture.run(1200ms);
     REQUIRE(fixture.historyOf(1).front().endedAt - death < 900ms);
--- a/celeryswitch/Scheduling/SidecarLinks.cpp
+++ b/celeryswitch/Scheduling/SidecarLinks.cpp
@@ -13,7 +13,7 @@
 constexpr Core::Duration silenceLimit = std::chrono::milliseconds(550);
 // Bounds of the delay before a connection is opened anew; it doubles with each failure.
 constexpr std::chrono::milliseconds shortestRetry { 20 };
-constexpr std::chrono::milliseconds longestRetry { 500 };
+constexpr std::chrono::milliseconds longestRetry { 100 };
 
 }
 
@@ -113,10 +113,8 @@
     const bool wasConnected = link.connection != nullptr;
     this->close(link);
     if (wasConnected || link.failures == 0)
-        this->log.write(
-            LogLevel::Info, "sidecar disconnected", { { "sidecar", sidecar }, { "reason", reason } });
-    const auto delay
-        = std::min(longestRetry, shortestRetry * (1 << std::min<std::uint32_t>(link.failures++, 6)));
+        this->log.write(LogLevel::Info, "sidecar disconnected", { { "sidecar", sidecar }, { "reason", reason } });
+    const auto delay = std::min(longestRetry, shortestRetry * (1 << std::min<std::uint32_t>(link.failures++, 6)));
     link.retryTimer = std::make_unique<boost::asio::steady_timer>(this->context, delay);
     link.retryTimer->async_wait(
         [this, guard = std::weak_ptr<bool>(this->alive), sidecar](const boost::system::error_code& error) {
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -47,15 +47,16 @@
     entry.handledSequence = 0;
     entry.isUpdateDue = true;
     entry.permittedUntil = now + this->settings.entrySilenceLimit;
-    this->log.write(LogLevel::Info, "entry connected",
-        { { "entry", hello.instanceId }, { "incarnation", hello.incarnation } });
+    this->log.write(
+        LogLevel::Info, "entry connected", { { "entry", hello.instanceId }, { "incarnation", hello.incarnation } });
 }
 
-void RunSupervisor::entryDisconnected(std::uint64_t connection)
+void RunSupervisor::entryDisconnected(SteadyTime now, std::uint64_t connection)
 {
     Core::InstanceId id;
     if (Entry* entry = this->entryOf(connection, &id)) {
         entry->connection = 0;
+        entry->permittedUntil = std::min(entry->permittedUntil, now + this->settings.reconnectTime);
         this->log.write(LogLevel::Info, "entry disconnected", { { "entry", id } });
     }
 }
@@ -90,8 +91,8 @@
         || *this->life.bornAt != this->offered->profile.bornAt)
         return;
     const Messages::WorkerProfile& known = this->offered->profile;
-    this->log.write(LogLevel::Info, "worker known from an entry",
-        { { "worker", known.workerId }, { "born", known.bornAt } });
+    this->log.write(
+        LogLevel::Info, "worker known from an entry", { { "worker", known.workerId }, { "born", known.bornAt } });
     this->life.profile = WorkerAnnouncement { known.workerId, known.bornAt, known.service, known.capacity, known.labels,
         this->offered->isDraining, 0, 0 };
     this->life.isDraining = this->offered->isDraining;
@@ -121,8 +122,7 @@
     return RunRefusal::None;
 }
 
-void RunSupervisor::handle(
-    SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartRuns& order)
+void RunSupervisor::handle(SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartRuns& order)
 {
     entry.handledSequence = std::max(entry.handledSequence, order.sequence);
     const auto content = std::make_shared<const std::string>(std::move(order.content));
@@ -187,8 +187,7 @@
     }
 }
 
-void RunSupervisor::handle(
-    SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ClaimRuns& claimed)
+void RunSupervisor::handle(SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ClaimRuns& claimed)
 {
     entry.isUpdateDue = true;
     for (const Messages::ClaimedRun& claim : claimed.runs)
@@ -222,9 +221,9 @@
 bool RunSupervisor::announced(SteadyTime now, const WorkerAnnouncement& announcement)
 {
     const bool isKnown = this->life.profile.has_value();
-    const bool isSameLife = isKnown ? this->life.profile->workerId == announcement.workerId
-            && this->life.profile->bornAt == announcement.bornAt
-                                    : !this->life.bornAt || *this->life.bornAt == announcement.bornAt;
+    const bool isSameLife = isKnown
+        ? this->life.profile->workerId == announcement.workerId && this->life.profile->bornAt == announcement.bornAt
+        : !this->life.bornAt || *this->life.bornAt == announcement.bornAt;
     if (!isSameLife) {
         if (this->life.bornAt && announcement.bornAt < *this->life.bornAt)
             return false;
@@ -351,25 +350,28 @@
 
 SteadyTime RunSupervisor::nextWakeUp() const
 {
-    SteadyTime due = this->nextLook;
-    if (this->runs.activeCount() == 0 && this->life.isListed && this->unansweredCalls == 0)
-        due = SteadyTime::max();
+    SteadyTime due = SteadyTime::max();
+    const bool isIdle = this->runs.activeCount() == 0 && this->life.isListed && this->unansweredCalls == 0;
+    if (!isIdle && !this->isLookOut)
+        due = this->nextLook;
     const Messages::Room free = this->freeRoom();
     for (const auto& [id, entry] : this->entries) {
         const bool hasNews = entry.isReadySent != this->isReady() || !(entry.freeSent == free);
         if (entry.connection != 0)
             due = std::min(
                 due, entry.updatedAt + (hasNews ? this->settings.statusInterval : this->settings.aliveInterval));
-        if (this->runs.activeCount() > 0)
-            due = std::min(due, entry.permittedUntil);
     }
     for (const auto& [task, run] : this->runs.all()) {
-        if (run.phase == RunPhase::Queued)
-            due = std::min(due, run.startBy);
-        else if (run.phase == RunPhase::Stopping)
+        if (run.phase == RunPhase::Ended)
+            continue;
+        if (run.phase == RunPhase::Stopping) {
             due = std::min(due, run.stopAgainAt);
-        else if (run.phase != RunPhase::Ended)
-            due = std::min(due, run.deadline);
+            continue;
+        }
+        due = std::min(due, run.phase == RunPhase::Queued ? run.startBy : run.deadline);
+        const auto entry = this->entries.find(run.entry);
+        if (entry != this->entries.end())
+            due = std::min(due, entry->second.permittedUntil);
     }
     return due;
 }
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -15,17 +15,24 @@
 struct SupervisorSettings {
     Core::Incarnation incarnation = 0;
     /// Length of the worker's lease that each order asks for; the worker's own limit goes first.
-    Core::Duration leaseLength = std::chrono::milliseconds(1000);
+    Core::Duration leaseLength = std::chrono::milliseconds(900);
     /// Time that an order to extend the lease waits for an end.
     std::chrono::milliseconds holdWait { 400 };
     /// Time without an answer after which an order counts as unanswered, beyond the wait that it asks for.
     Core::Duration callTimeout = std::chrono::milliseconds(120);
+    /// The same for orders to start, which workers answer at once.
+    Core::Duration startTimeout = std::chrono::milliseconds(40);
+    /// Time for which an unanswered order makes further ones likely, so that ends are looked for earlier.
+    Core::Duration distrustTime = std::chrono::seconds(3);
     /// Time without a sign of life of an entry after which its runs are stopped.
     Core::Duration entrySilenceLimit = std::chrono::milliseconds(700);
+    /// The same after its connection has ended. With the lease it stays below the 1.3 s after which callers of an entry
+    /// that died come back, also if this process dies in between.
+    Core::Duration reconnectTime = std::chrono::milliseconds(300);
     /// Time that a stop may take at the worker.
     Core::Duration stopTime = std::chrono::milliseconds(50);
     /// Time for which the runs of an earlier life of this sidecar are kept for an entry to claim them.
-    Core::Duration claimTime = std::chrono::milliseconds(700);
+    Core::Duration claimTime = std::chrono::milliseconds(250);
     /// Time for which ended runs are remembered.
     Core::Duration endedRetention = std::chrono::seconds(5);
     /// Shortest time between two updates that only tell of changed room, and longest time between two updates.
@@ -64,7 +71,7 @@
     /// An entry has connected.
     void entryConnected(Core::SteadyTime now, std::uint64_t connection, const Messages::Hello& hello);
     /// A connection has ended.
-    void entryDisconnected(std::uint64_t connection);
+    void entryDisconnected(Core::SteadyTime now, std::uint64_t connection);
     /// A message of a connected entry.
     void received(Core::SteadyTime now, std::uint64_t connection, Messages::WorkMessage message);
     /// The worker has told of itself. Returns false when the announcement is older than what is known.
@@ -164,6 +171,10 @@
     void holdIfDue(Core::SteadyTime now);
     void sendUpdates(Core::SteadyTime now);
     bool isLookDue(Core::SteadyTime now) const;
+    // Whether a run is under way that an entry wants.
+    bool hasWantedRun() const;
+    // Whether an order was not answered a short while ago.
+    bool isDistrusted(Core::SteadyTime now) const;
 
     SupervisorSettings settings;
     Logging::StructuredLog& log;
@@ -184,6 +195,7 @@
     /// When a call of the worker was answered last.
     Core::SteadyTime contactAt;
     std::uint32_t unansweredCalls = 0;
+    Core::SteadyTime unansweredAt;
     bool isDrained = false;
     std::vector<SupervisorAction> actions;
 };
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -1,6 +1,8 @@
 // The orders to the worker: starts, stops, the lease, and what the answers say.
 #include "celeryswitch/Workers/RunSupervisor.h"
 
+#include <algorithm>
+
 namespace celeryswitch::Workers {
 
 using Core::SteadyTime;
@@ -15,6 +17,9 @@
 constexpr Core::Duration overdueMinimum = std::chrono::milliseconds(40);
 // Time between two looks while runs are overdue or uncertain.
 constexpr Core::Duration lookInterval = std::chrono::milliseconds(100);
+// The same times while orders go unanswered, when a long poll is likely to be lost as well.
+constexpr Core::Duration distrustedOverdue = std::chrono::milliseconds(5);
+constexpr Core::Duration distrustedInterval = std::chrono::milliseconds(25);
 constexpr Core::Duration contactInterval = std::chrono::milliseconds(250);
 // Time until an order to stop that could not be sent is repeated.
 constexpr Core::Duration stopPause = std::chrono::milliseconds(50);
@@ -48,9 +53,8 @@
 void RunSupervisor::giveStart(SteadyTime now, Run& run)
 {
     run.orderedAt = SteadyTime::max();
-    this->give(now,
-        StartCall { run.task, run.number, *run.content, this->extendLease(now), this->life.fencingToken },
-        this->settings.callTimeout);
+    this->give(now, StartCall { run.task, run.number, *run.content, this->extendLease(now), this->life.fencingToken },
+        this->settings.startTimeout);
 }
 
 void RunSupervisor::giveStop(SteadyTime now, Run& run)
@@ -64,7 +68,7 @@
 {
     HoldCall call { this->life.fencingToken, this->life.notedEnds, std::nullopt, {} };
     // The lease of a worker that does not answer runs out, so that it is known when nothing runs there any more.
-    if (this->life.clock.isKnown() && this->runs.activeCount() > 0 && this->unansweredCalls < unansweredLimit)
+    if (this->life.clock.isKnown() && this->hasWantedRun() && this->unansweredCalls < unansweredLimit)
         call.leaseEnd = this->extendLease(now);
     if (isLongPoll) {
         call.wait = this->settings.holdWait;
@@ -75,6 +79,15 @@
     this->give(now, call, call.wait + this->settings.callTimeout, isLongPoll);
 }
 
+bool RunSupervisor::hasWantedRun() const
+{
+    // What an earlier life of this process started is kept no longer than that life wanted, until an entry claims it.
+    return std::any_of(this->runs.all().begin(), this->runs.all().end(), [](const auto& entry) {
+        const Run& run = entry.second;
+        return run.phase != RunPhase::Ended && run.phase != RunPhase::Queued && !run.entry.empty();
+    });
+}
+
 bool RunSupervisor::isLookDue(SteadyTime now) const
 {
     if (!this->life.isListed || this->unansweredCalls > 0)
@@ -85,26 +98,36 @@
         if (run.phase == RunPhase::Stopping && run.orderedAt != SteadyTime::max()
             && now >= run.orderedAt + this->settings.stopTime)
             return true;
-        if (run.phase == RunPhase::Running
-            && now >= run.expectedEnd + std::max<Core::Duration>(run.expectedTime * overduePercent / 100, overdueMinimum))
+        if (run.phase != RunPhase::Running)
+            continue;
+        const Core::Duration overdue = this->isDistrusted(now)
+            ? distrustedOverdue
+            : std::max<Core::Duration>(run.expectedTime * overduePercent / 100, overdueMinimum);
+        if (now >= run.expectedEnd + overdue)
             return true;
     }
     return false;
 }
 
+bool RunSupervisor::isDistrusted(SteadyTime now) const
+{
+    return this->unansweredAt != SteadyTime {} && now < this->unansweredAt + this->settings.distrustTime;
+}
+
 void RunSupervisor::holdIfDue(SteadyTime now)
 {
     const bool isNeeded = this->runs.activeCount() > 0;
     if (isNeeded && !this->isLongPollOut && this->life.clock.isKnown())
         this->giveHold(now, true);
-    if (!this->isLookOut && now >= this->nextLook) {
-        if (this->isLookDue(now)) {
-            this->giveHold(now, false);
-            this->nextLook = now + (this->unansweredCalls > 0 && !isNeeded ? contactInterval : lookInterval);
-        } else {
-            this->nextLook = now + lookInterval;
-        }
+    if (this->isLookOut || now < this->nextLook)
+        return;
+    Core::Duration interval = this->isDistrusted(now) ? distrustedInterval : lookInterval;
+    if (this->isLookDue(now)) {
+        this->giveHold(now, false);
+        if (this->unansweredCalls > 0 && !isNeeded)
+            interval = contactInterval;
     }
+    this->nextLook = now + interval;
 }
 
 void RunSupervisor::called(SteadyTime now, std::uint64_t callId, CallResult result)
@@ -134,6 +157,7 @@
 void RunSupervisor::noteContact(SteadyTime now, const CallResult& result)
 {
     if (result.status == CallStatus::Unanswered || result.status == CallStatus::NotSent) {
+        this->unansweredAt = now;
         if (++this->unansweredCalls == unansweredLimit)
             this->log.write(LogLevel::Warning, "worker out of contact",
                 { { "worker", this->life.profile ? this->life.profile->workerId : "" },
@@ -181,7 +205,7 @@
             return;
         }
         this->endRun(now, *run, RunEvent::StartRefused, RunEnd::NotStarted,
-            result.refusal == CallRefusal::Room     ? RunRefusal::NoRoom
+            result.refusal == CallRefusal::Room       ? RunRefusal::NoRoom
                 : result.refusal == CallRefusal::Late ? RunRefusal::Late
                                                       : RunRefusal::Rejected);
         break;
@@ -261,8 +285,7 @@
     for (auto& [task, run] : this->runs.all()) {
         const auto found = listed.find(task);
         const bool isListed = found != listed.end() && found->second->run == run.number;
-        if (run.phase != RunPhase::Ended && run.phase != RunPhase::Queued && !isListed
-            && run.orderedAt <= call.sentAt)
+        if (run.phase != RunPhase::Ended && run.phase != RunPhase::Queued && !isListed && run.orderedAt <= call.sentAt)
             this->endRun(now, run, RunEvent::Unlisted,
                 run.phase == RunPhase::Running ? RunEnd::Lost : RunEnd::NotStarted, RunRefusal::Unanswered);
     }
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::size_t announcementConnections = 64;
-constexpr Http::HttpLimits announcementLimits { 256 * 1024, 16 * 1024, std::chrono::seconds(3),
-    std::chrono::seconds(3), std::chrono::seconds(30) };
+constexpr Http::HttpLimits announcementLimits { 256 * 1024, 16 * 1024, std::chrono::seconds(3), std::chrono::seconds(3),
+    std::chrono::seconds(30) };
 // Longest sleep of the event loop, so that a time that was missed is made up for.
 constexpr Core::Duration longestSleep = std::chrono::seconds(1);
 
@@ -33,8 +33,8 @@
 
 }
 
-WorkerSidecar::WorkerSidecar(boost::asio::io_context& context, WorkerSidecarSettings settings,
-    const Core::Clock& clock, Logging::StructuredLog& log, const WorkerProtocol& protocol)
+WorkerSidecar::WorkerSidecar(boost::asio::io_context& context, WorkerSidecarSettings settings, const Core::Clock& clock,
+    Logging::StructuredLog& log, const WorkerProtocol& protocol)
     : context(context)
     , settings(std::move(settings))
     , clock(clock)
@@ -84,8 +84,8 @@
         session->respond(this->protocol.acknowledgement());
     } else {
         const auto& unknown = std::get<UnknownAnnouncement>(decoded);
-        this->log.write(LogLevel::Warning, "announcement refused",
-            { { "path", request.path }, { "detail", unknown.problem } });
+        this->log.write(
+            LogLevel::Warning, "announcement refused", { { "path", request.path }, { "detail", unknown.problem } });
         session->respond(unknown.response);
     }
     this->step();
@@ -133,7 +133,7 @@
 void WorkerSidecar::closed(std::uint64_t number)
 {
     this->connections.erase(number);
-    this->supervisor.entryDisconnected(number);
+    this->supervisor.entryDisconnected(this->clock.steadyNow(), number);
     this->step();
 }
 
