Write a request's decisions when it did not end well; never block on the log's reader

Cause: every decision of every request was written at once with a flush, 400 lines a message and second, so that a burst cut the lines of the requests that failed, and a reader that stopped would have stopped the process.

A job's decisions are kept in a Trace and written when it was refused, given up, failed or late, and for one of 64 others; every job has one line at its end. RecordWriter keeps records in a bounded buffer, writes only what the descriptor takes without waiting, and tells of dropped records; tested with a pipe that nobody reads. Jobs are written in the form that callers know, 16 hexadecimal digits.

--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -1,5 +1,6 @@
 #include "Program/CommandLine.h"
 #include "Program/Commands.h"
+#include "celeryswitch/Logging/RecordWriter.h"
 #include "celeryswitch/State/StateProcess.h"
 #include "platform/BootFile.h"
 #include "platform/ClientApi.h"
@@ -9,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <random>
+#include <unistd.h>
 
 namespace celeryswitch::Program {
 
@@ -33,6 +35,10 @@
 constexpr const char* settingsVariable = "CELERYSWITCH_CONFIG";
 // Time between two looks at the settings file, which may change without a signal.
 constexpr std::chrono::seconds settingsInterval { 2 };
+// Records of one message in a second at most.
+constexpr std::uint32_t recordsPerSecond = 400;
+// Time between two writes of log records.
+constexpr std::chrono::milliseconds logInterval { 100 };
 
 Core::Incarnation drawIncarnation()
 {
@@ -43,12 +49,14 @@
 // An event loop with the signals of the platform and its settings file.
 class PlatformLoop {
 public:
-    PlatformLoop(std::string settingsPath, StructuredLog& log)
+    PlatformLoop(std::string settingsPath, StructuredLog& log, Logging::RecordWriter& writer)
         : settingsPath(std::move(settingsPath))
         , log(log)
+        , writer(writer)
         , stopSignals(this->context, SIGTERM, SIGINT)
         , reloadSignal(this->context, SIGHUP)
         , settingsTimer(this->context)
+        , logTimer(this->context)
     {
     }
 
@@ -64,8 +72,10 @@
         this->onSettings = std::move(onSettings);
         this->awaitReload();
         this->watchSettings();
+        this->writeLog();
         this->context.run();
         this->log.write(LogLevel::Info, "stopped");
+        this->writer.flush();
     }
     void stop() { this->context.stop(); }
 
@@ -95,6 +105,16 @@
         });
     }
 
+    void writeLog()
+    {
+        this->writer.flush();
+        this->logTimer.expires_after(logInterval);
+        this->logTimer.async_wait([this](const boost::system::error_code& error) {
+            if (!error)
+                this->writeLog();
+        });
+    }
+
     void reload()
     {
         const Core::Result<Platform::BootFile> file = Platform::loadBootFile(this->settingsPath);
@@ -113,9 +133,11 @@
 
     std::string settingsPath;
     StructuredLog& log;
+    Logging::RecordWriter& writer;
     boost::asio::signal_set stopSignals;
     boost::asio::signal_set reloadSignal;
     boost::asio::steady_timer settingsTimer;
+    boost::asio::steady_timer logTimer;
     std::function<void(const Platform::BootFile&)> onSettings;
     std::vector<std::string> seeds;
 };
@@ -191,18 +213,14 @@
     Logging::LogSettings logSettings;
     logSettings.role = arguments[1];
     logSettings.instanceId = file.value().node;
-    logSettings.level = LogLevel::Debug;
-    logSettings.recordsPerSecond = 400;
-    logSettings.output = [](const std::string& record) {
-        const std::string text = record + "\n";
-        std::fwrite(text.data(), 1, text.size(), stdout);
-        std::fflush(stdout);
-    };
+    logSettings.recordsPerSecond = recordsPerSecond;
+    Logging::RecordWriter writer(STDOUT_FILENO);
+    logSettings.output = [&writer](const std::string& record) { writer.add(record); };
     StructuredLog log(std::move(logSettings), clock);
     log.write(LogLevel::Info, "starting",
         { { "ip", file.value().ip }, { "seeds", static_cast<std::uint64_t>(file.value().seeds.size()) },
             { "bootstrap", file.value().isFirstStart ? 1 : 0 } });
-    PlatformLoop loop(path, log);
+    PlatformLoop loop(path, log, writer);
     if (line.has("entry"))
         return runEntry(file.value(), loop, log);
     return line.has("sidecar") ? runSidecar(file.value(), loop, log) : runState(file.value(), loop, log);
--- a/celeryswitch/Logging/StructuredLog.cpp
+++ b/celeryswitch/Logging/StructuredLog.cpp
@@ -75,10 +75,12 @@
     std::string record;
     for (const LogField& field : fields) {
         if (format == LogFormat::Logfmt) {
-            record += (record.empty() ? "" : " ") + field.name + "=" + logfmtValue(field);
+            record += record.empty() ? "" : " ";
+            record += field.name;
+            record += "=" + logfmtValue(field);
         } else {
             record += record.empty() ? "{" : ",";
-            record += quoted(field.name) + ":" + (field.isNumber ? field.value : quoted(field.value));
+            record += quoted(std::string(field.name)) + ":" + (field.isNumber ? field.value : quoted(field.value));
         }
     }
     return format == LogFormat::Json ? record + "}" : record;
@@ -151,7 +153,7 @@
 
     bool isEnabled(LogLevel level) const { return level >= this->settings.level; }
 
-    void write(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
+    void write(LogLevel level, std::string_view message, const LogField* fields, std::size_t count)
     {
         if (!this->isEnabled(level))
             return;
@@ -162,7 +164,7 @@
             return;
         }
         ++window.written;
-        this->emit(level, message, fields, std::exchange(window.suppressed, 0));
+        this->emit(level, message, fields, count, std::exchange(window.suppressed, 0));
     }
 
     void report(bool isFinal)
@@ -205,18 +207,22 @@
         for (auto window = this->windows.begin(); window != this->windows.end();) {
             const bool isOver = isFinal || now - window->second.start >= std::chrono::seconds(2);
             if (isOver && window->second.suppressed != 0)
-                this->emit(window->second.level, window->first, {}, window->second.suppressed);
+                this->emit(window->second.level, window->first, nullptr, 0, window->second.suppressed);
             window = isOver ? this->windows.erase(window) : std::next(window);
         }
     }
 
     void emit(
-        LogLevel level, std::string_view message, std::initializer_list<LogField> fields, std::uint64_t suppressed)
+        LogLevel level, std::string_view message, const LogField* fields, std::size_t count, std::uint64_t suppressed)
     {
-        std::vector<LogField> all { { "time", timeText(this->clock.wallNow()) },
-            { "level", std::string(Core::enumName(level)) }, { "role", this->settings.role },
-            { "instance", this->settings.instanceId }, { "message", std::string(message) } };
-        all.insert(all.end(), fields.begin(), fields.end());
+        std::vector<LogField> all;
+        all.reserve(count + 6);
+        all.emplace_back("time", timeText(this->clock.wallNow()));
+        all.emplace_back("level", std::string(Core::enumName(level)));
+        all.emplace_back("role", this->settings.role);
+        all.emplace_back("instance", this->settings.instanceId);
+        all.emplace_back("message", std::string(message));
+        all.insert(all.end(), fields, fields + count);
         if (suppressed != 0)
             all.emplace_back("suppressed", suppressed);
         if (log::record record = this->logger.open_record()) {
@@ -245,7 +251,12 @@
 
 void StructuredLog::write(LogLevel level, std::string_view message, std::initializer_list<LogField> fields)
 {
-    this->implementation->write(level, message, fields);
+    this->implementation->write(level, message, fields.begin(), fields.size());
+}
+
+void StructuredLog::write(LogLevel level, std::string_view message, const std::vector<LogField>& fields)
+{
+    this->implementation->write(level, message, fields.data(), fields.size());
 }
 
 void StructuredLog::reportFloods() { this->implementation->report(false); }
--- a/celeryswitch/Logging/StructuredLog.h
+++ b/celeryswitch/Logging/StructuredLog.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace celeryswitch::Logging {
 
@@ -25,7 +26,8 @@
     Json,
 };
 
-/// One named value of a record. Payloads and idempotency keys are never logged; name jobs by their id.
+/// One named value of a record; `name` is a constant text. Payloads and idempotency keys are never logged; name jobs by
+/// their id.
 struct LogField {
     LogField(std::string_view name, std::string value);
     LogField(std::string_view name, const char* value);
@@ -36,7 +38,8 @@
     /// Field "job".
     explicit LogField(const Core::JobId& jobId);
 
-    std::string name;
+    /// A constant text.
+    std::string_view name;
     std::string value;
     bool isNumber = false;
 };
@@ -66,6 +69,7 @@
     /// Writes a record unless its level is below the settings' or its message is over the rate limit. `message` is a
     /// constant text, the same for every record of a kind: the rate limit counts by it.
     void write(LogLevel level, std::string_view message, std::initializer_list<LogField> fields = {});
+    void write(LogLevel level, std::string_view message, const std::vector<LogField>& fields);
     /// Writes the counts of suppressed records of floods that are over; called every second or so.
     void reportFloods();
     /// Writes every count of suppressed records that no record has reported yet.
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -7,11 +7,22 @@
 #include <cmath>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
 namespace celeryswitch::Messages {
 
+/// The number of a step job as people and logs write it: 16 hexadecimal digits.
+inline std::string jobText(std::uint64_t job)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text(16, '0');
+    for (auto place = text.rbegin(); job != 0; job >>= 4)
+        *place++ = digits[job & 15];
+    return text;
+}
+
 /// Identity of a task of a step job.
 struct TaskId {
     /// Number that the caller chose for the job.
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Configuration/RoutingDocument.h"
-#include "celeryswitch/Logging/StructuredLog.h"
+#include "celeryswitch/Logging/Trace.h"
 #include "celeryswitch/Messages/StateMessages.h"
 #include "celeryswitch/Scheduling/JobTypes.h"
 #include "celeryswitch/Scheduling/KindModel.h"
@@ -78,7 +78,7 @@
     /// The connection to a sidecar is lost.
     void sidecarDisconnected(const Core::InstanceId& sidecar);
     /// A sidecar is no member any more.
-    void sidecarRemoved(const Core::InstanceId& sidecar);
+    void sidecarRemoved(Core::SteadyTime now, const Core::InstanceId& sidecar);
     /// A sidecar reports.
     void received(Core::SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update);
 
@@ -141,6 +141,11 @@
         /// Time of the longest run so far, or to which the longest one is extrapolated, in seconds.
         double longestRunSeconds = 0;
         bool isQueued = false;
+        /// Orders given, over all tasks.
+        std::uint32_t orders = 0;
+        /// When its first order was given.
+        Core::SteadyTime firstOrderAt;
+        Logging::Trace trace;
     };
     struct Outcome {
         CallerAnswer answer;
@@ -169,12 +174,14 @@
     void restart(Core::SteadyTime now, Job& job, const TaskId& id, Task& task);
     void taskBack(Job& job, std::uint32_t stepIndex, Task& task);
     void queue(Job& job);
-    void loseRuns(const Core::InstanceId& sidecar, std::string_view reason);
+    void loseRuns(Core::SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason);
     void end(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
     void answer(RequestNumber request, CallerAnswer answer);
     void expireJobs(Core::SteadyTime now);
-    // Tells what a job that is refused found.
-    void logRoom(const Job& job);
+    // Notes the room that a job finds which is refused.
+    void traceRoom(Core::SteadyTime now, Job& job) const;
+    // Writes what became of a job, with its whole story when it did not end well.
+    void logEnd(Core::SteadyTime now, Job& job, const CallerAnswer& answer);
     void keepAlive(Core::SteadyTime now);
 
     SchedulerSettings settings;
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -197,7 +197,7 @@
     }
     this->scheduler.setSidecarCount(this->clock.steadyNow(), sidecars.size());
     for (const Core::InstanceId& gone : this->links.setMembers(sidecars))
-        this->scheduler.sidecarRemoved(gone);
+        this->scheduler.sidecarRemoved(this->clock.steadyNow(), gone);
     this->step();
 }
 
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -210,7 +210,7 @@
             run->deadline = SteadyTime::max();
             this->runs.setNeed(*run, claim.need);
             this->log.write(LogLevel::Info, "run adopted",
-                { { "job", run->task.job }, { "task", run->task.index }, { "entry", id } });
+                { { "job", Messages::jobText(run->task.job) }, { "task", run->task.index }, { "entry", id } });
         }
         run->entry = id;
         run->entryIncarnation = entry.incarnation;
@@ -303,7 +303,7 @@
         if (!isUnwanted && now < run.deadline)
             continue;
         this->log.write(LogLevel::Info, "run stopped",
-            { { "job", task.job }, { "task", task.index }, { "entry", run.entry },
+            { { "job", Messages::jobText(task.job) }, { "task", task.index }, { "entry", run.entry },
                 { "reason", isUnwanted ? "entry silent" : "deadline" } });
         run.refusal = RunRefusal::Late;
         this->fire(now, run, RunEvent::StopWanted);
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -223,7 +223,7 @@
         break;
     }
     this->log.write(LogLevel::Info, "start not accepted",
-        { { "job", call.task.job }, { "task", call.task.index }, { "run", call.run },
+        { { "job", Messages::jobText(call.task.job) }, { "task", call.task.index }, { "run", call.run },
             { "result", std::string(Core::enumName(result.status)) },
             { "refusal", std::string(Core::enumName(result.refusal)) } });
 }
