--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -19,6 +19,21 @@
 constexpr Core::Duration findingStep = std::chrono::milliseconds(50);
 // Share of all work that a kind counts for at least.
 constexpr double smallestShare = 0.001;
+// How much more a kind's work is worth than that of the next less urgent priority.
+constexpr double priorityWeight = 2;
+// Part of a job's value that does not grow with its work.
+constexpr double fixedValue = 0.3;
+// Bounds of a job's work against the mean of its kind, as far as its value is concerned.
+constexpr double smallestWork = 0.1;
+constexpr double largestWork = 4;
+
+// Value of a job for its work, against a job of the mean work of its kind.
+double sizeFactor(double coreSeconds, double meanCoreSeconds)
+{
+    if (coreSeconds <= 0 || meanCoreSeconds <= 0)
+        return 1;
+    return 1 - fixedValue + fixedValue / std::clamp(coreSeconds / meanCoreSeconds, smallestWork, largestWork);
+}
 // Of the jobs that end well, one in this many has its whole story in the log.
 constexpr std::uint64_t sampledJobs = 64;
 
@@ -32,7 +47,9 @@
 
 KindModel& JobScheduler::modelOf(SteadyTime now, const Queue& queue)
 {
-    return this->models.try_emplace(queue.name, now).first->second;
+    KindModel& model = this->models.try_emplace(queue.name, now).first->second;
+    model.setPriority(queue.priority);
+    return model;
 }
 
 void JobScheduler::setSidecarCount(SteadyTime now, std::size_t count)
@@ -71,7 +88,7 @@
         coreSeconds += model.taskSeconds(declared) * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
     }
     model.arrived(now, coreSeconds);
-    job.rank = static_cast<float>(this->rankOf(now, model));
+    job.rank = static_cast<float>(this->rankOf(now, model) * sizeFactor(coreSeconds, model.meanWork(now)));
     job.waitTrust = std::max(0.0, 1 - this->workBefore(now, model) / distrustedShare);
     job.patienceEnd
         = after(job.arrivedAt, std::chrono::duration<double>(job.patience - this->settings.travelTime).count());
@@ -85,19 +102,20 @@
     double all = 0;
     for (const auto& [name, each] : this->models)
         all += each.demand(now);
-    // Before anything is known, all kinds are alike.
-    return all > 0 ? all / std::max(model.demand(now), smallestShare * all) : 1;
+    // Before anything is known, kinds differ by their queues' priority alone.
+    const double weight = std::pow(priorityWeight, -static_cast<double>(model.priority()));
+    return weight * (all > 0 ? all / std::max(model.demand(now), smallestShare * all) : 1);
 }
 
 double JobScheduler::workBefore(SteadyTime now, const KindModel& model) const
 {
-    const double own = model.demand(now);
+    const double own = this->rankOf(now, model);
     double before = 0;
     double all = 0;
     for (const auto& [name, each] : this->models) {
         const double demand = each.demand(now);
         all += demand;
-        before += demand < own ? demand : 0;
+        before += this->rankOf(now, each) > own ? demand : 0;
     }
     return all > 0 ? before / all : 0;
 }
--- a/celeryswitch/Scheduling/KindModel.h
+++ b/celeryswitch/Scheduling/KindModel.h
@@ -22,6 +22,10 @@
 public:
     explicit KindModel(Core::SteadyTime now);
 
+    /// Priority of its queue; 0 is the most urgent.
+    void setPriority(std::uint32_t value) { this->queuePriority = value; }
+    std::uint32_t priority() const { return this->queuePriority; }
+
     /// A job arrived that is expected to be this much work, in core-seconds.
     void arrived(Core::SteadyTime now, double coreSeconds);
     /// A step ended whose longest task took `longest` and whose tasks took `mean` seconds, on workers of ordinary
@@ -32,10 +36,17 @@
     TimeEstimate stepTime(double declaredSeconds) const;
     /// Time of one of its tasks.
     double taskSeconds(double declaredSeconds) const;
+    /// Mean work of a job, in core-seconds; 0 before the first.
+    double meanWork(Core::SteadyTime now) const
+    {
+        const double count = this->arrivals.at(now);
+        return count > 0 ? this->work.at(now) / count : 0;
+    }
     /// Work that the kind asks for, in cores.
     double demand(Core::SteadyTime now) const { return this->work.rate(now, this->since); }
 
 private:
+    std::uint32_t queuePriority = 0;
     Core::SteadyTime since;
     Core::FadingSum arrivals;
     Core::FadingSum work;
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -103,7 +103,7 @@
         const Core::Duration overdue = this->isDistrusted(now)
             ? distrustedOverdue
             : std::max<Core::Duration>(run.expectedTime * overduePercent / 100, overdueMinimum);
-        if (now >= run.expectedEnd + overdue)
+        if (now - overdue >= run.expectedEnd)
             return true;
     }
     return false;
