--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -1,5 +1,6 @@
 #include "Program/CommandLine.h"
 #include "Program/Commands.h"
+#include "Program/MetricsServer.h"
 #include "celeryswitch/Logging/RecordWriter.h"
 #include "celeryswitch/State/StateProcess.h"
 #include "platform/BootFile.h"
@@ -27,7 +28,8 @@
   celeryswitch platform state [options]
 
 Options:
-  --settings FILE  The platform's settings file; by default the file that CELERYSWITCH_CONFIG names.
+  --settings FILE    The platform's settings file; by default the file that CELERYSWITCH_CONFIG names.
+  --metrics ADDRESS  Serves metrics at http://ADDRESS/metrics, for example 127.0.0.1:9464.
 
 Records go to standard output. SIGHUP reads the settings file again.
 )";
@@ -147,48 +149,115 @@
     return failure(ExitCode::Failed, "can't start: " + error.message());
 }
 
-CommandResult runEntry(const Platform::BootFile& file, PlatformLoop& loop, StructuredLog& log)
+/// What every role of the platform gets.
+struct PlatformProcess {
+    const Platform::BootFile& file;
+    PlatformLoop& loop;
+    StructuredLog& log;
+    const Logging::RecordWriter& writer;
+    Metrics::MetricRegistry& registry;
+    /// "address:port" of the metrics; empty when they are not served.
+    std::string metricsAddress;
+};
+
+// Serves a process's metrics, if an address was given for them.
+Core::Result<std::unique_ptr<MetricsServer>> serveMetrics(
+    const PlatformProcess& process, std::function<void(Metrics::MetricRegistry&)> collect)
+{
+    auto server = std::make_unique<MetricsServer>(process.loop.context, process.registry,
+        [&process, collect = std::move(collect)](Metrics::MetricRegistry& registry) {
+            collect(registry);
+            registry.gauge("celeryswitch_log_records_dropped", "Log records lost because nobody read them.")
+                .set(static_cast<double>(process.writer.dropped()));
+        });
+    if (!process.metricsAddress.empty()) {
+        BOOST_OUTCOME_TRY(server->listen(process.metricsAddress));
+    }
+    return server;
+}
+
+CommandResult runEntry(const PlatformProcess& process)
 {
     const Core::SystemClock clock;
     const Platform::ClientApi api;
-    Scheduling::SchedulingEntry entry(loop.context, Platform::entrySettings(file, drawIncarnation()), clock, log, api);
+    PlatformLoop& loop = process.loop;
+    Scheduling::SchedulingEntry entry(loop.context, Platform::entrySettings(process.file, drawIncarnation()), clock,
+        process.log, process.registry, api);
     if (const Core::Result<void> started = entry.start(); !started)
         return startFailure(started.error());
+    const auto metrics
+        = serveMetrics(process, [&entry](Metrics::MetricRegistry& registry) { entry.collect(registry); });
+    if (!metrics)
+        return startFailure(metrics.error());
     loop.run([&] { entry.drain([&loop] { loop.stop(); }); },
         [&entry](const Platform::BootFile& changed) { entry.setStateAddresses(Platform::stateAddresses(changed)); });
     return ExitCode::Ok;
 }
 
-CommandResult runSidecar(const Platform::BootFile& file, PlatformLoop& loop, StructuredLog& log)
+CommandResult runSidecar(const PlatformProcess& process)
 {
     const Core::SystemClock clock;
     const Platform::WorkerApi api;
-    Workers::WorkerSidecar sidecar(loop.context, Platform::sidecarSettings(file, drawIncarnation()), clock, log, api);
+    PlatformLoop& loop = process.loop;
+    Workers::WorkerSidecar sidecar(loop.context, Platform::sidecarSettings(process.file, drawIncarnation()), clock,
+        process.log, process.registry, api);
     if (const Core::Result<void> started = sidecar.start(); !started)
         return startFailure(started.error());
+    const auto metrics
+        = serveMetrics(process, [&sidecar](Metrics::MetricRegistry& registry) { sidecar.collect(registry); });
+    if (!metrics)
+        return startFailure(metrics.error());
     loop.run([&] { sidecar.drain([&loop] { loop.stop(); }); },
         [&sidecar](
             const Platform::BootFile& changed) { sidecar.setStateAddresses(Platform::stateAddresses(changed)); });
     return ExitCode::Ok;
 }
 
-CommandResult runState(const Platform::BootFile& file, PlatformLoop& loop, StructuredLog& log)
+// Sets the gauges of a state replica.
+void collectState(const State::StateMetrics& metrics, Metrics::MetricRegistry& registry)
+{
+    const auto set = [&registry](const char* name, const char* help, auto value) {
+        registry.gauge(name, help).set(static_cast<double>(value));
+    };
+    for (const auto& [role, name] : Core::EnumTable<Consensus::ReplicaRole>::names)
+        registry.gauge("celeryswitch_state_role", "1 for the role of this replica.", { { "role", std::string(name) } })
+            .set(metrics.role == role ? 1 : 0);
+    set("celeryswitch_state_term", "Term of the state log.", metrics.term);
+    set("celeryswitch_state_commit_index", "Last record known to be committed.", metrics.commitIndex);
+    set("celeryswitch_state_applied_index", "Last record applied.", metrics.appliedIndex);
+    set("celeryswitch_state_syncs", "Syncs of the log since the start.", metrics.syncs);
+    set("celeryswitch_state_sync_seconds", "Time of all syncs.",
+        std::chrono::duration<double>(metrics.syncTime).count());
+    set("celeryswitch_state_longest_sync_seconds", "Longest sync.",
+        std::chrono::duration<double>(metrics.longestSync).count());
+    set("celeryswitch_state_messages_sent", "Messages sent to other replicas.", metrics.messagesSent);
+    set("celeryswitch_state_ring_refusals", "Events lost because a ring was full.", metrics.ringRefusals);
+    set("celeryswitch_state_stopped", "Whether this replica takes no part because its storage failed.",
+        metrics.stopReason.empty() ? 0 : 1);
+}
+
+CommandResult runState(const PlatformProcess& process)
 {
+    StructuredLog& log = process.log;
     const Platform::OperatorApi api;
-    Core::Result<std::unique_ptr<State::StateProcess>> process
+    Core::Result<std::unique_ptr<State::StateProcess>> state
         = State::StateProcess::Builder()
-              .setSettings(Platform::stateSettings(file))
+              .setSettings(Platform::stateSettings(process.file))
               .setLog([&log](const std::string& line) {
                   log.write(LogLevel::Info, "state", { { "detail", line } });
               })
-              .setControl(file.controlAddress, api, log)
+              .setControl(process.file.controlAddress, api, log)
               .start();
-    if (!process)
-        return startFailure(process.error());
-    loop.run(
+    if (!state)
+        return startFailure(state.error());
+    const auto metrics = serveMetrics(
+        process, [&state](Metrics::MetricRegistry& registry) { collectState(state.value()->metrics(), registry); });
+    if (!metrics)
+        return startFailure(metrics.error());
+    process.loop.run(
         [&] {
-            process.value()->stop();
-            loop.stop();
+            state.value()->stop();
+            process.loop.stop();
         },
         [](const Platform::BootFile&) {});
     return ExitCode::Ok;
@@ -221,9 +290,11 @@
         { { "ip", file.value().ip }, { "seeds", static_cast<std::uint64_t>(file.value().seeds.size()) },
             { "bootstrap", file.value().isFirstStart ? 1 : 0 } });
     PlatformLoop loop(path, log, writer);
+    Metrics::MetricRegistry registry;
+    const PlatformProcess process { file.value(), loop, log, writer, registry, line.text("--metrics") };
     if (line.has("entry"))
-        return runEntry(file.value(), loop, log);
-    return line.has("sidecar") ? runSidecar(file.value(), loop, log) : runState(file.value(), loop, log);
+        return runEntry(process);
+    return line.has("sidecar") ? runSidecar(process) : runState(process);
 }
 
 }
--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -15,7 +15,7 @@
 public:
     explicit Fixture(std::size_t workers = 2)
         : log(logSettings(), this->clock)
-        , scheduler(settings(), this->log)
+        , scheduler(settings(), this->log, this->registry)
     {
         this->queue.name = "checkout";
         this->queue.service = "loans";
@@ -117,6 +117,7 @@
 
     Core::ManualClock clock;
     Logging::StructuredLog log;
+    Metrics::MetricRegistry registry;
     JobScheduler scheduler;
     Configuration::Queue queue;
     Messages::WorkerLoad load;
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -25,7 +25,7 @@
     {
         SupervisorSettings settings;
         settings.incarnation = incarnation;
-        this->supervisor = std::make_unique<RunSupervisor>(settings, this->log, this->now());
+        this->supervisor = std::make_unique<RunSupervisor>(settings, this->log, this->registry, this->now());
         this->timeouts.clear();
     }
     SteadyTime now() const { return this->clock.steadyNow(); }
@@ -94,6 +94,7 @@
 
     Core::ManualClock clock;
     Logging::StructuredLog log;
+    Metrics::MetricRegistry registry;
     /// What runs will do.
     Experiment::RunPlan plan { std::chrono::milliseconds(200), false, { 3000, 64, 0 } };
     Experiment::LeasedWorkerModel worker;
--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -211,7 +211,7 @@
     settings.dataCentre = "dc-" + std::to_string(index % 3);
     if (!this->options.mechanisms.isUnreachableWaitedFor)
         settings.runsOverTime = std::chrono::milliseconds(1);
-    entry.scheduler = std::make_unique<Scheduling::JobScheduler>(settings, *this->log);
+    entry.scheduler = std::make_unique<Scheduling::JobScheduler>(settings, *this->log, this->registry);
     entry.scheduler->setSidecarCount(this->events.now(), this->sidecars.size());
     for (std::size_t worker = 0; worker < this->sidecars.size(); ++worker)
         this->connect(index, worker);
@@ -305,7 +305,8 @@
     settings.incarnation = sidecar.life;
     if (!this->options.mechanisms.isEntryWatched)
         settings.entrySilenceLimit = std::chrono::hours(1);
-    sidecar.supervisor = std::make_unique<Workers::RunSupervisor>(settings, *this->log, this->events.now());
+    sidecar.supervisor
+        = std::make_unique<Workers::RunSupervisor>(settings, *this->log, this->registry, this->events.now());
     for (std::size_t entry = 0; entry < this->entries.size(); ++entry)
         this->connect(entry, index);
     this->stepSidecar(index);
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -133,6 +133,7 @@
     EventQueue events;
     Core::ManualClock logClock;
     std::unique_ptr<Logging::StructuredLog> log;
+    Metrics::MetricRegistry registry;
     std::vector<std::unique_ptr<Entry>> entries;
     std::vector<std::unique_ptr<Sidecar>> sidecars;
     std::map<std::pair<std::size_t, std::size_t>, Link> links;
--- a/celeryswitch/Metrics/MetricRegistry.cpp
+++ b/celeryswitch/Metrics/MetricRegistry.cpp
@@ -131,26 +131,21 @@
 void Histogram::observe(double value)
 {
     const auto bound = std::lower_bound(this->bounds.begin(), this->bounds.end(), value);
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    ++this->counts[bound - this->bounds.begin()];
-    this->total += value;
+    this->counts[static_cast<std::size_t>(bound - this->bounds.begin())].fetch_add(1, std::memory_order_relaxed);
+    double before = this->total.load(std::memory_order_relaxed);
+    while (!this->total.compare_exchange_weak(before, before + value, std::memory_order_relaxed)) { }
 }
 
 std::uint64_t Histogram::cumulativeCount(std::size_t boundIndex) const
 {
     CELERY_ASSERT(boundIndex < this->counts.size());
-    const std::lock_guard<std::mutex> lock(this->mutex);
     std::uint64_t count = 0;
     for (std::size_t index = 0; index <= boundIndex; ++index)
-        count += this->counts[index];
+        count += this->counts[index].load(std::memory_order_relaxed);
     return count;
 }
 
-double Histogram::sum() const
-{
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    return this->total;
-}
+double Histogram::sum() const { return this->total.load(std::memory_order_relaxed); }
 
 // Every series of one metric name; only the map of its type is filled.
 struct MetricRegistry::Family {
--- a/celeryswitch/Metrics/MetricRegistry.h
+++ b/celeryswitch/Metrics/MetricRegistry.h
@@ -62,7 +62,7 @@
     std::unique_ptr<Implementation> implementation;
 };
 
-/// Counts of observed values by fixed upper bounds. Safe from any thread.
+/// Counts of observed values by fixed upper bounds. Safe from any thread, and without a lock.
 class Histogram {
 public:
     /// `upperBounds` rise strictly; a last bound of infinity is implied.
@@ -79,9 +79,8 @@
 
 private:
     std::vector<double> bounds;
-    mutable std::mutex mutex;
-    std::vector<std::uint64_t> counts;
-    double total = 0;
+    std::vector<std::atomic<std::uint64_t>> counts;
+    std::atomic<double> total { 0 };
 };
 
 /// Owns the metrics of a process and writes them in the Prometheus text exposition format. Safe from any thread; a
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -39,9 +39,10 @@
 
 }
 
-JobScheduler::JobScheduler(SchedulerSettings settings, Logging::StructuredLog& log)
+JobScheduler::JobScheduler(SchedulerSettings settings, Logging::StructuredLog& log, Metrics::MetricRegistry& registry)
     : settings(std::move(settings))
     , log(log)
+    , metrics(registry)
 {
 }
 
@@ -305,6 +306,8 @@
 
 void JobScheduler::logEnd(SteadyTime now, Job& job, const CallerAnswer& answer)
 {
+    this->metrics.jobEnded({ job.queue.name, answer, now - job.arrivedAt,
+        this->goalOf(job, job.longestRunSeconds, 1) - job.arrivedAt, job.orders });
     const bool isCompleted = answer.kind == AnswerKind::State && answer.state == JobState::Completed;
     const bool isLate = now > this->goalOf(job, job.longestRunSeconds, 1);
     const std::uint64_t id = job.specification.id;
@@ -328,6 +331,33 @@
         this->actions.push_back(AnswerRequest { request, std::move(answer) });
 }
 
+void JobScheduler::collect(Metrics::MetricRegistry& registry) const
+{
+    std::size_t usable = 0;
+    std::size_t probation = 0;
+    std::int64_t free = 0;
+    std::int64_t queued = 0;
+    for (const auto& [sidecar, worker] : this->board) {
+        if (!worker.isUsable())
+            continue;
+        ++usable;
+        probation += worker.load.isOnProbation ? 1 : 0;
+        free += worker.load.free.milliCores;
+        for (const Messages::QueuedRoom& room : worker.load.queued)
+            queued += room.milliCores;
+    }
+    const auto set = [&registry](const char* name, const char* help, auto value) {
+        registry.gauge(name, help).set(static_cast<double>(value));
+    };
+    set("celeryswitch_jobs_open", "Jobs without an answer.", this->jobs.size());
+    set("celeryswitch_jobs_waiting", "Jobs with tasks that wait for a place.", this->waitingJobs.size());
+    set("celeryswitch_sidecars", "Sidecars that are members.", this->sidecarCount);
+    set("celeryswitch_workers_usable", "Workers that runs may be ordered on.", usable);
+    set("celeryswitch_workers_on_probation", "Workers that get one run at a time.", probation);
+    set("celeryswitch_free_millicores", "Room that no run uses, as last reported.", free);
+    set("celeryswitch_queued_millicores", "Room that queued runs need, as last reported.", queued);
+}
+
 SteadyTime JobScheduler::nextWakeUp() const
 {
     SteadyTime due = SteadyTime::max();
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -5,6 +5,7 @@
 #include "celeryswitch/Messages/StateMessages.h"
 #include "celeryswitch/Scheduling/JobTypes.h"
 #include "celeryswitch/Scheduling/KindModel.h"
+#include "celeryswitch/Scheduling/SchedulerMetrics.h"
 #include "celeryswitch/Scheduling/WorkerBoard.h"
 #include <deque>
 #include <map>
@@ -58,8 +59,8 @@
 /// the same inputs at the same times give the same actions.
 class JobScheduler {
 public:
-    /// `log` outlives the scheduler.
-    JobScheduler(SchedulerSettings settings, Logging::StructuredLog& log);
+    /// `log` and `registry` outlive the scheduler.
+    JobScheduler(SchedulerSettings settings, Logging::StructuredLog& log, Metrics::MetricRegistry& registry);
 
     /// A caller hands in a job for a queue; the request came at `arrivedAt`.
     void submit(Core::SteadyTime now, Core::SteadyTime arrivedAt, RequestNumber request,
@@ -87,6 +88,8 @@
     /// When `poll` is due although nothing else happens.
     Core::SteadyTime nextWakeUp() const;
 
+    /// Sets the gauges of the scheduler.
+    void collect(Metrics::MetricRegistry& registry) const;
     /// Jobs without an outcome.
     std::size_t openJobs() const { return this->jobs.size(); }
     /// Every worker that is known.
@@ -186,6 +189,7 @@
 
     SchedulerSettings settings;
     Logging::StructuredLog& log;
+    SchedulerMetrics metrics;
     WorkerBoard board;
     /// When each sidecar was last sent a sign of life.
     std::map<Core::InstanceId, Core::SteadyTime> aliveSentAt;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -141,6 +141,7 @@
     if (job.orders == 0)
         job.firstOrderAt = now;
     job.orders += static_cast<std::uint32_t>(start.tasks.size());
+    this->metrics.runsOrdered(start.tasks.size());
     job.trace.add(now, "tasks placed",
         { { "job", Messages::jobText(job.specification.id) }, { "sidecar", placement.sidecar },
             { "worker", worker.profile.workerId }, { "order", start.sequence },
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -104,6 +104,7 @@
         return;
     }
     ++task.run;
+    this->metrics.runEnded(report.end);
     if (report.end == RunEnd::Done) {
         const WorkerView& worker = this->board.at(sidecar);
         this->taskDone(now, found, report, worker.pace());
@@ -200,6 +201,7 @@
             { "waited_ms", milliseconds(now - job.arrivedAt) },
             { "expected_end_ms", milliseconds(task.expectedEnd - now) } });
     task.isRestarting = true;
+    this->metrics.runRestarted();
     task.avoided.push_back(task.sidecar);
     this->actions.push_back(
         SendWork { task.sidecar, Messages::StopRuns { this->board[task.sidecar].clockSample, { id } } });
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -38,14 +38,15 @@
 }
 
 SchedulingEntry::SchedulingEntry(boost::asio::io_context& context, SchedulingEntrySettings settings,
-    const Core::Clock& clock, Logging::StructuredLog& log, const CallerProtocol& protocol)
+    const Core::Clock& clock, Logging::StructuredLog& log, Metrics::MetricRegistry& registry,
+    const CallerProtocol& protocol)
     : context(context)
     , settings(std::move(settings))
     , clock(clock)
     , log(log)
     , protocol(protocol)
     , transport(context, this->settings.authenticationKeys)
-    , scheduler(this->settings.scheduler, log)
+    , scheduler(this->settings.scheduler, log, registry)
     , callers(context, limitsOf({}), this->settings.connectionsLimit,
           { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
                this->received(session, std::move(request));
@@ -97,6 +98,16 @@
     return Core::success();
 }
 
+void SchedulingEntry::collect(Metrics::MetricRegistry& registry) const
+{
+    this->scheduler.collect(registry);
+    registry.gauge("celeryswitch_routing_version", "Version of the routing document in force.")
+        .set(static_cast<double>(this->routing.version));
+    registry.gauge("celeryswitch_caller_connections", "Open connections of callers.")
+        .set(static_cast<double>(this->callers.connectionCount()));
+    registry.gauge("celeryswitch_ready", "Whether this process takes requests.").set(this->isReady() ? 1 : 0);
+}
+
 bool SchedulingEntry::isReady() const { return this->routing.version > 0 && !this->onDrained; }
 
 void SchedulingEntry::readinessAsked(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request)
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -38,9 +38,9 @@
 /// The entry's process: an event loop around JobScheduler. Every function runs on the io_context's thread.
 class SchedulingEntry {
 public:
-    /// `context`, `clock`, `log` and `protocol` outlive the entry.
+    /// `context`, `clock`, `log`, `registry` and `protocol` outlive the entry.
     SchedulingEntry(boost::asio::io_context& context, SchedulingEntrySettings settings, const Core::Clock& clock,
-        Logging::StructuredLog& log, const CallerProtocol& protocol);
+        Logging::StructuredLog& log, Metrics::MetricRegistry& registry, const CallerProtocol& protocol);
 
     /// Listens and begins to work.
     Core::Result<void> start();
@@ -49,6 +49,8 @@
     /// Becomes unready, serves open connections for a while, and calls `onDone` when every job has its answer or the
     /// time for it is over.
     void drain(std::function<void()> onDone);
+    /// Sets the gauges of the entry.
+    void collect(Metrics::MetricRegistry& registry) const;
 
 private:
     void received(const Http::HttpSession::Pointer& session, Http::HttpRequest request);
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -8,9 +8,11 @@
 using Logging::LogLevel;
 using Messages::RunState;
 
-RunSupervisor::RunSupervisor(SupervisorSettings settings, Logging::StructuredLog& log, SteadyTime now)
+RunSupervisor::RunSupervisor(
+    SupervisorSettings settings, Logging::StructuredLog& log, Metrics::MetricRegistry& registry, SteadyTime now)
     : settings(settings)
     , log(log)
+    , metrics(registry)
     , startedAt(now)
     , nextLook(now)
     , contactAt(now)
@@ -149,6 +151,7 @@
         run.rank = order.rank;
         run.content = content;
         run.expectedTime = std::chrono::milliseconds(order.expectedMilliseconds);
+        run.queuedAt = now;
         run.startBy = now + std::chrono::microseconds(order.startWithinMicroseconds);
         if (order.deadlineMicroseconds > 0)
             run.deadline = now + std::chrono::microseconds(order.deadlineMicroseconds);
@@ -376,6 +379,30 @@
     return due;
 }
 
+void RunSupervisor::collect(SteadyTime now, Metrics::MetricRegistry& registry) const
+{
+    const auto set
+        = [&registry](const char* name, const char* help, double value) { registry.gauge(name, help).set(value); };
+    std::size_t connected = 0;
+    for (const auto& [id, entry] : this->entries)
+        connected += entry.connection != 0 ? 1 : 0;
+    set("celeryswitch_entries_connected", "Entries that are connected.", static_cast<double>(connected));
+    set("celeryswitch_runs_active", "Runs that were started and have not ended.",
+        static_cast<double>(this->runs.activeCount()));
+    set("celeryswitch_runs_queued", "Runs that wait for room.", static_cast<double>(this->runs.queue().size()));
+    set("celeryswitch_used_millicores", "Room that runs use.", static_cast<double>(this->runs.used().milliCores));
+    set("celeryswitch_free_millicores", "Room that no run uses.", static_cast<double>(this->freeRoom().milliCores));
+    set("celeryswitch_pace_percent", "Speed of the worker against the expected times.", this->health.pacePercent(now));
+    set("celeryswitch_on_probation", "Whether the worker gets one run at a time.",
+        this->health.isOnProbation() ? 1 : 0);
+    set("celeryswitch_ready", "Whether runs can be started.", this->isReady() ? 1 : 0);
+    set("celeryswitch_unanswered_calls", "Orders in a row without an answer.", this->unansweredCalls);
+    set("celeryswitch_contact_age_seconds", "Time since the worker answered an order.",
+        std::chrono::duration<double>(now - this->contactAt).count());
+    set("celeryswitch_lease_left_seconds", "Time until the worker's lease ends; negative when it is over.",
+        this->life.clock.isKnown() ? static_cast<double>(this->life.leaseEnd - this->life.clock.at(now)) / 1000 : 0);
+}
+
 std::optional<Messages::WorkerProfile> RunSupervisor::workerProfile() const
 {
     return this->life.profile ? std::optional(this->profile()) : std::nullopt;
@@ -424,6 +451,7 @@
     this->runs.fire(run, event, now, [&](RunAction action) {
         switch (action) {
         case RunAction::OrderStart:
+            this->metrics.runWaited(now - run.queuedAt);
             this->giveStart(now, run);
             break;
         case RunAction::ReportRunning:
@@ -434,6 +462,8 @@
         case RunAction::ReportEnd:
             if (run.startedAt != SteadyTime {})
                 this->health.ended(now, run.end, run.need);
+            this->metrics.runEnded(
+                run.end, run.startedAt != SteadyTime {} ? now - run.startedAt : Core::Duration::zero());
             this->report(now, run);
             break;
         case RunAction::VoidOlderOrders:
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Logging/StructuredLog.h"
 #include "celeryswitch/Workers/RunTable.h"
+#include "celeryswitch/Workers/SupervisorMetrics.h"
 #include "celeryswitch/Workers/WorkerClock.h"
 #include "celeryswitch/Workers/WorkerHealth.h"
 #include <map>
@@ -65,8 +66,9 @@
 /// no living entry wants. Pure: it has no sockets or clocks; the same inputs at the same times give the same actions.
 class RunSupervisor {
 public:
-    /// `log` outlives the supervisor.
-    RunSupervisor(SupervisorSettings settings, Logging::StructuredLog& log, Core::SteadyTime now);
+    /// `log` and `registry` outlive the supervisor.
+    RunSupervisor(SupervisorSettings settings, Logging::StructuredLog& log, Metrics::MetricRegistry& registry,
+        Core::SteadyTime now);
 
     /// An entry has connected.
     void entryConnected(Core::SteadyTime now, std::uint64_t connection, const Messages::Hello& hello);
@@ -89,6 +91,8 @@
     /// When `poll` is due although nothing else happens.
     Core::SteadyTime nextWakeUp() const;
 
+    /// Sets the gauges of the supervisor.
+    void collect(Core::SteadyTime now, Metrics::MetricRegistry& registry) const;
     /// Runs that were ordered and have not ended.
     std::size_t activeRuns() const { return this->runs.activeCount(); }
 
@@ -178,6 +182,7 @@
 
     SupervisorSettings settings;
     Logging::StructuredLog& log;
+    SupervisorMetrics metrics;
     Core::SteadyTime startedAt;
     WorkerLife life;
     WorkerHealth health;
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -137,6 +137,7 @@
         return;
     const PendingCall call = std::move(found->second);
     this->pending.erase(found);
+    this->metrics.called(call.call, result.status, now - call.sentAt);
     if (std::holds_alternative<HoldCall>(call.call))
         (call.isLongPoll ? this->isLongPollOut : this->isLookOut) = false;
     const bool isOtherLife = result.status == CallStatus::OtherLife
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -71,6 +71,8 @@
     RunRefusal refusal = RunRefusal::None;
     /// When the order about this run that counts now was given; an answer asked for earlier says nothing about it.
     Core::SteadyTime orderedAt = Core::SteadyTime::max();
+    /// When it was ordered from this sidecar.
+    Core::SteadyTime queuedAt;
     Core::SteadyTime startedAt;
     Core::SteadyTime endedAt;
     /// When the run is expected to end.
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -34,14 +34,14 @@
 }
 
 WorkerSidecar::WorkerSidecar(boost::asio::io_context& context, WorkerSidecarSettings settings, const Core::Clock& clock,
-    Logging::StructuredLog& log, const WorkerProtocol& protocol)
+    Logging::StructuredLog& log, Metrics::MetricRegistry& registry, const WorkerProtocol& protocol)
     : context(context)
     , settings(std::move(settings))
     , clock(clock)
     , log(log)
     , protocol(protocol)
     , transport(context, this->settings.authenticationKeys)
-    , supervisor(this->settings.supervisor, log, clock.steadyNow())
+    , supervisor(this->settings.supervisor, log, registry, clock.steadyNow())
     , caller(context, this->settings.workerAddress, this->settings.workerConnections, protocol,
           [this](std::uint64_t callId, CallResult result) {
               this->supervisor.called(this->clock.steadyNow(), callId, std::move(result));
--- a/celeryswitch/Workers/WorkerSidecar.h
+++ b/celeryswitch/Workers/WorkerSidecar.h
@@ -36,9 +36,9 @@
 /// thread.
 class WorkerSidecar {
 public:
-    /// `context`, `clock`, `log` and `protocol` outlive the sidecar.
+    /// `context`, `clock`, `log`, `registry` and `protocol` outlive the sidecar.
     WorkerSidecar(boost::asio::io_context& context, WorkerSidecarSettings settings, const Core::Clock& clock,
-        Logging::StructuredLog& log, const WorkerProtocol& protocol);
+        Logging::StructuredLog& log, Metrics::MetricRegistry& registry, const WorkerProtocol& protocol);
 
     /// Listens and begins to work.
     Core::Result<void> start();
@@ -46,6 +46,11 @@
     void setStateAddresses(std::vector<std::string> addresses) { this->watcher.setReplicas(std::move(addresses)); }
     /// Takes no more runs and calls `onDone` when the last one has ended or the time for it is over.
     void drain(std::function<void()> onDone);
+    /// Sets the gauges of the sidecar.
+    void collect(Metrics::MetricRegistry& registry) const
+    {
+        this->supervisor.collect(this->clock.steadyNow(), registry);
+    }
 
 private:
     void announcementReceived(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request);
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -55,6 +55,10 @@
     run_known_red "$name" "$build/celeryswitch-unittests" "$name"
 done < <(known_red unit)
 
+echo "== layers"
+run_case "layers" ./scripts/check-layers.sh
+run_case "layers, planted faults" ./scripts/test-check-layers.sh
+
 echo "== samples"
 for sample in "$build"/sample-*; do
     [ ! -x "$sample" ] || run_case "$(basename "$sample")" "$sample"
