Spread orders, so that entries do not meet at the same workers

A choice now costs more the fewer tasks fit beside it, preferences differ by job, half of a worker's room is left to others, and a run waits up to 30 ms at a sidecar before it comes back.

--- a/UnitTests/Scheduling/LeasedFleetTest.cpp
+++ b/UnitTests/Scheduling/LeasedFleetTest.cpp
@@ -112,3 +112,20 @@
     REQUIRE(share(0) > 0.9);
     REQUIRE(share(1) > 0.9);
 }
+
+// Guards against entries that order on the same workers at the same time, so that most orders come back without a start:
+// the collapse of the grown sites, where a job of 8 tasks took 23 orders.
+TEST_CASE("orders rarely come back when many entries share many workers", "[Scheduling][fleet]")
+{
+    LeasedOptions options = counterDay(5, 6 * 0.75);
+    options.entries = 13;
+    options.workers = 74;
+    options.duration = std::chrono::seconds(4);
+    const LeasedResult result = LeasedFleet(options).run();
+    INFO(joined(result.violations));
+    REQUIRE(result.violations.empty());
+    INFO(result.ordersReturned << " of " << result.orders << " orders came back, " << result.messages << " messages");
+    CHECK(result.ordersReturned * 10 < result.orders);
+    for (const LeasedFigures& kind : result.kinds)
+        CHECK(static_cast<double>(kind.inTime) > 0.9 * static_cast<double>(kind.asked));
+}
--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -145,6 +145,9 @@
     result.kinds = this->figures;
     result.runs = this->pastRuns.size();
     result.messages = this->messages;
+    result.orders = this->registry.counter("celeryswitch_runs_ordered_total", "").value();
+    result.ordersReturned
+        = this->registry.counter("celeryswitch_runs_ended_total", "", { { "end", "not-started" } }).value();
     this->check(result);
     return result;
 }
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -78,6 +78,9 @@
 struct LeasedResult {
     std::vector<LeasedFigures> kinds;
     std::uint64_t runs = 0;
+    /// Orders to start a run, and those of them that came back without a start.
+    std::uint64_t orders = 0;
+    std::uint64_t ordersReturned = 0;
     std::uint64_t messages = 0;
     /// Broken promises, each with the task or job and what was seen.
     std::vector<std::string> violations;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -18,7 +18,7 @@
 constexpr double waitConfidence = 0.7;
 // How much longer than expected a run may wait at a sidecar: as a factor, and in any case.
 constexpr double waitTolerance = 2;
-constexpr double shortestWaitSeconds = 0.008;
+constexpr double shortestWaitSeconds = 0.03;
 
 }
 
@@ -74,6 +74,7 @@
     request.rank
         = job.hasBegun ? job.rank * static_cast<float>(step.tasks.size()) / static_cast<float>(step.waiting) : job.rank;
     request.stretch = job.queue.stretch;
+    request.salt = job.specification.id;
     request.slackSeconds = secondsUntil(now, this->goalOf(job, 0, 1));
     request.patienceSeconds = secondsUntil(now, job.patienceEnd);
     const double shortest = request.time.seconds * std::exp(-request.time.deviation);
--- a/celeryswitch/Scheduling/WorkerBoard.cpp
+++ b/celeryswitch/Scheduling/WorkerBoard.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 namespace celeryswitch::Scheduling {
 
@@ -21,8 +23,10 @@
 constexpr double fastCost = 0.03;
 constexpr double slowCost = 0.5;
 constexpr double slowPace = 0.85;
-// A worker that has most of its room left, so that holes stay large for wide jobs.
-constexpr double emptyCost = 0.004;
+// A worker with room for one task only, which another entry may take at the same time; falls with the tasks that fit.
+constexpr double crowdCost = 0.05;
+// Spread of the preferences by which orders of different jobs choose among workers that are about as good.
+constexpr double preferenceCost = 0.02;
 
 /// A worker that could run some of the tasks.
 struct Candidate {
@@ -57,6 +61,13 @@
     return lack >= 0 ? 1 : request.time.probabilityAbove(lack / gain);
 }
 
+// A number from 0 to 1 that differs by job and worker.
+double preference(std::uint64_t salt, const Core::InstanceId& sidecar)
+{
+    const std::uint64_t hash = XXH3_64bits_withSeed(sidecar.data(), sidecar.size(), salt);
+    return static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
+}
+
 double costOf(const Candidate& candidate, const PlacementRequest& request)
 {
     TimeEstimate time = request.time;
@@ -64,8 +75,9 @@
     const double miss = time.probabilityAbove(request.patienceSeconds - candidate.waitSeconds);
     const double speed = candidate.pace >= slowPace ? fastCost * std::max(0.0, candidate.pace - 1)
                                                     : slowCost * (1 / candidate.pace - 1);
+    const auto fitting = static_cast<double>(request.need.countIn(candidate.room));
     return miss + lateCost * lateProbability(candidate, request) + waitCost * candidate.waitSeconds + speed
-        + candidate.fixedCost;
+        + crowdCost / (1 + fitting) + candidate.fixedCost;
 }
 
 bool isEligible(const WorkerView& worker, const PlacementRequest& request)
@@ -90,8 +102,7 @@
         = std::find(request.avoided.begin(), request.avoided.end(), worker.sidecar) != request.avoided.end();
     candidate.fixedCost = (isAvoided ? avoidedCost : 0) + (worker.dataCentre == request.dataCentre ? 0 : farCost)
         + (request.dataRack.empty() || worker.hasLabel(request.dataRack) ? 0 : farDataCost)
-        + emptyCost * static_cast<double>(std::max<std::int64_t>(0, candidate.room.milliCores))
-            / static_cast<double>(std::max<std::int64_t>(1, worker.profile.capacity.milliCores));
+        + preferenceCost * preference(request.salt, worker.sidecar);
     return candidate;
 }
 
@@ -166,8 +177,8 @@
         }
         if (!best)
             return {};
-        // Tasks that find room at once go together; those that wait are spread.
-        const std::int64_t fitting = best->waitSeconds > 0 ? 1 : request.need.countIn(best->room);
+        // Half of the room is left to other entries, which may order at the same time; tasks that wait are spread.
+        const std::int64_t fitting = best->waitSeconds > 0 ? 1 : (request.need.countIn(best->room) + 1) / 2;
         const auto count = static_cast<std::uint32_t>(
             std::min<std::int64_t>({ left, best->limit - best->given, std::max<std::int64_t>(1, fitting) }));
         best->given += count;
--- a/celeryswitch/Scheduling/WorkerBoard.h
+++ b/celeryswitch/Scheduling/WorkerBoard.h
@@ -68,6 +68,8 @@
     double patienceSeconds = 0;
     /// Longest wait for room, in seconds.
     double longestWaitSeconds = 0;
+    /// Differs by job, so that orders at the same time choose different workers.
+    std::uint64_t salt = 0;
     /// Whether a task may go to a worker on probation.
     bool isProbe = false;
 };
