Link each entry to a part of the sidecars in a large fleet

Cause: with 13 entries and 74 sidecars every change of room went to every entry, 3,700 updates a second and entry; 58 % of an entry's processor went into them, and all entries competed for all workers.

Entries register as members. Each sidecar is linked to the same number of entries (4, or as many as give an entry 20 sidecars), chosen by rendezvous hashing, so that a new or lost process moves few links; fleets of up to 4 entries are linked in full as before.

--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -23,7 +23,10 @@
         this->queue.targetMilliseconds = 60;
         this->queue.stretch = 1.6;
         this->queue.maximumAttempts = 2;
-        this->scheduler.setSidecarCount(this->now(), workers);
+        std::set<Core::InstanceId> linked;
+        for (std::size_t index = 1; index <= workers; ++index)
+            linked.insert("side-" + std::to_string(index));
+        this->scheduler.setLinked(this->now(), linked);
         for (std::size_t index = 1; index <= workers; ++index)
             this->connect("side-" + std::to_string(index));
         this->clock.advance(5s);
@@ -386,3 +389,26 @@
     REQUIRE(std::isfinite(fixture.starts.at(0).second.rank));
     REQUIRE(fixture.starts.at(0).second.rank > 0);
 }
+
+// Guards against a second run when other entries come and the links are shared anew: tasks ran twice on the grown sites
+// when entries were added.
+TEST_CASE("a sidecar that is no longer linked keeps its runs and gets no more", "[Scheduling]")
+{
+    Fixture fixture(2);
+    fixture.submit(1, fixture.job(100));
+    REQUIRE(fixture.starts.size() == 1);
+    const std::string sidecar = fixture.starts.front().first;
+    const std::string other = sidecar == "side-1" ? "side-2" : "side-1";
+    fixture.scheduler.setLinked(fixture.now(), { other });
+    fixture.pass(20ms);
+    REQUIRE(fixture.starts.size() == 1);
+    REQUIRE(fixture.scheduler.hasRuns(sidecar));
+    for (std::uint64_t job = 101; job < 105; ++job) {
+        fixture.submit(job, fixture.job(job));
+        REQUIRE(fixture.orderOf(job, 0).first == other);
+    }
+    fixture.report(sidecar, 100, 0, RunEnd::Done);
+    REQUIRE(fixture.answers.at(1).state == JobState::Completed);
+    REQUIRE_FALSE(fixture.scheduler.hasRuns(sidecar));
+    fixture.scheduler.forgetSidecar(sidecar);
+}
--- a/UnitTests/Scheduling/LeasedFleetTest.cpp
+++ b/UnitTests/Scheduling/LeasedFleetTest.cpp
@@ -30,6 +30,7 @@
     faults.entryFreezes = 8;
     faults.greyWorkers = 15;
     faults.lateOrders = 0.03;
+    faults.linkChanges = 20;
     return faults;
 }
 
@@ -70,6 +71,9 @@
         INFO("seed " << seed);
         LeasedOptions options = counterDay(seed, 0.5 + 0.1 * static_cast<double>(seed % 8));
         options.faults = manyFaults();
+        // Half of the seeds link each entry to a part of the sidecars.
+        if (seed % 2 == 0)
+            options.links = { 2, 1 };
         const LeasedResult result = LeasedFleet(options).run();
         INFO(joined(result.violations));
         REQUIRE(result.violations.empty());
@@ -113,8 +117,8 @@
     REQUIRE(share(1) > 0.9);
 }
 
-// Guards against entries that order on the same workers at the same time, so that most orders come back without a start:
-// the collapse of the grown sites, where a job of 8 tasks took 23 orders.
+// Guards against entries that order on the same workers at the same time, so that most orders come back without a
+// start: the collapse of the grown sites, where a job of 8 tasks took 23 orders.
 TEST_CASE("orders rarely come back when many entries share many workers", "[Scheduling][fleet]")
 {
     LeasedOptions options = counterDay(5, 6 * 0.75);
--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -116,8 +116,41 @@
     });
 }
 
+// Chooses the links of every entry; other names of the entries give other links.
+void LeasedFleet::chooseLinks(const std::string& names)
+{
+    std::vector<Messages::Member> members;
+    const auto add = [&members](Messages::Role role, std::string id) {
+        members.emplace_back();
+        members.back().identity.role = role;
+        members.back().identity.instanceId = std::move(id);
+    };
+    for (std::size_t entry = 0; entry < this->options.entries; ++entry)
+        add(Messages::Role::Entry, names + std::to_string(entry));
+    for (std::size_t worker = 0; worker < this->options.workers; ++worker)
+        add(Messages::Role::Sidecar, std::to_string(worker));
+    this->linked.assign(this->options.entries, {});
+    for (std::size_t entry = 0; entry < this->options.entries; ++entry) {
+        for (const Messages::Member& sidecar :
+            Scheduling::linkedSidecars(members, names + std::to_string(entry), this->options.links))
+            this->linked[entry].insert(std::stoul(sidecar.identity.instanceId));
+        if (entry < this->entries.size() && this->entries[entry]->isUp)
+            this->whenAwake(*this->entries[entry], [this, entry] { this->linksChosen(entry); });
+    }
+}
+
+void LeasedFleet::linksChosen(std::size_t entry)
+{
+    std::set<Core::InstanceId> sidecars;
+    for (std::size_t worker : this->linked[entry])
+        sidecars.insert(std::to_string(worker));
+    this->entries[entry]->scheduler->setLinked(this->events.now(), std::move(sidecars));
+    this->stepEntry(entry);
+}
+
 LeasedResult LeasedFleet::run()
 {
+    this->chooseLinks("entry-");
     for (std::size_t index = 0; index < this->options.workers; ++index) {
         this->sidecars.push_back(std::make_unique<Sidecar>());
         this->startWorker(index);
@@ -215,7 +248,7 @@
     if (!this->options.mechanisms.isUnreachableWaitedFor)
         settings.runsOverTime = std::chrono::milliseconds(1);
     entry.scheduler = std::make_unique<Scheduling::JobScheduler>(settings, *this->log, this->registry);
-    entry.scheduler->setSidecarCount(this->events.now(), this->sidecars.size());
+    this->linksChosen(index);
     for (std::size_t worker = 0; worker < this->sidecars.size(); ++worker)
         this->connect(index, worker);
 }
@@ -494,8 +527,9 @@
     Link& link = this->links[{ entryIndex, worker }];
     Entry& entry = *this->entries[entryIndex];
     Sidecar& sidecar = *this->sidecars[worker];
-    if (link.isOpen || !entry.isUp || !sidecar.isUp || this->events.now() < link.cutUntil
-        || this->events.now() < entry.frozenUntil || this->events.now() < sidecar.frozenUntil)
+    if (link.isOpen || this->linked[entryIndex].count(worker) == 0 || !entry.isUp || !sidecar.isUp
+        || this->events.now() < link.cutUntil || this->events.now() < entry.frozenUntil
+        || this->events.now() < sidecar.frozenUntil)
         return;
     link.isOpen = true;
     link.number = ++this->lastNumber;
@@ -536,6 +570,8 @@
             if (link.isOpen && this->events.now() - link.heardAt > linkSilence
                 && this->events.now() >= this->entries[entry]->frozenUntil)
                 this->disconnect(entry, worker);
+            else if (this->linked[entry].count(worker) == 0)
+                this->leaveSidecar(entry, worker);
             else if (!link.isOpen)
                 this->connect(entry, worker);
         }
@@ -543,6 +579,19 @@
     this->events.after(linkCheck, [this] { this->watchLinks(); });
 }
 
+// Ends a link that the entry no longer wants, once nothing of it runs there.
+void LeasedFleet::leaveSidecar(std::size_t entry, std::size_t worker)
+{
+    if (!this->entries[entry]->isUp || this->events.now() < this->entries[entry]->frozenUntil)
+        return;
+    Scheduling::JobScheduler& scheduler = *this->entries[entry]->scheduler;
+    const Core::InstanceId sidecar = std::to_string(worker);
+    if (scheduler.hasRuns(sidecar))
+        return;
+    this->disconnect(entry, worker);
+    scheduler.forgetSidecar(sidecar);
+}
+
 RunPlan LeasedFleet::planRun(std::size_t worker, const Messages::TaskId& task, std::uint32_t)
 {
     const Sidecar& sidecar = *this->sidecars[worker];
@@ -596,6 +645,7 @@
         this->entries[pick(this->entries.size())]->frozenUntil = this->events.now()
             + std::chrono::duration_cast<SteadyTime::duration>(seconds(0.1 + 2.5 * this->uniform()));
     });
+    plan(faults.linkChanges, [this] { this->chooseLinks("entry-" + std::to_string(++this->lastNumber) + "-"); });
     plan(faults.greyWorkers, [this, pick] {
         Sidecar& sidecar = *this->sidecars[pick(this->sidecars.size())];
         constexpr Sidecar::Grey kinds[] { Sidecar::Grey::Fails, Sidecar::Grey::Stalls, Sidecar::Grey::Slow };
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -3,6 +3,7 @@
 #include "celeryswitch/Experiment/EventQueue.h"
 #include "celeryswitch/Experiment/LeasedWorkerModel.h"
 #include "celeryswitch/Scheduling/JobScheduler.h"
+#include "celeryswitch/Scheduling/LinkSubset.h"
 #include "celeryswitch/Workers/RunSupervisor.h"
 #include <memory>
 #include <pcg_random.hpp>
@@ -39,6 +40,8 @@
     double greyWorkers = 0;
     /// Part of the orders that are not answered and carried out 2 to 12 s later.
     double lateOrders = 0;
+    /// Changes of the sidecars that the entries link to, as when entries come and go.
+    double linkChanges = 0;
 };
 
 /// Mechanisms that a test switches off, to show that the checks notice; all are on in every real process.
@@ -56,6 +59,7 @@
     std::vector<LeasedKind> kinds;
     std::size_t entries = 3;
     std::size_t workers = 11;
+    Scheduling::LinkSubsetSettings links;
     std::int64_t workerMilliCores = 32'000;
     Core::Duration duration = std::chrono::seconds(30);
     LeasedFaults faults;
@@ -109,6 +113,8 @@
     Core::Duration delay(std::size_t entry, std::size_t worker) const;
     template <typename Process, typename Action> void whenAwake(Process& process, Action action);
 
+    void chooseLinks(const std::string& names);
+    void linksChosen(std::size_t entry);
     void arrive(std::size_t kind);
     void submit(std::uint64_t job);
     void startEntry(std::size_t index);
@@ -126,6 +132,7 @@
     void connect(std::size_t entry, std::size_t worker);
     void disconnect(std::size_t entry, std::size_t worker);
     void watchLinks();
+    void leaveSidecar(std::size_t entry, std::size_t worker);
     void answered(std::uint64_t job, const Scheduling::CallerAnswer& answer);
     void planFaults();
     RunPlan planRun(std::size_t worker, const Messages::TaskId& task, std::uint32_t run);
@@ -140,6 +147,8 @@
     std::vector<std::unique_ptr<Entry>> entries;
     std::vector<std::unique_ptr<Sidecar>> sidecars;
     std::map<std::pair<std::size_t, std::size_t>, Link> links;
+    /// Workers that each entry links to.
+    std::vector<std::set<std::size_t>> linked;
     std::map<std::uint64_t, Job> jobs;
     std::vector<LeasedFigures> figures;
     std::vector<RunHistory> pastRuns;
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/Scheduling/JobScheduler.h"
 
+#include "celeryswitch/Core/Assert.h"
 #include "celeryswitch/Scheduling/SchedulerTime.h"
 #include <algorithm>
 
@@ -53,11 +54,30 @@
     return model;
 }
 
-void JobScheduler::setSidecarCount(SteadyTime now, std::size_t count)
+void JobScheduler::setLinked(SteadyTime now, std::set<Core::InstanceId> sidecars)
 {
-    if (count > 0 && this->sidecarCount == 0)
+    if (!sidecars.empty() && this->linked.empty())
         this->foundSidecarsAt = now;
-    this->sidecarCount = count;
+    this->linked = std::move(sidecars);
+    for (auto& [sidecar, worker] : this->board)
+        worker.isLinked = this->linked.count(sidecar) > 0;
+    this->isPlacingDue = true;
+}
+
+bool JobScheduler::hasRuns(const Core::InstanceId& sidecar) const
+{
+    const auto isThere = [&](const Task& task) { return task.phase == TaskPhase::Ordered && task.sidecar == sidecar; };
+    return std::any_of(this->jobs.begin(), this->jobs.end(), [&](const auto& job) {
+        return std::any_of(job.second.steps.begin(), job.second.steps.end(),
+            [&](const Step& step) { return std::any_of(step.tasks.begin(), step.tasks.end(), isThere); });
+    });
+}
+
+void JobScheduler::forgetSidecar(const Core::InstanceId& sidecar)
+{
+    CELERY_ASSERT(!this->hasRuns(sidecar));
+    this->board.erase(sidecar);
+    this->aliveSentAt.erase(sidecar);
 }
 
 bool JobScheduler::isFindingWorkers(SteadyTime now) const
@@ -67,7 +87,7 @@
     std::size_t usable = 0;
     for (const auto& [sidecar, worker] : this->board)
         usable += worker.isUsable() ? 1 : 0;
-    return static_cast<double>(usable) < static_cast<double>(this->sidecarCount) * this->settings.findingShare;
+    return static_cast<double>(usable) < static_cast<double>(this->linked.size()) * this->settings.findingShare;
 }
 
 void JobScheduler::estimate(SteadyTime now, Job& job)
@@ -351,7 +371,7 @@
     };
     set("celeryswitch_jobs_open", "Jobs without an answer.", this->jobs.size());
     set("celeryswitch_jobs_waiting", "Jobs with tasks that wait for a place.", this->waitingJobs.size());
-    set("celeryswitch_sidecars", "Sidecars that are members.", this->sidecarCount);
+    set("celeryswitch_sidecars", "Sidecars that this entry links to.", this->linked.size());
     set("celeryswitch_workers_usable", "Workers that runs may be ordered on.", usable);
     set("celeryswitch_workers_on_probation", "Workers that get one run at a time.", probation);
     set("celeryswitch_free_millicores", "Room that no run uses, as last reported.", free);
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -9,6 +9,7 @@
 #include "celeryswitch/Scheduling/WorkerBoard.h"
 #include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -72,14 +73,16 @@
     /// The caller of a request has gone.
     void abandoned(Core::SteadyTime now, RequestNumber request);
 
-    /// This many sidecars are members; the first time, the entry has just learned of them.
-    void setSidecarCount(Core::SteadyTime now, std::size_t count);
+    /// Sidecars that the entry links to; the first time, it has just learned of them.
+    void setLinked(Core::SteadyTime now, std::set<Core::InstanceId> sidecars);
     /// A sidecar is reached, and has not yet told of its worker.
     void sidecarConnected(Core::SteadyTime now, const Messages::Member& sidecar);
     /// The connection to a sidecar is lost.
     void sidecarDisconnected(const Core::InstanceId& sidecar);
-    /// A sidecar is no member any more.
-    void sidecarRemoved(Core::SteadyTime now, const Core::InstanceId& sidecar);
+    /// Whether runs that this entry ordered may be at a sidecar.
+    bool hasRuns(const Core::InstanceId& sidecar) const;
+    /// The link to a sidecar without runs of this entry was given up.
+    void forgetSidecar(const Core::InstanceId& sidecar);
     /// A sidecar reports.
     void received(Core::SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update);
 
@@ -201,7 +204,7 @@
     std::unordered_map<std::uint64_t, Outcome> outcomes;
     std::deque<std::pair<Core::SteadyTime, std::uint64_t>> outcomeOrder;
     bool isPlacingDue = false;
-    std::size_t sidecarCount = 0;
+    std::set<Core::InstanceId> linked;
     Core::SteadyTime foundSidecarsAt = Core::SteadyTime::max();
     std::vector<SchedulerAction> actions;
 };
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -38,6 +38,7 @@
     if (worker.profile.workerId.empty() || worker.profile.bornAt < member.worker.bornAt)
         worker.profile = member.worker;
     worker.isConnected = true;
+    worker.isLinked = this->linked.count(sidecar) > 0;
     worker.load.isReady = false;
     worker.lastSequence = 0;
     worker.underway.clear();
@@ -64,13 +65,6 @@
         found->second.isConnected = false;
 }
 
-void JobScheduler::sidecarRemoved(SteadyTime now, const Core::InstanceId& sidecar)
-{
-    this->loseRuns(now, sidecar, "sidecar removed");
-    this->board.erase(sidecar);
-    this->aliveSentAt.erase(sidecar);
-}
-
 void JobScheduler::received(SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update)
 {
     WorkerView& worker = this->board[sidecar];
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -24,6 +24,8 @@
 {
     State::FleetWatcherSettings result;
     result.identity = identityOf(settings);
+    // Entries share the sidecars among them, so each has to know of the others.
+    result.registration = Messages::Member { result.identity, "", "", {}, 0 };
     result.replicas = settings.stateAddresses;
     result.seed = settings.incarnation;
     return result;
@@ -201,14 +203,13 @@
 
 void SchedulingEntry::membersReceived(const std::vector<Messages::Member>& members)
 {
-    std::vector<Messages::Member> sidecars;
-    for (const Messages::Member& member : members) {
-        if (member.identity.role == Messages::Role::Sidecar)
-            sidecars.push_back(member);
-    }
-    this->scheduler.setSidecarCount(this->clock.steadyNow(), sidecars.size());
-    for (const Core::InstanceId& gone : this->links.setMembers(sidecars))
-        this->scheduler.sidecarRemoved(this->clock.steadyNow(), gone);
+    const std::vector<Messages::Member> sidecars
+        = linkedSidecars(members, this->settings.instanceId, this->settings.links);
+    std::set<Core::InstanceId> linked;
+    for (const Messages::Member& sidecar : sidecars)
+        linked.insert(sidecar.identity.instanceId);
+    this->scheduler.setLinked(this->clock.steadyNow(), std::move(linked));
+    this->links.setMembers(sidecars);
     this->step();
 }
 
@@ -245,6 +246,13 @@
 void SchedulingEntry::tick()
 {
     this->links.dropSilent();
+    for (const Core::InstanceId& sidecar : this->links.leaving()) {
+        // What still runs there must have ended before its task may run elsewhere.
+        if (this->scheduler.hasRuns(sidecar))
+            continue;
+        this->links.drop(sidecar);
+        this->scheduler.forgetSidecar(sidecar);
+    }
     this->answerHeld(false);
     this->finishDraining();
     this->step();
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -4,6 +4,7 @@
 #include "celeryswitch/Network/PeerTransport.h"
 #include "celeryswitch/Scheduling/CallerProtocol.h"
 #include "celeryswitch/Scheduling/JobScheduler.h"
+#include "celeryswitch/Scheduling/LinkSubset.h"
 #include "celeryswitch/Scheduling/SidecarLinks.h"
 #include "celeryswitch/State/FleetWatcher.h"
 #include <deque>
@@ -33,6 +34,7 @@
     Core::Duration stopAcceptingAfter = std::chrono::milliseconds(3000);
     Core::Duration stopAfter = std::chrono::milliseconds(5000);
     SchedulerSettings scheduler;
+    LinkSubsetSettings links;
 };
 
 /// The entry's process: an event loop around JobScheduler. Every function runs on the io_context's thread.
--- a/celeryswitch/Scheduling/SidecarLinks.cpp
+++ b/celeryswitch/Scheduling/SidecarLinks.cpp
@@ -28,22 +28,14 @@
 {
 }
 
-std::vector<Core::InstanceId> SidecarLinks::setMembers(const std::vector<Messages::Member>& sidecars)
+void SidecarLinks::setMembers(const std::vector<Messages::Member>& sidecars)
 {
-    std::vector<Core::InstanceId> gone;
-    for (auto& [id, link] : this->links) {
-        const bool isMember = std::any_of(sidecars.begin(), sidecars.end(),
-            [&id = id](const Messages::Member& member) { return member.identity.instanceId == id; });
-        if (!isMember)
-            gone.push_back(id);
-    }
-    for (const Core::InstanceId& id : gone) {
-        this->close(this->links.at(id));
-        this->links.erase(id);
-    }
+    for (auto& [id, link] : this->links)
+        link.isLeaving = true;
     for (const Messages::Member& member : sidecars) {
         const Core::InstanceId& id = member.identity.instanceId;
         Link& link = this->links[id];
+        link.isLeaving = false;
         const bool isMoved = link.member.peerAddress != member.peerAddress;
         link.member = member;
         if (isMoved && link.connection)
@@ -51,7 +43,26 @@
         else if (!link.connection && !link.isConnecting && !link.retryTimer)
             this->connect(id);
     }
-    return gone;
+}
+
+std::vector<Core::InstanceId> SidecarLinks::leaving() const
+{
+    std::vector<Core::InstanceId> result;
+    for (const auto& [id, link] : this->links) {
+        if (link.isLeaving)
+            result.push_back(id);
+    }
+    return result;
+}
+
+void SidecarLinks::drop(const Core::InstanceId& sidecar)
+{
+    const auto found = this->links.find(sidecar);
+    if (found == this->links.end())
+        return;
+    this->log.write(LogLevel::Info, "sidecar no longer linked", { { "sidecar", sidecar } });
+    this->close(found->second);
+    this->links.erase(found);
 }
 
 void SidecarLinks::connect(const Core::InstanceId& sidecar)
--- a/celeryswitch/Scheduling/SidecarLinks.h
+++ b/celeryswitch/Scheduling/SidecarLinks.h
@@ -27,8 +27,12 @@
     SidecarLinks(boost::asio::io_context& context, Network::PeerTransport& transport, const Core::Clock& clock,
         Logging::StructuredLog& log, Messages::Hello identity, Handlers handlers);
 
-    /// Follows the sidecars that are members. Returns those that are no longer linked.
-    std::vector<Core::InstanceId> setMembers(const std::vector<Messages::Member>& sidecars);
+    /// Links to these sidecars. Links to others stay until `drop`, for the runs that are left there.
+    void setMembers(const std::vector<Messages::Member>& sidecars);
+    /// Links to sidecars that `setMembers` no longer names.
+    std::vector<Core::InstanceId> leaving() const;
+    /// Closes the link to a sidecar.
+    void drop(const Core::InstanceId& sidecar);
     /// Sends a message; one that can't be sent is lost with its connection.
     void send(const Core::InstanceId& sidecar, const Messages::WorkMessage& message);
     /// Closes connections that were silent for too long. Called every 100 ms or so.
@@ -39,6 +43,7 @@
 private:
     struct Link {
         Messages::Member member;
+        bool isLeaving = false;
         Network::PeerConnectionPointer connection;
         bool isConnecting = false;
         /// Tells the callbacks of an earlier connection.
--- a/celeryswitch/Scheduling/WorkerBoard.h
+++ b/celeryswitch/Scheduling/WorkerBoard.h
@@ -15,6 +15,8 @@
     Core::Incarnation incarnation = 0;
     std::string dataCentre;
     bool isConnected = false;
+    /// Whether the entry links to the sidecar; one that it no longer links to keeps its runs and gets no more.
+    bool isLinked = true;
     Messages::WorkerProfile profile;
     Messages::WorkerLoad load;
     /// Newest clock sample of the sidecar, returned to it as the proof that this entry lives.
@@ -28,7 +30,10 @@
     /// Room that a run of a rank finds, after those that are queued before it; negative when it has to wait.
     Messages::Room roomFor(float rank) const;
     /// Whether runs may be ordered.
-    bool isUsable() const { return this->isConnected && this->load.isReady && !this->profile.workerId.empty(); }
+    bool isUsable() const
+    {
+        return this->isConnected && this->isLinked && this->load.isReady && !this->profile.workerId.empty();
+    }
     /// Whether the worker has a label.
     bool hasLabel(const std::string& label) const;
     /// Speed against an ordinary worker.
