Pass operators' calls on to the leader instead of redirecting them

Ruled out: our answers, which took 10 to 30 ms.

A replica that does not lead passes the call on to the leader over the peer link (450 ms at most) and redirects only when that fails.

--- /dev/null
+++ b/UnitTests/Platform/OperatorCallsTest.cpp
@@ -0,0 +1,111 @@
+#include "UnitTests/State/StateGroup.h"
+#include "celeryswitch/Http/HttpConnection.h"
+#include "platform/OperatorApi.h"
+#include <catch2/catch.hpp>
+
+using namespace celeryswitch;
+using namespace celeryswitch::State;
+
+namespace {
+
+// Replicas that serve operators.
+class ServedGroup : public StateGroup {
+public:
+    ServedGroup()
+        : StateGroup(0)
+        , controlLog(logSettings(), this->clock)
+    {
+        for (const char* name : { "a", "b", "c" }) {
+            this->addresses[name] = freeAddress();
+            this->controls[name] = freeAddress();
+        }
+        for (const auto& [name, address] : this->addresses) {
+            StateSettings settings;
+            settings.replicaName = name;
+            settings.peerAddress = address;
+            settings.dataFolder = this->folder + "/" + name;
+            settings.initialReplicas = this->addresses;
+            settings.authenticationKeys = this->keys;
+            auto started = StateProcess::Builder()
+                               .setSettings(settings)
+                               .setControl(this->controls.at(name), this->api, this->controlLog)
+                               .start();
+            REQUIRE(started);
+            this->replicas[name] = std::move(started).value();
+        }
+    }
+    ~ServedGroup() { this->replicas.clear(); }
+
+    // Status of a call at one replica.
+    std::uint16_t call(const std::string& name, Http::HttpRequest request, std::string* body = nullptr) const
+    {
+        request.headers["Content-Type"] = "application/json";
+        const auto response = Http::httpCall(this->controls.at(name), std::move(request), std::chrono::seconds(3));
+        REQUIRE(response);
+        if (body)
+            *body = response.value().body;
+        return response.value().statusCode;
+    }
+    std::uint16_t put(const std::string& name, std::uint64_t version) const
+    {
+        return this->call(name,
+            { "POST", "/v1/config/put", {},
+                R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[],"limits":{}})" });
+    }
+
+    Core::SystemClock clock;
+    Logging::StructuredLog controlLog;
+    Platform::OperatorApi api;
+    std::map<std::string, std::string> controls;
+
+private:
+    static Logging::LogSettings logSettings()
+    {
+        Logging::LogSettings settings;
+        settings.output = [](const std::string&) { };
+        return settings;
+    }
+};
+
+}
+
+// Guards against an operator whose confirmation is lost after a redirection: it takes both replicas for tried, so that only
+// a replica that does not answer is left to it.
+TEST_CASE("every replica answers operators itself while there is a leader", "[Platform][threads]")
+{
+    const ServedGroup group;
+    group.waitForLeader();
+    std::uint64_t version = 0;
+    for (const char* name : { "a", "b", "c" }) {
+        ++version;
+        REQUIRE(StateGroup::waitUntil([&] { return group.put(name, version) == 200; }));
+        std::string body;
+        REQUIRE(group.call(name, { "GET", "/v1/config/get", {}, "" }, &body) == 200);
+        REQUIRE(body.find("\"version\":" + std::to_string(version)) != std::string::npos);
+    }
+    // An older version is acknowledged and changes nothing; nonsense is refused by each.
+    REQUIRE(group.put("a", 1) == 200);
+    std::string body;
+    REQUIRE(group.call("b", { "GET", "/v1/config/get", {}, "" }, &body) == 200);
+    REQUIRE(body.find("\"version\":3") != std::string::npos);
+    for (const char* name : { "a", "b", "c" })
+        REQUIRE(group.call(name, { "POST", "/v1/config/put", {}, "{" }) == 400);
+}
+
+// Guards against stale reads and false confirmations once no majority is left.
+TEST_CASE("without a majority a replica confirms nothing to operators", "[Platform][threads]")
+{
+    ServedGroup group;
+    const std::string leader = group.waitForLeader();
+    REQUIRE(StateGroup::waitUntil([&] { return group.put(leader, 1) == 200; }));
+    std::string left;
+    for (const char* name : { "a", "b", "c" }) {
+        if (name != leader && left.empty())
+            left = name;
+        else
+            group.stop(name);
+    }
+    const std::uint16_t put = group.put(left, 2);
+    REQUIRE((put == 503 || put == 307));
+    REQUIRE(StateGroup::waitUntil([&] { return group.call(left, { "GET", "/v1/config/get", {}, "" }) == 503; }));
+}
--- a/celeryswitch/State/ControlGateway.cpp
+++ b/celeryswitch/State/ControlGateway.cpp
@@ -11,14 +11,27 @@
 
 // Operators turn to another replica after a second without a response.
 constexpr std::chrono::milliseconds answerLimit { 900 };
+// Time that a call may take by way of the leader.
+constexpr std::chrono::milliseconds forwardLimit { 450 };
+constexpr std::chrono::milliseconds forwardConnectLimit { 200 };
 constexpr std::size_t connectionsLimit = 512;
 constexpr Http::HttpLimits limits { 4 * 1024 * 1024, 16 * 1024, std::chrono::seconds(3), std::chrono::seconds(10),
     std::chrono::seconds(30) };
 
+StateClientSettings leaderSettings(Messages::Hello identity)
+{
+    StateClientSettings settings;
+    // Towards the leader the gateway is a client, not a replica.
+    settings.identity = std::move(identity);
+    settings.identity.role = Messages::Role::Operator;
+    settings.attemptTimeout = forwardLimit;
+    return settings;
+}
+
 }
 
 ControlGateway::ControlGateway(boost::asio::io_context& context, const ControlProtocol& protocol,
-    Logging::StructuredLog& log, RequestHandler onRequest)
+    Logging::StructuredLog& log, Messages::Hello identity, Network::AuthenticationKeys keys, RequestHandler onRequest)
     : context(context)
     , protocol(protocol)
     , log(log)
@@ -31,7 +44,10 @@
                   return this->protocol.encode({ ControlOutcome::Invalid, reason }, {});
               },
               {} })
+    , transport(context, std::move(keys))
+    , leaderClient(context, this->transport, leaderSettings(std::move(identity)))
 {
+    this->transport.setConnectLimit(forwardConnectLimit);
 }
 
 Core::Result<std::string> ControlGateway::listen(const std::string& address)
@@ -71,7 +87,7 @@
     decltype(Messages::StateRequest::body) body)
 {
     const std::uint64_t requestId = ++this->lastRequest;
-    this->waiting[requestId] = { session, std::move(request), version };
+    this->waiting[requestId] = { session, std::move(request), version, body };
     if (!this->onRequest({ connection, { requestId, std::move(body) } })) {
         this->answer(requestId, { ControlOutcome::Unavailable, "the replica is overloaded" });
         return;
@@ -95,11 +111,37 @@
         answer.text = "there is no document yet";
     else if (reply.refusal == StateRefusal::InvalidChange)
         answer.outcome = ControlOutcome::Invalid;
-    else if (reply.refusal == StateRefusal::NotLeader && !reply.detail.empty())
+    else if (reply.refusal == StateRefusal::NotLeader && !reply.detail.empty()) {
+        const auto found = this->waiting.find(reply.requestId);
+        if (found != this->waiting.end() && !found->second.isForwarded)
+            return this->forward(reply.requestId, found->second, reply.detail);
         answer = { ControlOutcome::Moved, reply.detail.substr(0, reply.detail.rfind(':') + 1) + this->port };
+    }
     this->answer(reply.requestId, std::move(answer));
 }
 
+void ControlGateway::forward(std::uint64_t requestId, Waiting& call, const std::string& leader)
+{
+    call.isForwarded = true;
+    this->leaderClient.setReplicas({ leader });
+    if (this->leaderClient.currentReplica() != leader)
+        this->leaderClient.leaveReplica();
+    this->leaderClient.request(call.body, forwardLimit,
+        [this, guard = std::weak_ptr<bool>(this->alive), requestId, leader](Core::Result<Messages::StateReply> result) {
+            if (guard.expired())
+                return;
+            Messages::StateReply reply;
+            if (result) {
+                reply = std::move(result).value();
+            } else {
+                reply.refusal = StateRefusal::NotLeader;
+                reply.detail = leader;
+            }
+            reply.requestId = requestId;
+            this->reply(reply);
+        });
+}
+
 void ControlGateway::answer(std::uint64_t requestId, ControlAnswer answer)
 {
     auto node = this->waiting.extract(requestId);
@@ -107,6 +149,7 @@
         return;
     this->log.write(LogLevel::Info, node.mapped().version > 0 ? "document put" : "document read",
         { { "version", node.mapped().version }, { "outcome", std::string(Core::enumName(answer.outcome)) },
+            { "forwarded", node.mapped().isForwarded ? 1 : 0 },
             { "detail", answer.outcome == ControlOutcome::Document ? std::string() : answer.text } });
     node.mapped().session->respond(this->protocol.encode(answer, node.mapped().request));
 }
@@ -115,6 +158,7 @@
 {
     this->alive.reset();
     this->server.stop();
+    this->leaderClient.stop();
     this->waiting.clear();
 }
 
--- a/celeryswitch/State/ControlGateway.h
+++ b/celeryswitch/State/ControlGateway.h
@@ -2,7 +2,9 @@
 
 #include "celeryswitch/Http/HttpServer.h"
 #include "celeryswitch/Logging/StructuredLog.h"
+#include "celeryswitch/Network/PeerTransport.h"
 #include "celeryswitch/State/ControlProtocol.h"
+#include "celeryswitch/State/StateClient.h"
 #include "celeryswitch/State/StateCore.h"
 #include <functional>
 #include <map>
@@ -10,7 +12,9 @@
 namespace celeryswitch::State {
 
 /// Serves operators over HTTP at a state replica: turns their calls into requests to the replica and its replies into
-/// responses. Runs on the peer thread.
+/// responses. A replica that does not lead passes a call on to the leader, and names the leader to the operator only
+/// when that takes too long: an operator that follows a redirection takes both replicas for tried. Runs on the peer
+/// thread.
 class ControlGateway {
 public:
     /// Connection number under which the gateway's requests reach the replica.
@@ -19,9 +23,9 @@
     /// Passes a request on; false when it can't be taken now.
     using RequestHandler = std::function<bool(ClientRequest)>;
 
-    /// `protocol` and `log` outlive the gateway.
+    /// `identity` and `keys` are those of the replica towards the leader. `protocol` and `log` outlive the gateway.
     ControlGateway(boost::asio::io_context& context, const ControlProtocol& protocol, Logging::StructuredLog& log,
-        RequestHandler onRequest);
+        Messages::Hello identity, Network::AuthenticationKeys keys, RequestHandler onRequest);
 
     /// Starts listening on "address:port".
     Core::Result<std::string> listen(const std::string& address);
@@ -37,11 +41,14 @@
         Http::HttpRequest request;
         /// Version of the document that it puts; 0 for a read.
         std::uint64_t version = 0;
+        StateClient::Body body;
+        bool isForwarded = false;
     };
 
     void received(const Http::HttpSession::Pointer& session, Http::HttpRequest request);
     void ask(const Http::HttpSession::Pointer& session, Http::HttpRequest request, std::uint64_t version,
         decltype(Messages::StateRequest::body) body);
+    void forward(std::uint64_t requestId, Waiting& call, const std::string& leader);
     void answer(std::uint64_t requestId, ControlAnswer answer);
 
     boost::asio::io_context& context;
@@ -49,6 +56,8 @@
     Logging::StructuredLog& log;
     RequestHandler onRequest;
     Http::HttpServer server;
+    Network::PeerTransport transport;
+    StateClient leaderClient;
     /// Port that every replica serves operators at.
     std::string port;
     std::uint64_t lastRequest = 0;
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -54,7 +54,7 @@
     // Serves operators; called before `start`.
     Result<void> serveControl(const std::string& address, const ControlProtocol& protocol, Logging::StructuredLog& log)
     {
-        this->gateway.emplace(this->context, protocol, log,
+        this->gateway.emplace(this->context, protocol, log, this->identity(), this->settings.authenticationKeys,
             [this](ClientRequest request) { return this->inbound.tryPush(std::move(request)); });
         BOOST_OUTCOME_TRY(this->gateway->listen(address));
         return Core::success();
