Tell a request's story from the logs of all processes: celeryswitch explain

Cause: the lines of one request lie in the logs of an entry and several sidecars, whose clocks differ, and in the order of writing. Sidecars log when their worker goes on and off probation.

--- a/Program/Commands.h
+++ b/Program/Commands.h
@@ -31,5 +31,7 @@
 CommandResult runJob(const std::vector<std::string>& arguments);
 /// Lists and verifies the audit trail.
 CommandResult runAudit(const std::vector<std::string>& arguments);
+/// Tells the story of one request from log files.
+CommandResult runExplain(const std::vector<std::string>& arguments);
 
 }
--- a/Program/Main.cpp
+++ b/Program/Main.cpp
@@ -14,7 +14,7 @@
     std::string_view help;
 };
 
-constexpr std::array<Command, 15> commands { {
+constexpr std::array<Command, 16> commands { {
     { "entry", runRole, "run an entry: accepts jobs from callers and places their tasks" },
     { "sidecar", runRole, "run a sidecar beside an endpoint" },
     { "state", runRole, "run a state replica" },
@@ -26,6 +26,7 @@
     { "job", runJob, "show or cancel a job" },
     { "report", runReport, "print what ran, failed and never started" },
     { "audit", runAudit, "list or verify the audit trail" },
+    { "explain", runExplain, "tell the story of one request from the logs of all processes" },
     { "load", runLoad, "put load on entries and check every answer" },
     { "experiment", runExperiment, "run a workload on the virtual clock" },
     { "scenario", runScenario, "run scenarios of real processes" },
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -461,7 +461,7 @@
             break;
         case RunAction::ReportEnd:
             if (run.startedAt != SteadyTime {})
-                this->health.ended(now, run.end, run.need);
+                this->judgeEnd(now, run);
             this->metrics.runEnded(
                 run.end, run.startedAt != SteadyTime {} ? now - run.startedAt : Core::Duration::zero());
             this->report(now, run);
@@ -478,6 +478,18 @@
     });
 }
 
+void RunSupervisor::judgeEnd(SteadyTime now, const Run& run)
+{
+    const bool wasOnProbation = this->health.isOnProbation();
+    this->health.ended(now, run.end, run.need);
+    if (this->health.isOnProbation() == wasOnProbation)
+        return;
+    this->log.write(wasOnProbation ? LogLevel::Info : LogLevel::Warning,
+        wasOnProbation ? "worker off probation" : "worker on probation",
+        { { "worker", this->life.profile ? this->life.profile->workerId : "" },
+            { "end", std::string(Core::enumName(run.end)) }, { "pace_percent", this->health.pacePercent(now) } });
+}
+
 void RunSupervisor::endRun(SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal)
 {
     run.end = end;
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -167,6 +167,8 @@
     std::int64_t extendLease(Core::SteadyTime now);
     std::uint64_t give(Core::SteadyTime now, WorkerCall call, Core::Duration timeout, bool isLongPoll = false);
 
+    // Lets the end of a run count for the worker's health, and logs what changes by it.
+    void judgeEnd(Core::SteadyTime now, const Run& run);
     void fire(Core::SteadyTime now, Run& run, RunEvent event);
     void endRun(Core::SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal = RunRefusal::None);
     void report(Core::SteadyTime now, const Run& run);
