--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -302,3 +302,25 @@
     REQUIRE(history[0].endedAt <= history[1].startedAt);
     REQUIRE(history[1].run > history[0].run);
 }
+
+// Guards against a storm of connections to a worker that resets them: 29,000 in one day of the grown Lanterna site.
+TEST_CASE("a worker that resets connections is asked at a bounded rate", "[Workers]")
+{
+    SupervisorFixture fixture;
+    fixture.connect(1, "entry-1");
+    fixture.living = { 1 };
+    fixture.introduce();
+    fixture.order(1, 1, 3);
+    fixture.run(50ms);
+    fixture.isWorkerResetting = true;
+    fixture.calls.clear();
+    fixture.run(2s);
+    INFO(fixture.calls.size());
+    REQUIRE(fixture.calls.size() < 60);
+    // It is used again soon after it answers again.
+    fixture.isWorkerResetting = false;
+    fixture.run(400ms);
+    fixture.order(1, 2);
+    fixture.run(300ms);
+    REQUIRE(fixture.historyOf(2).size() == 1);
+}
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -103,6 +103,8 @@
     std::vector<std::uint64_t> living;
     /// Whether orders reach the worker; those that don't are kept in `lost`.
     bool isWorkerReached = true;
+    /// Whether every order ends at once without an answer, as when the worker resets connections.
+    bool isWorkerResetting = false;
     /// Whether the next start is not answered and kept in `lost`.
     bool isNextStartLost = false;
     std::vector<WorkerCall> lost;
@@ -121,7 +123,8 @@
     void turn()
     {
         for (auto& [ticket, result] : this->worker.advance(this->now()))
-            this->supervisor->called(this->now(), ticket, std::move(result));
+            this->supervisor->called(
+                this->now(), ticket, this->isWorkerResetting ? CallResult {} : std::move(result));
         // Calls may cause further calls.
         for (int round = 0; round < 20; ++round) {
             std::vector<SupervisorAction> actions = this->supervisor->poll(this->now());
@@ -145,6 +148,10 @@
             this->load = send->update.load;
         } else if (auto* call = std::get_if<CallWorker>(&action)) {
             this->calls.push_back(call->call);
+            if (this->isWorkerResetting) {
+                this->supervisor->called(this->now(), call->callId, CallResult {});
+                return;
+            }
             const bool isLost = !this->isWorkerReached
                 || (std::holds_alternative<StartCall>(call->call) && std::exchange(this->isNextStartLost, false));
             if (isLost) {
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -356,7 +356,7 @@
     SteadyTime due = SteadyTime::max();
     const bool isIdle = this->runs.activeCount() == 0 && this->life.isListed && this->unansweredCalls == 0;
     if (!isIdle && !this->isLookOut)
-        due = this->nextLook;
+        due = std::max(this->nextLook, this->pausedUntil);
     const Messages::Room free = this->freeRoom();
     for (const auto& [id, entry] : this->entries) {
         const bool hasNews = entry.isReadySent != this->isReady() || !(entry.freeSent == free);
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -163,6 +163,8 @@
     void noteProgress(Core::SteadyTime now, Run& run, std::uint32_t percent);
     void reportProgress(Core::SteadyTime now, Run& run);
     void noteContact(Core::SteadyTime now, const CallResult& result);
+    // Gives no orders that ask for news for a while after one was refused or reset.
+    void pauseAfter(Core::SteadyTime now, const PendingCall& call, const CallResult& result);
     void raiseToken(Core::SteadyTime now);
     std::int64_t extendLease(Core::SteadyTime now);
     std::uint64_t give(Core::SteadyTime now, WorkerCall call, Core::Duration timeout, bool isLongPoll = false);
@@ -199,6 +201,8 @@
     bool isLongPollOut = false;
     bool isLookOut = false;
     Core::SteadyTime nextLook;
+    /// Until then no order asks for news.
+    Core::SteadyTime pausedUntil;
     /// When a call of the worker was answered last.
     Core::SteadyTime contactAt;
     std::uint32_t unansweredCalls = 0;
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -23,6 +23,11 @@
 constexpr Core::Duration contactInterval = std::chrono::milliseconds(250);
 // Time until an order to stop that could not be sent is repeated.
 constexpr Core::Duration stopPause = std::chrono::milliseconds(50);
+// An order that ends without an answer within this time was refused or reset rather than lost.
+constexpr Core::Duration fastFailure = std::chrono::milliseconds(20);
+// Bounds of the pause after such a failure; it doubles with each in a row.
+constexpr Core::Duration shortestPause = std::chrono::milliseconds(10);
+constexpr Core::Duration longestPause = std::chrono::milliseconds(200);
 
 }
 
@@ -116,6 +121,8 @@
 
 void RunSupervisor::holdIfDue(SteadyTime now)
 {
+    if (now < this->pausedUntil)
+        return;
     const bool isNeeded = this->runs.activeCount() > 0;
     if (isNeeded && !this->isLongPollOut && this->life.clock.isKnown())
         this->giveHold(now, true);
@@ -147,6 +154,7 @@
         return;
     }
     this->noteContact(now, result);
+    this->pauseAfter(now, call, result);
     if (const auto* start = std::get_if<StartCall>(&call.call))
         this->startAnswered(now, *start, result);
     else if (const auto* stop = std::get_if<StopCall>(&call.call))
@@ -155,6 +163,15 @@
         this->holdAnswered(now, call, result);
 }
 
+void RunSupervisor::pauseAfter(SteadyTime now, const PendingCall& call, const CallResult& result)
+{
+    const bool isFailure = result.status == CallStatus::Unanswered || result.status == CallStatus::NotSent;
+    if (!isFailure || now >= call.sentAt + fastFailure)
+        return;
+    const std::uint32_t doublings = std::min<std::uint32_t>(this->unansweredCalls, 8);
+    this->pausedUntil = now + std::min(longestPause, shortestPause * (1 << doublings));
+}
+
 void RunSupervisor::noteContact(SteadyTime now, const CallResult& result)
 {
     if (result.status == CallStatus::Unanswered || result.status == CallStatus::NotSent) {
@@ -239,7 +256,7 @@
         this->nextLook = std::min(this->nextLook, now + this->settings.stopTime);
         return;
     }
-    if (result.status == CallStatus::NotSent || result.status == CallStatus::Unhealthy) {
+    if (result.status == CallStatus::NotSent || result.status == CallStatus::Unhealthy || now < this->pausedUntil) {
         run->stopAgainAt = now + stopPause;
         return;
     }
