Try a failing worker less and less often, and weigh failures in the choice of workers

Probation now begins after two failures in a row that are also 40 % of the latest runs, and pauses for 100 ms to 1.6 s after each failure; sidecars report the share of failures, which makes a worker dearer, five times as much for a last attempt.

The test of probation expected three failures before it and a run at once; it now expects two and a pause, and still one run at a time. New tests: at most 12 failures in 6 s, and jobs that fail everywhere put no worker on probation.

--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -265,7 +265,7 @@
     ReadySupervisor fixture;
     fixture.plan.time = 2ms;
     fixture.plan.isFailing = true;
-    for (std::uint64_t job = 1; job <= 3; ++job) {
+    for (std::uint64_t job = 1; job <= 2; ++job) {
         fixture.order(1, job);
         fixture.run(10ms);
     }
@@ -274,7 +274,8 @@
     fixture.plan.time = 200ms;
     fixture.order(1, 4);
     fixture.order(1, 5);
-    fixture.run(100ms);
+    // The next run comes after a pause, and then one at a time.
+    fixture.run(250ms);
     REQUIRE(fixture.historyOf(4).size() + fixture.historyOf(5).size() == 1);
     fixture.run(400ms);
     REQUIRE_FALSE(fixture.load.isOnProbation);
@@ -324,3 +325,35 @@
     fixture.run(300ms);
     REQUIRE(fixture.historyOf(2).size() == 1);
 }
+
+// Guards against a worker that fails everything at once and, on probation, still gets run after run: 150 runs in 6 s on the
+// grown association.
+TEST_CASE("a worker on probation that goes on failing is tried less and less often", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.plan.time = 30ms;
+    fixture.plan.isFailing = true;
+    std::size_t failures = 0;
+    for (std::uint64_t job = 1; job <= 150; ++job) {
+        fixture.order(1, job, 1, 3000, 1, 10ms);
+        fixture.run(40ms);
+        failures += fixture.historyOf(job).size();
+        if (job == 3)
+            REQUIRE(fixture.load.failurePercent >= 40);
+    }
+    REQUIRE(failures >= 5);
+    REQUIRE(failures <= 12);
+    REQUIRE(fixture.load.isOnProbation);
+}
+
+// Guards against probation for a worker that met a few jobs that fail everywhere.
+TEST_CASE("jobs that fail everywhere do not put a worker on probation", "[Workers]")
+{
+    ReadySupervisor fixture;
+    for (std::uint64_t job = 1; job <= 60; ++job) {
+        fixture.plan.isFailing = job % 20 < 2;
+        fixture.order(1, job, 1, 1000);
+        fixture.run(40ms);
+        REQUIRE_FALSE((job > 20 && fixture.load.isOnProbation));
+    }
+}
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -213,11 +213,15 @@
     bool isDraining = false;
     /// Whether the worker has failed or stalled what it ran, and gets one run at a time until one succeeds.
     bool isOnProbation = false;
+    /// Time until a worker on probation gets its next run.
+    std::uint16_t probeWaitMilliseconds = 0;
+    /// Part of the latest runs that failed.
+    std::uint8_t failurePercent = 0;
 
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(this->free, this->queued, this->freedMilliCoresPerSecond, this->pacePercent, this->isReady,
-            this->isDraining, this->isOnProbation);
+            this->isDraining, this->isOnProbation, this->probeWaitMilliseconds, this->failurePercent);
     }
 };
 
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -79,6 +79,7 @@
         request.rank *= begunWeight;
     request.stretch = job.queue.stretch;
     request.salt = job.specification.id;
+    request.now = now;
     request.slackSeconds = secondsUntil(now, this->goalOf(job, 0, 1));
     request.patienceSeconds = secondsUntil(now, job.patienceEnd);
     const double shortest = request.time.seconds * std::exp(-request.time.deviation);
@@ -99,6 +100,7 @@
         if (task.phase != TaskPhase::Waiting)
             continue;
         hasFailed = hasFailed || !task.avoided.empty();
+        request.isLastAttempt = request.isLastAttempt || task.failures + 1 >= job.queue.maximumAttempts;
         request.avoided.insert(request.avoided.end(), task.avoided.begin(), task.avoided.end());
     }
     request.isProbe = !hasFailed && job.queue.maximumAttempts > 1
--- a/celeryswitch/Scheduling/WorkerBoard.cpp
+++ b/celeryswitch/Scheduling/WorkerBoard.cpp
@@ -17,6 +17,9 @@
 constexpr double farCost = 0.004;
 constexpr double avoidedCost = 4;
 constexpr double farDataCost = 0.5;
+// A run that fails: it can be tried again, or not.
+constexpr double failureCost = 0.6;
+constexpr double lastFailureCost = 3;
 // A second of waiting.
 constexpr double waitCost = 3;
 // Using a faster worker than the ordinary, and a slower one.
@@ -85,8 +88,10 @@
     if (!worker.isUsable() || worker.profile.service != request.service || !request.need.fits(worker.profile.capacity)
         || (!request.requiredLabel.empty() && !worker.hasLabel(request.requiredLabel)))
         return false;
+    const auto probeAt = worker.heardAt + std::chrono::milliseconds(worker.load.probeWaitMilliseconds);
     return !worker.load.isOnProbation
-        || (request.isProbe && worker.underway.empty() && worker.load.free == worker.profile.capacity);
+        || (request.isProbe && request.now >= probeAt && worker.underway.empty()
+            && worker.load.free == worker.profile.capacity);
 }
 
 Candidate makeCandidate(const WorkerView& worker, double ordinaryPace, const PlacementRequest& request)
@@ -102,6 +107,7 @@
         = std::find(request.avoided.begin(), request.avoided.end(), worker.sidecar) != request.avoided.end();
     candidate.fixedCost = (isAvoided ? avoidedCost : 0) + (worker.dataCentre == request.dataCentre ? 0 : farCost)
         + (request.dataRack.empty() || worker.hasLabel(request.dataRack) ? 0 : farDataCost)
+        + (request.isLastAttempt ? lastFailureCost : failureCost) * worker.load.failurePercent / 100
         + preferenceCost * preference(request.salt, worker.sidecar);
     return candidate;
 }
--- a/celeryswitch/Scheduling/WorkerBoard.h
+++ b/celeryswitch/Scheduling/WorkerBoard.h
@@ -77,6 +77,9 @@
     std::uint64_t salt = 0;
     /// Whether a task may go to a worker on probation.
     bool isProbe = false;
+    /// Whether a task fails for good with its next failure.
+    bool isLastAttempt = false;
+    Core::SteadyTime now;
 };
 
 /// Tasks for one worker.
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -160,11 +160,11 @@
     this->startQueued(now);
 }
 
-bool RunSupervisor::isStartable(const Run& run) const
+bool RunSupervisor::isStartable(SteadyTime now, const Run& run) const
 {
     if (!this->isReady() || !run.need.fits(this->life.profile->capacity - this->runs.used()))
         return false;
-    return !this->health.isOnProbation() || this->runs.activeCount() == 0;
+    return !this->health.isOnProbation() || (this->runs.activeCount() == 0 && now >= this->health.probeAt());
 }
 
 void RunSupervisor::startQueued(SteadyTime now)
@@ -174,7 +174,7 @@
         Run& best = *this->runs.find(this->runs.queue().begin()->second);
         if (now >= best.startBy)
             this->endRun(now, best, RunEvent::StopWanted, RunEnd::NotStarted, RunRefusal::NoRoom);
-        else if (this->isStartable(best))
+        else if (this->isStartable(now, best))
             this->fire(now, best, RunEvent::RoomGranted);
         else
             break;
@@ -443,6 +443,10 @@
     load.isReady = this->isReady();
     load.isDraining = this->life.isDraining || this->isDrained;
     load.isOnProbation = this->health.isOnProbation();
+    if (load.isOnProbation && now < this->health.probeAt())
+        load.probeWaitMilliseconds = static_cast<std::uint16_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(this->health.probeAt() - now).count());
+    load.failurePercent = this->health.failurePercent(now);
     return load;
 }
 
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -145,7 +145,7 @@
     void useKnownWorker();
     RunRefusal refusalOf(const Messages::StartRuns& order, const TaskId& task);
     void startQueued(Core::SteadyTime now);
-    bool isStartable(const Run& run) const;
+    bool isStartable(Core::SteadyTime now, const Run& run) const;
     Messages::WorkerProfile profile() const;
     Messages::WorkerLoad load(Core::SteadyTime now) const;
     bool isReady() const;
--- a/celeryswitch/Workers/WorkerHealth.h
+++ b/celeryswitch/Workers/WorkerHealth.h
@@ -7,8 +7,8 @@
 namespace celeryswitch::Workers {
 
 /// Judges one worker by what became of its runs: its speed against the expected times, the room that it gives back, and
-/// whether it fails or stalls what it runs. A worker that does is on probation: it gets one run at a time until one
-/// succeeds at a usable speed.
+/// whether it fails or stalls what it runs. A worker that does is on probation: it gets one run at a time, with a pause
+/// after each failure that grows, until one succeeds at a usable speed.
 class WorkerHealth {
 public:
     /// A run made progress: `expected` of its expected time in `elapsed`.
@@ -22,6 +22,10 @@
     std::int64_t freedMilliCoresPerSecond(Core::SteadyTime now) const;
     /// Whether the worker gets one run at a time.
     bool isOnProbation() const { return this->onProbation; }
+    /// When a worker on probation may get its next run.
+    Core::SteadyTime probeAt() const { return this->nextProbe; }
+    /// Part of the latest runs that failed, 0 to 100.
+    std::uint8_t failurePercent(Core::SteadyTime now) const;
 
 private:
     void judge(Core::SteadyTime now);
@@ -29,7 +33,11 @@
     Core::FadingSum expectedTime { std::chrono::milliseconds(1000) };
     Core::FadingSum elapsedTime { std::chrono::milliseconds(1000) };
     Core::FadingSum freed { std::chrono::milliseconds(500) };
+    Core::FadingSum ends { std::chrono::milliseconds(2000) };
+    Core::FadingSum failures { std::chrono::milliseconds(2000) };
     std::uint32_t failuresInARow = 0;
+    std::uint32_t failedProbes = 0;
+    Core::SteadyTime nextProbe;
     bool onProbation = false;
 };
 
