--- a/UnitTests/Platform/OperatorCallsTest.cpp
+++ b/UnitTests/Platform/OperatorCallsTest.cpp
@@ -62,15 +62,15 @@
     static Logging::LogSettings logSettings()
     {
         Logging::LogSettings settings;
-        settings.output = [](const std::string&) { };
+        settings.output = [](const std::string&) {};
         return settings;
     }
 };
 
 }
 
-// Guards against an operator whose confirmation is lost after a redirection: it takes both replicas for tried, so that only
-// a replica that does not answer is left to it.
+// Guards against an operator whose confirmation is lost after a redirection: it takes both replicas for tried, so that
+// only a replica that does not answer is left to it.
 TEST_CASE("every replica answers operators itself while there is a leader", "[Platform][threads]")
 {
     const ServedGroup group;
--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -326,8 +326,8 @@
     REQUIRE(fixture.historyOf(2).size() == 1);
 }
 
-// Guards against a worker that fails everything at once and, on probation, still gets run after run: 150 runs in 6 s on the
-// grown association.
+// Guards against a worker that fails everything at once and, on probation, still gets run after run: 150 runs in 6 s on
+// the grown association.
 TEST_CASE("a worker on probation that goes on failing is tried less and less often", "[Workers]")
 {
     ReadySupervisor fixture;
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -123,8 +123,7 @@
     void turn()
     {
         for (auto& [ticket, result] : this->worker.advance(this->now()))
-            this->supervisor->called(
-                this->now(), ticket, this->isWorkerResetting ? CallResult {} : std::move(result));
+            this->supervisor->called(this->now(), ticket, this->isWorkerResetting ? CallResult {} : std::move(result));
         // Calls may cause further calls.
         for (int round = 0; round < 20; ++round) {
             std::vector<SupervisorAction> actions = this->supervisor->poll(this->now());
