Add the fault soak on real processes; answer what is left at a stop; keep a sidecar's stop apart from its worker's drain

The soak starts state replicas, entries and sidecars as processes on loopback, with workers, callers and operators of its own, and injects kills, freezes, graceful stops, lost disks, cut paths, late orders and grey workers. It checks single runs, whole answers, true refusals, confirmed documents, graceful stops and service after the last fault.

--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -267,6 +267,8 @@
 
 CommandResult runPlatform(const std::vector<std::string>& arguments)
 {
+    // The platform may tell of new settings before the event loop listens; they are read at the start anyway.
+    std::signal(SIGHUP, SIG_IGN);
     BOOST_OUTCOME_TRY(const CommandLine line, CommandLine::parse(usage, arguments));
     if (line.isHelp())
         return ExitCode::Ok;
--- /dev/null
+++ b/Soak/SoakWire.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "celeryswitch/Http/HttpMessage.h"
+#include "celeryswitch/Workers/WorkerTypes.h"
+#include <optional>
+#include <string>
+
+namespace celeryswitch::Soak {
+
+/// The worker's side of the platform's calls, as the platform's pages describe it: what a sidecar orders, read.
+/// `expectedWorker` receives the life that the order is meant for; empty for any. Nothing when it can't be read.
+std::optional<Workers::WorkerCall> readOrder(const Http::HttpRequest& request, std::string& expectedWorker);
+/// The response to an order; `bornAt` is the worker's start.
+Http::HttpResponse writeResult(const Workers::CallResult& result, std::int64_t bornAt);
+/// The request by which a worker announces itself.
+Http::HttpRequest writeHeartbeat(const Workers::WorkerAnnouncement& announcement);
+/// The request by which a caller hands in a job of alike tasks; `prefix` is its queue's.
+Http::HttpRequest writeJob(const std::string& host, const std::string& prefix, const std::string& id,
+    std::uint32_t tasks, const Messages::Room& need, std::uint32_t declaredMilliseconds,
+    std::int64_t patienceMilliseconds);
+/// A whole routing document of some queues, under a version.
+std::string writeDocument(std::uint64_t version, std::uint32_t queues, std::uint32_t timeoutMilliseconds);
+/// Host of queue `number`, and its path prefix.
+std::string queueHost(std::uint32_t number);
+std::string queuePrefix(std::uint32_t number);
+/// Version of a routing document; 0 when it can't be read.
+std::uint64_t readVersion(const std::string& document);
+
+}
--- /dev/null
+++ b/Soak/SoakWorker.cpp
@@ -0,0 +1,155 @@
+#include "Soak/SoakWorker.h"
+
+#include "Soak/SoakWire.h"
+
+namespace celeryswitch::Soak {
+
+namespace {
+
+constexpr std::chrono::milliseconds heartbeatInterval { 300 };
+constexpr Http::HttpLimits limits { 256 * 1024, 16 * 1024, std::chrono::seconds(10), std::chrono::seconds(10),
+    std::chrono::seconds(60) };
+constexpr std::size_t connectionsLimit = 64;
+
+Core::SteadyTime steadyNow() { return std::chrono::steady_clock::now(); }
+
+}
+
+SoakWorker::SoakWorker(boost::asio::io_context& context, std::string name, std::string control,
+    Experiment::LeasedWorkerModel::Planner planner, std::uint64_t seed)
+    : context(context)
+    , name(std::move(name))
+    , planner(std::move(planner))
+    , random(seed)
+    , server(context, limits, connectionsLimit,
+          { [this](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
+               this->received(session, request);
+           },
+              [](std::uint16_t status, const std::string& reason) {
+                  return Http::HttpResponse { status, {}, reason };
+              },
+              {} })
+    , heartbeats(context, std::move(control))
+    , timer(context)
+    , heartbeatTimer(context)
+    , lifeTimer(context)
+{
+}
+
+Core::Result<void> SoakWorker::start()
+{
+    BOOST_OUTCOME_TRY(const std::string bound, this->server.listen("127.0.0.1:0"));
+    BOOST_OUTCOME_TRY(this->relay, Scenario::TcpRelay::start(bound));
+    this->live();
+    this->announce();
+    return Core::success();
+}
+
+void SoakWorker::live()
+{
+    ++this->life;
+    Experiment::LeasedWorkerSettings settings;
+    settings.workerId = "w-" + this->name + "-" + std::to_string(this->life);
+    settings.bornAt = Core::toUnixMilliseconds(std::chrono::system_clock::now());
+    settings.service = "loans";
+    settings.capacity = { 32'000, 65'536, 0 };
+    settings.labels = { "a", "rack-" + this->name };
+    settings.clockRate = 0.98 + 0.02 * std::uniform_real_distribution<double>(0, 1)(this->random);
+    this->model = std::make_unique<Experiment::LeasedWorkerModel>(settings, this->planner, steadyNow());
+}
+
+void SoakWorker::announce()
+{
+    this->heartbeatTimer.expires_after(heartbeatInterval);
+    this->heartbeatTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            this->announce();
+    });
+    if (!this->model->isAlive() || std::exchange(this->isAnnouncing, true))
+        return;
+    this->heartbeats.request(writeHeartbeat(this->model->announcement(steadyNow())), std::chrono::seconds(1),
+        [this](const Core::Result<Http::HttpResponse>&) { this->isAnnouncing = false; });
+}
+
+void SoakWorker::crash(Core::Duration until)
+{
+    if (!this->model->isAlive())
+        return;
+    this->model->die(steadyNow());
+    this->past.insert(this->past.end(), this->model->history().begin(), this->model->history().end());
+    this->waiting.clear();
+    this->lifeTimer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(until));
+    this->lifeTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            this->live();
+    });
+}
+
+void SoakWorker::received(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request)
+{
+    std::string expectedWorker;
+    const std::optional<Workers::WorkerCall> call = readOrder(request, expectedWorker);
+    if (!call)
+        return session->respond({ 400, {}, "" });
+    // A worker that is down accepts nothing; an order that is kept back is carried out later and never answered.
+    if (!this->model->isAlive())
+        return;
+    if (std::uniform_real_distribution<double>(0, 1)(this->random) >= this->latePart)
+        return this->carryOut(session, this->life, *call, expectedWorker);
+    const auto later = std::make_shared<boost::asio::steady_timer>(
+        this->context, std::chrono::milliseconds(2000 + this->random() % 3000));
+    later->async_wait([this, later, life = this->life, call = *call, expectedWorker](
+                          const boost::system::error_code&) { this->carryOut(nullptr, life, call, expectedWorker); });
+}
+
+void SoakWorker::carryOut(const Http::HttpSession::Pointer& session, std::uint64_t orderedLife,
+    const Workers::WorkerCall& call, const std::string& expectedWorker)
+{
+    if (!this->model->isAlive())
+        return;
+    this->turn();
+    const std::uint64_t ticket = ++this->lastTicket;
+    std::optional<Workers::CallResult> result;
+    if (!expectedWorker.empty() && (orderedLife != this->life || expectedWorker != this->model->settings().workerId)) {
+        result.emplace();
+        result->status = Workers::CallStatus::OtherLife;
+        result->clock = this->model->clock(steadyNow());
+    } else {
+        result = this->model->handle(steadyNow(), call, ticket);
+    }
+    if (session && result)
+        session->respond(writeResult(*result, this->model->settings().bornAt));
+    else if (session)
+        this->waiting[ticket] = session;
+    this->turn();
+}
+
+void SoakWorker::turn()
+{
+    if (!this->model->isAlive())
+        return;
+    for (const auto& [ticket, result] : this->model->advance(steadyNow())) {
+        auto node = this->waiting.extract(ticket);
+        if (!node.empty())
+            node.mapped()->respond(writeResult(result, this->model->settings().bornAt));
+    }
+    const Core::SteadyTime due = this->model->nextChange();
+    this->timer.cancel();
+    if (due == Core::SteadyTime::max())
+        return;
+    this->timer.expires_at(due);
+    this->timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            this->turn();
+    });
+}
+
+std::vector<Experiment::RunHistory> SoakWorker::history() const
+{
+    std::vector<Experiment::RunHistory> runs = this->past;
+    if (this->model->isAlive())
+        runs.insert(runs.end(), this->model->history().begin(), this->model->history().end());
+    return runs;
+}
+
+}
--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -357,3 +357,14 @@
         REQUIRE_FALSE((job > 20 && fixture.load.isOnProbation));
     }
 }
+
+// Guards against a rolling restart of sidecars after which no worker is used any more: entries told the new process
+// that its worker drains, since the old process had stopped taking runs. Found by the soak, seed 145.
+TEST_CASE("a sidecar that stops does not say that its worker drains", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.supervisor->drain();
+    fixture.run(300ms);
+    REQUIRE_FALSE(fixture.load.isReady);
+    REQUIRE_FALSE(fixture.load.isDraining);
+}
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -345,6 +345,17 @@
         job.trace.write(this->log, now);
 }
 
+void JobScheduler::endAll(SteadyTime now)
+{
+    while (!this->jobs.empty()) {
+        const auto first = this->jobs.begin();
+        const bool hasBegun = first->second.hasBegun;
+        this->end(now, first,
+            { hasBegun ? AnswerKind::GivenUp : AnswerKind::NotRun, {}, 0,
+                hasBegun ? Core::Duration() : retryAfterRefusal, "process ends" });
+    }
+}
+
 void JobScheduler::answer(RequestNumber request, CallerAnswer answer)
 {
     if (request != 0)
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -86,6 +86,8 @@
     /// A sidecar reports.
     void received(Core::SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update);
 
+    /// Answers every job that is left, because the process ends.
+    void endAll(Core::SteadyTime now);
     /// Does what is due and returns everything to carry out.
     std::vector<SchedulerAction> poll(Core::SteadyTime now);
     /// When `poll` is due although nothing else happens.
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -14,6 +14,8 @@
 // Requests that wait for the first routing document, and for how long.
 constexpr std::size_t heldLimit = 1000;
 constexpr Core::Duration holdTime = std::chrono::milliseconds(800);
+// Time for the last answers to leave before the process ends.
+constexpr Core::Duration lastAnswersTime = std::chrono::milliseconds(200);
 
 Messages::Hello identityOf(const SchedulingEntrySettings& settings)
 {
@@ -278,7 +280,12 @@
     if (since < this->settings.stopAcceptingAfter)
         return;
     this->callers.stop();
-    if ((this->waiting.empty() && this->callers.connectionCount() == 0) || since >= this->settings.stopAfter)
+    if (since >= this->settings.stopAfter) {
+        this->scheduler.endAll(this->clock.steadyNow());
+        this->step();
+    }
+    if ((this->waiting.empty() && this->callers.connectionCount() == 0)
+        || since >= this->settings.stopAfter + lastAnswersTime)
         boost::asio::post(this->context, std::exchange(this->onDrained, nullptr));
 }
 
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -441,7 +441,7 @@
     load.freedMilliCoresPerSecond = this->health.freedMilliCoresPerSecond(now);
     load.pacePercent = this->health.pacePercent(now);
     load.isReady = this->isReady();
-    load.isDraining = this->life.isDraining || this->isDrained;
+    load.isDraining = this->life.isDraining;
     load.isOnProbation = this->health.isOnProbation();
     if (load.isOnProbation && now < this->health.probeAt())
         load.probeWaitMilliseconds = static_cast<std::uint16_t>(
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -67,6 +67,13 @@
 echo "== command line"
 run_case "command line" ./scripts/test-command-line.sh "$build"
 
+echo "== soak"
+run_case "soak, calm" "$build/celeryswitch-soak" "--program=$build/celeryswitch" --calm --seconds=2
+run_case "soak, faults" "$build/celeryswitch-soak" "--program=$build/celeryswitch" --seed=1 --seconds=12
+while read -r seed _; do
+    run_case "soak, seed $seed" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--seed=$seed"
+done < <(grep -v '^#' Soak/regression-seeds.txt)
+
 echo "== scenarios"
 for file in scenarios/*.toml; do
     name=$(basename "$file" .toml)
