--- a/UnitTests/State/SelfKeptGroupTest.cpp
+++ b/UnitTests/State/SelfKeptGroupTest.cpp
@@ -1,4 +1,5 @@
 #include "UnitTests/State/StateGroup.h"
+#include "UnitTests/Storage/RefusingFileSystem.h"
 #include "celeryswitch/Network/MessageCodec.h"
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
@@ -21,6 +22,11 @@
         for (const std::string& seed : this->seeds)
             this->run(seed, true);
     }
+    // The replicas use the disks until they end.
+    ~SelfKeptGroup() { this->replicas.clear(); }
+    SelfKeptGroup(const SelfKeptGroup&) = delete;
+    SelfKeptGroup& operator=(const SelfKeptGroup&) = delete;
+
     // Starts the replica at an address.
     void run(const std::string& address, bool isFirstStart)
     {
@@ -35,7 +41,7 @@
         settings.isGroupKept = true;
         settings.connectLimit = std::chrono::milliseconds(250);
         settings.authenticationKeys = this->keys;
-        auto started = StateProcess::Builder().setSettings(settings).start();
+        auto started = StateProcess::Builder().setSettings(settings).setFileSystem(this->disks[address]).start();
         REQUIRE(started);
         this->replicas[address] = std::move(started).value();
         this->addresses[address] = address;
@@ -95,6 +101,8 @@
     }
 
     std::vector<std::string> seeds;
+    /// Disk of each replica; outlives it.
+    std::map<std::string, Storage::RefusingFileSystem> disks;
 };
 
 }
@@ -177,3 +185,25 @@
         group.run(seed, false);
     REQUIRE(group.version() == 20);
 }
+
+// Guards against a replica that never votes again after its disk was full for a while, so that the next loss ends the
+// group: found on the platform's bench, deploy/days/disks.toml.
+TEST_CASE("a replica whose disk refused writes for a while comes back by itself", "[State][threads]")
+{
+    SelfKeptGroup group(3);
+    REQUIRE(group.put(1));
+    const auto roleOf = [&](const std::string& address) { return group.replicas.at(address)->metrics().role; };
+    for (const std::string& full : { group.waitForLeader(), group.seeds.front() }) {
+        const std::uint64_t version = group.version();
+        group.disks[full].isRefusing = true;
+        REQUIRE(group.put(version + 1));
+        REQUIRE(StateGroup::waitUntil([&] { return roleOf(full) == Consensus::ReplicaRole::Stopped; }));
+        REQUIRE(group.put(version + 2));
+        group.disks[full].isRefusing = false;
+        REQUIRE(StateGroup::waitUntil([&] { return roleOf(full) == Consensus::ReplicaRole::Follower; }));
+    }
+    // With the loss of another one, the group needs the replica that came back.
+    group.end(group.seeds.back());
+    REQUIRE(group.put(9));
+    REQUIRE(group.version() == 9);
+}
--- a/celeryswitch/Consensus/ReplicaStore.cpp
+++ b/celeryswitch/Consensus/ReplicaStore.cpp
@@ -95,6 +95,27 @@
     return ReplicaStore(std::move(log), std::move(snapshot));
 }
 
+Result<ReplicaStore> ReplicaStore::reopen(
+    Storage::FileSystem& files, const std::string& folder, RecoveredState& recovered)
+{
+    BOOST_OUTCOME_TRY(ReplicaStore store, ReplicaStore::open(files, folder, recovered));
+    SaveSnapshot all;
+    all.term = recovered.term;
+    all.votedFor = recovered.votedFor;
+    all.entries = recovered.entries;
+    if (recovered.snapshot) {
+        BOOST_OUTCOME_TRY(store.snapshot.write(Network::encodeMessage(*recovered.snapshot)));
+    }
+    BOOST_OUTCOME_TRY(store.restartLog(all));
+    return store;
+}
+
+Result<void> ReplicaStore::restartLog(const SaveSnapshot& saved)
+{
+    return this->log.restart({ Network::encodeMessage(StoredRecord(SaveTerm { saved.term, saved.votedFor })),
+        Network::encodeMessage(StoredRecord(SaveEntries { saved.entries })) });
+}
+
 Result<void> ReplicaStore::apply(const std::vector<StorageOperation>& operations)
 {
     std::vector<std::string> batch;
@@ -103,9 +124,7 @@
             // The records before the snapshot are covered by the log that follows it.
             batch.clear();
             BOOST_OUTCOME_TRY(this->snapshot.write(Network::encodeMessage(*saved->snapshot)));
-            BOOST_OUTCOME_TRY(
-                this->log.restart({ Network::encodeMessage(StoredRecord(SaveTerm { saved->term, saved->votedFor })),
-                    Network::encodeMessage(StoredRecord(SaveEntries { saved->entries })) }));
+            BOOST_OUTCOME_TRY(this->restartLog(*saved));
             continue;
         }
         std::visit(
--- a/celeryswitch/State/StateCore.cpp
+++ b/celeryswitch/State/StateCore.cpp
@@ -95,6 +95,18 @@
         || time - this->consensus.contactAt() > this->settings.replica.electionTimeoutMaximum;
 }
 
+std::vector<ClientReply> StateCore::refuseWaiting()
+{
+    std::vector<ClientReply> replies;
+    for (const Watcher& watcher : std::exchange(this->watchers, {}))
+        replies.push_back({ watcher.connection,
+            { watcher.requestId, StateRefusal::StorageFailed, this->consensus.stopReason(), {} } });
+    for (const auto& [token, entry] : std::exchange(this->waiting, {}))
+        replies.push_back({ entry.connection,
+            { entry.request.requestId, StateRefusal::StorageFailed, this->consensus.stopReason(), {} } });
+    return replies;
+}
+
 void StateCore::handle(ClientGone& input)
 {
     std::erase_if(this->watchers, [&](const Watcher& watcher) { return watcher.connection == input.connection; });
--- a/celeryswitch/State/StateCore.h
+++ b/celeryswitch/State/StateCore.h
@@ -70,6 +70,8 @@
     std::uint64_t appliedIndex() const { return this->applied; }
     /// Whether this replica is not in the group, as far as it knows, or has not heard a leader for an election timeout.
     bool isWithoutLeader(Core::SteadyTime time) const;
+    /// Refuses every request that waits, because this core ends; all are safe to send to another replica.
+    std::vector<ClientReply> refuseWaiting();
     /// Status as JSON.
     std::string status() const;
 
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -35,7 +35,7 @@
 class StateProcess::Implementation {
 public:
     Implementation(StateSettings settings, LogHook log, Storage::DataFolder folder, Consensus::ReplicaStore store,
-        Consensus::RecoveredState recovered)
+        StorageThread::Reopen reopen, Consensus::RecoveredState recovered)
         : settings(std::move(settings))
         , log(std::move(log))
         , folder(std::move(folder))
@@ -45,7 +45,7 @@
               [this](LinkEvent event) { return this->inbound.tryPush(std::move(event)); })
         , inbound(ringCapacity, [this] { this->wakeup.notify(); })
         , outbound(ringCapacity, [this] { this->wakePeerThread(); })
-        , storage(std::move(store), [this] { this->wakeup.notify(); })
+        , storage(std::move(store), std::move(reopen), [this] { this->wakeup.notify(); })
     {
     }
 
@@ -144,6 +144,18 @@
             + std::string(Core::enumName(this->core->replica().role())));
     }
 
+    // Begins anew with what the storage holds, as after a restart of the process.
+    void beginAgain(Consensus::RecoveredState held)
+    {
+        this->write("storage works again, this replica begins anew");
+        for (ClientReply& reply : this->core->refuseWaiting())
+            this->send(std::move(reply));
+        this->backlog.clear();
+        ++this->storageOpenings;
+        this->recovered = std::move(held);
+        this->begin();
+    }
+
     // Acts on a verdict about the first group.
     Result<void> follow(GroupFormation::Verdict verdict)
     {
@@ -214,7 +226,9 @@
 
     void take(const StorageOutcome& outcome)
     {
-        if (outcome.failure.empty()) {
+        if (outcome.reopened) {
+            this->beginAgain(*outcome.reopened);
+        } else if (outcome.failure.empty()) {
             this->step(Consensus::StorageSynced { outcome.sequence });
         } else {
             this->write("storage failed, this replica stops voting: " + outcome.failure);
@@ -227,7 +241,7 @@
         const std::int64_t wall = Core::toUnixMilliseconds(std::chrono::system_clock::now());
         StateOutput output = this->core->step(std::chrono::steady_clock::now(), wall, std::move(input));
         if (!output.storage.empty()) {
-            this->backlog.push_back({ std::move(output.storage), output.storageSequence });
+            this->backlog.push_back({ std::move(output.storage), output.storageSequence, this->storageOpenings });
             this->pushBacklog();
         }
         for (Consensus::Outgoing& outgoing : output.messages) {
@@ -333,6 +347,8 @@
     std::optional<StateCore> core;
     /// Writes that the storage thread's ring did not take.
     std::deque<StorageBatch> backlog;
+    /// How often the storage was opened again.
+    std::uint64_t storageOpenings = 0;
     std::uint64_t messagesSent = 0;
     SteadyTime nextAnnouncement;
     mutable std::mutex metricsMutex;
@@ -382,7 +398,10 @@
     if (store.droppedBytes() > 0 && this->log)
         this->log("dropped " + std::to_string(store.droppedBytes()) + " bytes of a write that a crash cut off");
     auto implementation = std::make_unique<Implementation>(
-        this->settings, this->log, std::move(folder), std::move(store), std::move(recovered));
+        this->settings, this->log, std::move(folder), std::move(store),
+        [&used, path = this->settings.dataFolder](
+            Consensus::RecoveredState& held) { return Consensus::ReplicaStore::reopen(used, path, held); },
+        std::move(recovered));
     if (this->protocol) {
         BOOST_OUTCOME_TRY(implementation->serveControl(this->controlAddress, *this->protocol, *this->controlLog));
     }
--- a/celeryswitch/State/StorageThread.cpp
+++ b/celeryswitch/State/StorageThread.cpp
@@ -7,11 +7,14 @@
 namespace {
 
 constexpr std::size_t ringCapacity = 1024;
+// Time between two attempts to open the storage again.
+constexpr Core::Duration reopenInterval = std::chrono::milliseconds(500);
 
 }
 
-StorageThread::StorageThread(Consensus::ReplicaStore store, std::function<void()> onOutcome)
+StorageThread::StorageThread(Consensus::ReplicaStore store, Reopen reopen, std::function<void()> onOutcome)
     : store(std::move(store))
+    , reopen(std::move(reopen))
     , batches(ringCapacity, [this] { this->wakeup.notify(); })
     , finished(ringCapacity, std::move(onOutcome))
     , thread([this] { this->run(); })
@@ -37,27 +40,55 @@
     while (!this->isStopping) {
         StorageBatch merged;
         this->batches.drain([&](StorageBatch&& batch) {
+            if (batch.opening != this->openings)
+                return;
             std::move(batch.operations.begin(), batch.operations.end(), std::back_inserter(merged.operations));
             merged.sequence = batch.sequence;
         });
-        if (merged.operations.empty() || hasFailed) {
+        if (hasFailed) {
+            this->wakeup.waitUntil(std::chrono::steady_clock::now() + reopenInterval);
+            hasFailed = !this->openAgain();
+        } else if (merged.operations.empty()) {
             this->wakeup.waitUntil(std::chrono::steady_clock::now() + std::chrono::seconds(1));
-            continue;
+        } else {
+            hasFailed = !this->apply(merged);
         }
-        const Core::SteadyTime begin = std::chrono::steady_clock::now();
-        const Core::Result<void> result = this->store.apply(merged.operations);
-        const Core::Duration time = std::chrono::steady_clock::now() - begin;
-        {
-            const std::lock_guard<std::mutex> guard(this->timesMutex);
-            ++this->times.count;
-            this->times.total += time;
-            this->times.longest = std::max(this->times.longest, time);
-        }
-        hasFailed = !result;
-        const StorageOutcome outcome { merged.sequence, result ? std::string() : result.error().message() };
-        while (!this->finished.tryPush(StorageOutcome(outcome)) && !this->isStopping)
-            std::this_thread::yield();
     }
 }
 
+bool StorageThread::apply(const StorageBatch& batch)
+{
+    const Core::SteadyTime begin = std::chrono::steady_clock::now();
+    const Core::Result<void> result = this->store.apply(batch.operations);
+    const Core::Duration time = std::chrono::steady_clock::now() - begin;
+    {
+        const std::lock_guard<std::mutex> guard(this->timesMutex);
+        ++this->times.count;
+        this->times.total += time;
+        this->times.longest = std::max(this->times.longest, time);
+    }
+    this->report({ batch.sequence, result ? std::string() : result.error().message(), nullptr });
+    return result.has_value();
+}
+
+bool StorageThread::openAgain()
+{
+    if (this->isStopping)
+        return false;
+    auto recovered = std::make_shared<Consensus::RecoveredState>();
+    Core::Result<Consensus::ReplicaStore> opened = this->reopen(*recovered);
+    if (!opened)
+        return false;
+    this->store = std::move(opened).value();
+    ++this->openings;
+    this->report({ 0, {}, std::move(recovered) });
+    return true;
+}
+
+void StorageThread::report(const StorageOutcome& outcome)
+{
+    while (!this->finished.tryPush(StorageOutcome(outcome)) && !this->isStopping)
+        std::this_thread::yield();
+}
+
 }
