Put a worker that refuses starts because it is unhealthy on probation

Two of eleven workers refused everything; three sidecars logged some 2,000 "start not accepted result=unhealthy" in 5 s, while jobs found no room elsewhere. A refusal did not count for the worker's health, so that it stayed as free, and as attractive, as before. Ruled out: the entry's placing (it saw free room, no probation) and the pause after resets (the calls are answered).

What was ordered before a pause no longer lengthens it.

Test: "a worker that refuses starts because it is unhealthy is put on probation", fails with the judgement switched off.

--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -281,6 +281,33 @@
     REQUIRE_FALSE(fixture.load.isOnProbation);
 }
 
+// Guards against a worker that refuses everything and attracts ever more orders, because it is as free as before: on
+// the platform's bench three sidecars gave 2,000 orders in 5 s to workers that shed them, while jobs found no room
+// elsewhere.
+TEST_CASE("a worker that refuses starts because it is unhealthy is put on probation", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.isWorkerShedding = true;
+    fixture.order(1, 1, 8);
+    fixture.run(5ms);
+    REQUIRE(fixture.load.isOnProbation);
+    REQUIRE(fixture.reportsOf(1).size() == 8);
+    REQUIRE(fixture.reportsOf(1).front().refusal == Messages::RunRefusal::Unhealthy);
+    fixture.calls.clear();
+    for (std::uint64_t job = 2; job <= 40; ++job) {
+        fixture.order(1, job, 1, 3000, 1, 20ms);
+        fixture.run(50ms);
+    }
+    const auto isStart = [](const WorkerCall& call) { return std::holds_alternative<StartCall>(call); };
+    REQUIRE(std::count_if(fixture.calls.begin(), fixture.calls.end(), isStart) <= 5);
+    // The next probe that it takes ends the probation.
+    fixture.isWorkerShedding = false;
+    fixture.order(1, 50, 1, 3000, 1, 2s);
+    fixture.run(2s);
+    REQUIRE(fixture.historyOf(50).size() == 1);
+    REQUIRE_FALSE(fixture.load.isOnProbation);
+}
+
 // Guards against a task that runs at two entries at once after its caller sent the job to another entry.
 TEST_CASE("a task that still runs for another entry is not started again", "[Workers]")
 {
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -105,6 +105,8 @@
     bool isWorkerReached = true;
     /// Whether every order ends at once without an answer, as when the worker resets connections.
     bool isWorkerResetting = false;
+    /// Whether the worker refuses every start because it is unhealthy.
+    bool isWorkerShedding = false;
     /// Whether the next start is not answered and kept in `lost`.
     bool isNextStartLost = false;
     /// The same for the next order that waits for an end.
@@ -153,6 +155,12 @@
                 this->supervisor->called(this->now(), call->callId, CallResult {});
                 return;
             }
+            if (this->isWorkerShedding && std::holds_alternative<StartCall>(call->call)) {
+                CallResult shed;
+                shed.status = CallStatus::Unhealthy;
+                this->supervisor->called(this->now(), call->callId, std::move(shed));
+                return;
+            }
             const auto* hold = std::get_if<HoldCall>(&call->call);
             const bool isLost = !this->isWorkerReached
                 || (std::holds_alternative<StartCall>(call->call) && std::exchange(this->isNextStartLost, false))
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -486,12 +486,24 @@
 {
     const bool wasOnProbation = this->health.isOnProbation();
     this->health.ended(now, run.end, run.need);
+    this->logProbation(now, wasOnProbation, Core::enumName(run.end));
+}
+
+void RunSupervisor::judgeRefusal(SteadyTime now)
+{
+    const bool wasOnProbation = this->health.isOnProbation();
+    this->health.refused(now);
+    this->logProbation(now, wasOnProbation, Core::enumName(CallStatus::Unhealthy));
+}
+
+void RunSupervisor::logProbation(SteadyTime now, bool wasOnProbation, std::string_view cause)
+{
     if (this->health.isOnProbation() == wasOnProbation)
         return;
     this->log.write(wasOnProbation ? LogLevel::Info : LogLevel::Warning,
         wasOnProbation ? "worker off probation" : "worker on probation",
-        { { "worker", this->life.profile ? this->life.profile->workerId : "" },
-            { "end", std::string(Core::enumName(run.end)) }, { "pace_percent", this->health.pacePercent(now) } });
+        { { "worker", this->life.profile ? this->life.profile->workerId : "" }, { "end", std::string(cause) },
+            { "pace_percent", this->health.pacePercent(now) } });
 }
 
 void RunSupervisor::endRun(SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal)
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -182,6 +182,9 @@
 
     // Lets the end of a run count for the worker's health, and logs what changes by it.
     void judgeEnd(Core::SteadyTime now, const Run& run);
+    // The same for a start that the worker refused because it is unhealthy.
+    void judgeRefusal(Core::SteadyTime now);
+    void logProbation(Core::SteadyTime now, bool wasOnProbation, std::string_view cause);
     void fire(Core::SteadyTime now, Run& run, RunEvent event);
     void endRun(Core::SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal = RunRefusal::None);
     void report(Core::SteadyTime now, const Run& run);
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -233,6 +233,7 @@
                                                       : RunRefusal::Rejected);
         break;
     case CallStatus::Unhealthy:
+        this->judgeRefusal(now);
         this->endRun(now, *run, RunEvent::StartRefused, RunEnd::NotStarted, RunRefusal::Unhealthy);
         break;
     case CallStatus::NotSent:
--- a/celeryswitch/Workers/WorkerHealth.cpp
+++ b/celeryswitch/Workers/WorkerHealth.cpp
@@ -36,23 +36,37 @@
 void WorkerHealth::ended(Core::SteadyTime now, RunEnd end, const Messages::Room& room)
 {
     this->freed.add(now, static_cast<double>(room.milliCores));
-    const bool isFailure = end == RunEnd::Failed;
-    if (isFailure || end == RunEnd::Done) {
-        this->ends.add(now, 1);
-        this->failures.add(now, isFailure ? 1 : 0);
+    if (end == RunEnd::Failed) {
+        this->failed(now);
+        return;
     }
-    if (end == RunEnd::Done)
+    if (end == RunEnd::Done) {
+        this->ends.add(now, 1);
         this->failuresInARow = 0;
-    else if (isFailure)
-        ++this->failuresInARow;
+    }
+    this->judge(now);
+    if (!this->onProbation)
+        this->failedProbes = 0;
+}
+
+void WorkerHealth::refused(Core::SteadyTime now) { this->failed(now); }
+
+void WorkerHealth::failed(Core::SteadyTime now)
+{
+    this->ends.add(now, 1);
+    this->failures.add(now, 1);
+    ++this->failuresInARow;
     this->judge(now);
     if (!this->onProbation) {
         this->failedProbes = 0;
-    } else if (isFailure) {
-        this->nextProbe = now
-            + std::min(longestProbePause, shortestProbePause * (1 << std::min<std::uint32_t>(this->failedProbes, 8)));
-        ++this->failedProbes;
+        return;
     }
+    // What was ordered before the pause is no probe.
+    if (now < this->nextProbe)
+        return;
+    this->nextProbe
+        = now + std::min(longestProbePause, shortestProbePause * (1 << std::min<std::uint32_t>(this->failedProbes, 8)));
+    ++this->failedProbes;
 }
 
 void WorkerHealth::judge(Core::SteadyTime now)
--- a/celeryswitch/Workers/WorkerHealth.h
+++ b/celeryswitch/Workers/WorkerHealth.h
@@ -7,8 +7,8 @@
 namespace celeryswitch::Workers {
 
 /// Judges one worker by what became of its runs: its speed against the expected times, the room that it gives back, and
-/// whether it fails or stalls what it runs. A worker that does is on probation: it gets one run at a time, with a pause
-/// after each failure that grows, until one succeeds at a usable speed.
+/// whether it refuses, fails or stalls what it is to run. A worker that does is on probation: it gets one run at a
+/// time, with a pause after each failure that grows, until one succeeds at a usable speed.
 class WorkerHealth {
 public:
     /// A run made progress: `expected` of its expected time in `elapsed`.
@@ -16,6 +16,9 @@
     /// A run ended and gave its room back; `isFailed` is set for a failure of the run or the worker.
     void ended(Core::SteadyTime now, Messages::RunEnd end, const Messages::Room& room);
 
+    /// The worker refused a run because it is unhealthy. It did nothing, and is as free as before.
+    void refused(Core::SteadyTime now);
+
     /// Speed of the worker, in percent of the ordinary one.
     std::uint16_t pacePercent(Core::SteadyTime now) const;
     /// Room that ends of runs give back, in thousandths of a core a second.
@@ -28,6 +31,7 @@
     std::uint8_t failurePercent(Core::SteadyTime now) const;
 
 private:
+    void failed(Core::SteadyTime now);
     void judge(Core::SteadyTime now);
 
     Core::FadingSum expectedTime { std::chrono::milliseconds(1000) };
