Place a job again before it is refused for lack of room

Ruled out: the sidecar (it reported the end within 5 ms) and the worker's room.

Jobs past their end are ended first, then what waits is placed, then what still waits for too long is refused.

Test: "a job whose order comes back late is placed again where there is room", fails before the change with the refusal.

--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -216,6 +216,25 @@
     REQUIRE(fixture.answers.at(2).kind == AnswerKind::GivenUp);
 }
 
+// Guards against a refusal for lack of room while there is room: a job whose order a worker left unanswered had waited
+// for longer than a quarter of its goal when the order came back, and was refused with 37 places free.
+TEST_CASE("a job whose order comes back late is placed again where there is room", "[Scheduling]")
+{
+    Fixture fixture;
+    fixture.submit(1, fixture.job(100));
+    const std::string first = fixture.orderOf(100, 0).first;
+    fixture.pass(60ms);
+    REQUIRE(fixture.answers.empty());
+    fixture.update(first, { 0, 0, 0 },
+        { { { 100, 0, 0, 0 }, 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::Unanswered, 0, 0 } });
+    REQUIRE(fixture.answers.empty());
+    REQUIRE(fixture.orderOf(100, 0).first != first);
+    // Without room it is refused at once.
+    fixture.update(fixture.orderOf(100, 0).first, { 0, 0, 0 },
+        { { { 100, 0, 0, 0 }, 2, RunState::Ended, RunEnd::NotStarted, RunRefusal::Unanswered, 0, 0 } });
+    REQUIRE(fixture.answers.at(1).kind == AnswerKind::NotRun);
+}
+
 // Guards against refusals that come so late that the caller could have gone elsewhere.
 TEST_CASE("a job without room is refused within a quarter of its goal", "[Scheduling]")
 {
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -247,8 +247,10 @@
 
 std::vector<SchedulerAction> JobScheduler::poll(SteadyTime now)
 {
-    this->expireJobs(now);
+    this->endExpired(now);
+    // A job whose order came back without a start may have waited long enough to be refused, and find room now.
     this->placeWaiting(now);
+    this->refuseWaiting(now);
     this->keepAlive(now);
     while (!this->outcomeOrder.empty() && this->outcomeOrder.front().first + this->settings.outcomeRetention < now) {
         this->outcomes.erase(this->outcomeOrder.front().second);
@@ -257,22 +259,35 @@
     return std::exchange(this->actions, {});
 }
 
-void JobScheduler::expireJobs(SteadyTime now)
+void JobScheduler::endExpired(SteadyTime now)
 {
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
-        if (!found->second.hasBegun && now >= found->second.waitUntil) {
-            const SteadyTime longest = after(found->second.arrivedAt,
-                std::chrono::duration<double>(found->second.patience).count() * this->settings.findingPatience);
-            if (now < longest && this->isFindingWorkers(now)) {
-                found->second.waitUntil = std::min(longest, now + findingStep);
-                this->isPlacingDue = true;
-                continue;
-            }
-            this->traceRoom(now, found->second);
-            this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, "no room" });
-        } else if (now >= found->second.limit)
+        if (now < found->second.limit)
+            continue;
+        if (found->second.hasBegun)
             this->end(now, found, { AnswerKind::GivenUp, {}, 0, {}, "deadline" });
+        else
+            this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, "deadline" });
+    }
+}
+
+void JobScheduler::refuseWaiting(SteadyTime now)
+{
+    for (auto next = this->jobs.begin(); next != this->jobs.end();) {
+        const auto found = next++;
+        Job& job = found->second;
+        if (job.hasBegun || now < job.waitUntil)
+            continue;
+        const SteadyTime longest = after(
+            job.arrivedAt, std::chrono::duration<double>(job.patience).count() * this->settings.findingPatience);
+        if (now < longest && this->isFindingWorkers(now)) {
+            job.waitUntil = std::min(longest, now + findingStep);
+            this->isPlacingDue = true;
+            continue;
+        }
+        this->traceRoom(now, job);
+        this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, "no room" });
     }
 }
 
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -185,7 +185,10 @@
     void loseRuns(Core::SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason);
     void end(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
     void answer(RequestNumber request, CallerAnswer answer);
-    void expireJobs(Core::SteadyTime now);
+    // Ends jobs whose answers have no value any more.
+    void endExpired(Core::SteadyTime now);
+    // Refuses jobs that have waited for room for too long, as not run.
+    void refuseWaiting(Core::SteadyTime now);
     // Notes the room that a job finds which is refused.
     void traceRoom(Core::SteadyTime now, Job& job) const;
     // Writes what became of a job, with its whole story when it did not end well.
