--- a/celeryswitch/State/StorageThread.cpp
+++ b/celeryswitch/State/StorageThread.cpp
@@ -67,7 +67,8 @@
         this->times.total += time;
         this->times.longest = std::max(this->times.longest, time);
     }
-    this->report({ batch.sequence, result ? std::string() : result.error().message(), nullptr });
+    this->lastFailure = result ? std::string() : result.error().message();
+    this->report({ batch.sequence, this->lastFailure, nullptr });
     return result.has_value();
 }
 
@@ -77,8 +78,13 @@
         return false;
     auto recovered = std::make_shared<Consensus::RecoveredState>();
     Core::Result<Consensus::ReplicaStore> opened = this->reopen(*recovered);
-    if (!opened)
+    if (!opened) {
+        // The same reason is told once.
+        const std::string reason = opened.error().message();
+        if (std::exchange(this->lastFailure, reason) != reason)
+            this->report({ 0, reason, nullptr });
         return false;
+    }
     this->store = std::move(opened).value();
     ++this->openings;
     this->report({ 0, {}, std::move(recovered) });
--- a/celeryswitch/State/StorageThread.h
+++ b/celeryswitch/State/StorageThread.h
@@ -65,6 +65,8 @@
     Reopen reopen;
     /// How often the storage was opened again.
     std::uint64_t openings = 0;
+    /// Why the storage failed last.
+    std::string lastFailure;
     Wakeup wakeup;
     Core::Ring<StorageBatch> batches;
     Core::Ring<StorageOutcome> finished;
