--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -1,7 +1,5 @@
 #include "celeryswitch/Workers/RunSupervisor.h"
 
-#include "celeryswitch/Core/Assert.h"
-
 namespace celeryswitch::Workers {
 
 using Core::SteadyTime;
@@ -19,50 +17,6 @@
 {
 }
 
-RunSupervisor::Entry* RunSupervisor::entryOf(std::uint64_t connection, Core::InstanceId* id)
-{
-    for (auto& [entryId, entry] : this->entries) {
-        if (entry.connection == connection) {
-            if (id)
-                *id = entryId;
-            return &entry;
-        }
-    }
-    return nullptr;
-}
-
-void RunSupervisor::entryConnected(SteadyTime now, std::uint64_t connection, const Messages::Hello& hello)
-{
-    Entry& entry = this->entries[hello.instanceId];
-    if (entry.connection != 0)
-        this->actions.push_back(DropEntry { entry.connection });
-    if (entry.incarnation != hello.incarnation) {
-        // The entry was started anew and no longer knows what its earlier life ordered.
-        for (auto& [task, run] : this->runs.all()) {
-            if (run.entry == hello.instanceId && run.entryIncarnation != hello.incarnation)
-                this->fire(now, run, RunEvent::StopWanted);
-        }
-        entry = {};
-        entry.incarnation = hello.incarnation;
-    }
-    entry.connection = connection;
-    entry.handledSequence = 0;
-    entry.isUpdateDue = true;
-    entry.permittedUntil = now + this->settings.entrySilenceLimit;
-    this->log.write(
-        LogLevel::Info, "entry connected", { { "entry", hello.instanceId }, { "incarnation", hello.incarnation } });
-}
-
-void RunSupervisor::entryDisconnected(SteadyTime now, std::uint64_t connection)
-{
-    Core::InstanceId id;
-    if (Entry* entry = this->entryOf(connection, &id)) {
-        entry->connection = 0;
-        entry->permittedUntil = std::min(entry->permittedUntil, now + this->settings.reconnectTime);
-        this->log.write(LogLevel::Info, "entry disconnected", { { "entry", id } });
-    }
-}
-
 void RunSupervisor::received(SteadyTime now, std::uint64_t connection, Messages::WorkMessage message)
 {
     Core::InstanceId id;
@@ -86,29 +40,6 @@
     }
 }
 
-void RunSupervisor::useKnownWorker()
-{
-    // An answer of the worker has shown which life it lives.
-    if (this->life.profile || !this->offered || !this->life.bornAt
-        || *this->life.bornAt != this->offered->profile.bornAt)
-        return;
-    const Messages::WorkerProfile& known = this->offered->profile;
-    this->log.write(
-        LogLevel::Info, "worker known from an entry", { { "worker", known.workerId }, { "born", known.bornAt } });
-    this->life.profile = WorkerAnnouncement { known.workerId, known.bornAt, known.service, known.capacity, known.labels,
-        this->offered->isDraining, 0, 0 };
-    this->life.isDraining = this->offered->isDraining;
-}
-
-void RunSupervisor::permit(SteadyTime now, Entry& entry, std::int64_t clockEcho)
-{
-    // An echo shows that the entry lived after the sample was taken, however long the message was on its way.
-    const SteadyTime sampledAt { std::chrono::microseconds(clockEcho) };
-    if (sampledAt < this->startedAt || sampledAt > now)
-        return;
-    entry.permittedUntil = std::max(entry.permittedUntil, sampledAt + this->settings.entrySilenceLimit);
-}
-
 RunRefusal RunSupervisor::refusalOf(const Messages::StartRuns& order, const TaskId& task)
 {
     if (!this->life.profile || !this->life.isListed || !this->life.clock.isKnown()
@@ -198,83 +129,6 @@
     this->answerClaims(now);
 }
 
-void RunSupervisor::answerClaims(SteadyTime now)
-{
-    if (!this->life.isListed)
-        return;
-    for (const auto& [id, claim] : std::exchange(this->claims, {})) {
-        Entry& entry = this->entries[id];
-        Run* run = this->runs.find(claim.task);
-        if (!run || (run->number != claim.run && run->entry != id)) {
-            entry.reports.push_back({ claim.task, claim.run, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0, 0 });
-            continue;
-        }
-        if (run->entry.empty() && run->phase != RunPhase::Ended) {
-            run->deadline = SteadyTime::max();
-            this->runs.setNeed(*run, claim.need);
-            this->log.write(LogLevel::Info, "run adopted",
-                { { "job", Messages::jobText(run->task.job) }, { "task", run->task.index }, { "entry", id } });
-        }
-        run->entry = id;
-        run->entryIncarnation = entry.incarnation;
-        this->report(now, *run);
-    }
-}
-
-bool RunSupervisor::announced(SteadyTime now, const WorkerAnnouncement& announcement)
-{
-    const bool isKnown = this->life.profile.has_value();
-    const bool isSameLife = isKnown
-        ? this->life.profile->workerId == announcement.workerId && this->life.profile->bornAt == announcement.bornAt
-        : !this->life.bornAt || *this->life.bornAt == announcement.bornAt;
-    if (!isSameLife) {
-        if (this->life.bornAt && announcement.bornAt < *this->life.bornAt)
-            return false;
-        this->endLife(now, "another life announced itself");
-    } else if (isKnown && announcement.sequence < this->life.profile->sequence) {
-        // Overtaken by a newer one of the same life. That it drains is never taken back.
-        this->life.isDraining = this->life.isDraining || announcement.isDraining;
-        return true;
-    }
-    if (!this->life.profile)
-        this->log.write(LogLevel::Info, "worker announced itself",
-            { { "worker", announcement.workerId }, { "born", announcement.bornAt },
-                { "cores", announcement.capacity.milliCores / 1000 } });
-    if (announcement.isDraining && !this->life.isDraining)
-        this->log.write(LogLevel::Info, "worker drains", { { "worker", announcement.workerId } });
-    this->life.profile = announcement;
-    this->life.bornAt = announcement.bornAt;
-    this->life.isDraining = this->life.isDraining || announcement.isDraining;
-    this->life.clock.sample(now, announcement.clock);
-    return true;
-}
-
-void RunSupervisor::workerLeft(SteadyTime now, const std::string& workerId)
-{
-    if (this->life.profile && this->life.profile->workerId == workerId)
-        this->endLife(now, "worker left");
-}
-
-void RunSupervisor::endLife(SteadyTime now, std::string_view reason)
-{
-    this->log.write(LogLevel::Info, "worker life ended",
-        { { "worker", this->life.profile ? this->life.profile->workerId : "" }, { "reason", std::string(reason) },
-            { "runs", static_cast<std::uint64_t>(this->runs.activeCount()) } });
-    this->life = {};
-    this->pending.clear();
-    this->isLongPollOut = false;
-    this->isLookOut = false;
-    this->unansweredCalls = 0;
-    this->nextLook = now;
-    this->health = {};
-    for (auto& [task, run] : this->runs.all()) {
-        if (run.phase == RunPhase::Queued)
-            this->endRun(now, run, RunEvent::Lost, RunEnd::NotStarted, RunRefusal::Unhealthy);
-        else if (run.phase != RunPhase::Ended)
-            this->endRun(now, run, RunEvent::Lost, RunEnd::Lost);
-    }
-}
-
 void RunSupervisor::drain() { this->isDrained = true; }
 
 std::vector<SupervisorAction> RunSupervisor::poll(SteadyTime now)
@@ -313,44 +167,6 @@
     }
 }
 
-void RunSupervisor::loseLapsed(SteadyTime now)
-{
-    if (this->runs.activeCount() == 0 || this->unansweredCalls < unansweredLimit || !this->life.clock.isKnown()
-        || now < this->life.clock.passedAt(this->life.leaseEnd) + this->settings.stopTime)
-        return;
-    for (auto& [task, run] : this->runs.all()) {
-        if (run.phase != RunPhase::Ended && run.phase != RunPhase::Queued)
-            this->endRun(now, run, RunEvent::Lost, RunEnd::Lapsed);
-    }
-}
-
-void RunSupervisor::sendUpdates(SteadyTime now)
-{
-    const Messages::Room free = this->freeRoom();
-    for (auto& [id, entry] : this->entries) {
-        if (entry.connection == 0)
-            continue;
-        const bool hasNews = entry.isReadySent != this->isReady() || !(entry.freeSent == free);
-        const bool isDue = entry.isUpdateDue || (hasNews && now >= entry.updatedAt + this->settings.statusInterval)
-            || now >= entry.updatedAt + this->settings.aliveInterval;
-        if (!isDue)
-            continue;
-        SendUpdate send { entry.connection,
-            { this->settings.incarnation, Core::toClockSample(now), entry.handledSequence,
-                std::exchange(entry.reports, {}), {}, this->load(now) } };
-        Messages::WorkerProfile current = this->profile();
-        if (!(current == entry.profileSent)) {
-            entry.profileSent = current;
-            send.update.profile.push_back(std::move(current));
-        }
-        entry.isUpdateDue = false;
-        entry.updatedAt = now;
-        entry.freeSent = free;
-        entry.isReadySent = this->isReady();
-        this->actions.push_back(std::move(send));
-    }
-}
-
 SteadyTime RunSupervisor::nextWakeUp() const
 {
     SteadyTime due = SteadyTime::max();
@@ -403,53 +219,6 @@
         this->life.clock.isKnown() ? static_cast<double>(this->life.leaseEnd - this->life.clock.at(now)) / 1000 : 0);
 }
 
-std::optional<Messages::WorkerProfile> RunSupervisor::workerProfile() const
-{
-    return this->life.profile ? std::optional(this->profile()) : std::nullopt;
-}
-
-Messages::Room RunSupervisor::freeRoom() const
-{
-    return this->life.profile ? this->life.profile->capacity - this->runs.used() : Messages::Room {};
-}
-
-bool RunSupervisor::isReady() const
-{
-    return this->life.profile && this->life.isListed && !this->life.isDraining && !this->isDrained
-        && this->unansweredCalls < unansweredLimit;
-}
-
-Messages::WorkerProfile RunSupervisor::profile() const
-{
-    if (!this->life.profile)
-        return {};
-    const WorkerAnnouncement& known = *this->life.profile;
-    return { known.workerId, known.bornAt, known.service, known.capacity, known.labels };
-}
-
-Messages::WorkerLoad RunSupervisor::load(SteadyTime now) const
-{
-    Messages::WorkerLoad load;
-    load.free = this->freeRoom();
-    for (const auto& [place, task] : this->runs.queue()) {
-        const Run& run = this->runs.all().at(task);
-        const std::int16_t rankClass = Messages::rankClassOf(run.rank);
-        if (load.queued.empty() || load.queued.back().rankClass != rankClass)
-            load.queued.push_back({ rankClass, 0 });
-        load.queued.back().milliCores += run.need.milliCores;
-    }
-    load.freedMilliCoresPerSecond = this->health.freedMilliCoresPerSecond(now);
-    load.pacePercent = this->health.pacePercent(now);
-    load.isReady = this->isReady();
-    load.isDraining = this->life.isDraining;
-    load.isOnProbation = this->health.isOnProbation();
-    if (load.isOnProbation && now < this->health.probeAt())
-        load.probeWaitMilliseconds = static_cast<std::uint16_t>(
-            std::chrono::ceil<std::chrono::milliseconds>(this->health.probeAt() - now).count());
-    load.failurePercent = this->health.failurePercent(now);
-    return load;
-}
-
 void RunSupervisor::fire(SteadyTime now, Run& run, RunEvent event)
 {
     this->runs.fire(run, event, now, [&](RunAction action) {
@@ -513,19 +282,4 @@
     this->fire(now, run, event);
 }
 
-void RunSupervisor::report(SteadyTime now, const Run& run)
-{
-    const auto found = this->entries.find(run.entry);
-    if (found == this->entries.end() || found->second.incarnation != run.entryIncarnation)
-        return;
-    const bool hasEnded = run.phase == RunPhase::Ended;
-    const SteadyTime until = hasEnded ? run.endedAt : now;
-    const std::int64_t time = run.startedAt == SteadyTime {}
-        ? 0
-        : std::chrono::duration_cast<std::chrono::microseconds>(until - run.startedAt).count();
-    found->second.reports.push_back({ run.task, run.number, hasEnded ? RunState::Ended : RunState::Running,
-        hasEnded ? run.end : RunEnd::NotStarted, run.refusal, time, static_cast<std::uint8_t>(run.percent) });
-    found->second.isUpdateDue = true;
-}
-
 }
--- /dev/null
+++ b/celeryswitch/Workers/RunSupervisorEntries.cpp
@@ -0,0 +1,156 @@
+// The entries: their connections, signs of life and claims, and what they are told.
+#include "celeryswitch/Workers/RunSupervisor.h"
+
+namespace celeryswitch::Workers {
+
+using Core::SteadyTime;
+using Logging::LogLevel;
+using Messages::RunState;
+
+RunSupervisor::Entry* RunSupervisor::entryOf(std::uint64_t connection, Core::InstanceId* id)
+{
+    for (auto& [entryId, entry] : this->entries) {
+        if (entry.connection == connection) {
+            if (id)
+                *id = entryId;
+            return &entry;
+        }
+    }
+    return nullptr;
+}
+
+void RunSupervisor::entryConnected(SteadyTime now, std::uint64_t connection, const Messages::Hello& hello)
+{
+    Entry& entry = this->entries[hello.instanceId];
+    if (entry.connection != 0)
+        this->actions.push_back(DropEntry { entry.connection });
+    if (entry.incarnation != hello.incarnation) {
+        // The entry was started anew and no longer knows what its earlier life ordered.
+        for (auto& [task, run] : this->runs.all()) {
+            if (run.entry == hello.instanceId && run.entryIncarnation != hello.incarnation)
+                this->fire(now, run, RunEvent::StopWanted);
+        }
+        entry = {};
+        entry.incarnation = hello.incarnation;
+    }
+    entry.connection = connection;
+    entry.handledSequence = 0;
+    entry.isUpdateDue = true;
+    entry.permittedUntil = now + this->settings.entrySilenceLimit;
+    this->log.write(
+        LogLevel::Info, "entry connected", { { "entry", hello.instanceId }, { "incarnation", hello.incarnation } });
+}
+
+void RunSupervisor::entryDisconnected(SteadyTime now, std::uint64_t connection)
+{
+    Core::InstanceId id;
+    if (Entry* entry = this->entryOf(connection, &id)) {
+        entry->connection = 0;
+        entry->permittedUntil = std::min(entry->permittedUntil, now + this->settings.reconnectTime);
+        this->log.write(LogLevel::Info, "entry disconnected", { { "entry", id } });
+    }
+}
+
+void RunSupervisor::permit(SteadyTime now, Entry& entry, std::int64_t clockEcho)
+{
+    // An echo shows that the entry lived after the sample was taken, however long the message was on its way.
+    const SteadyTime sampledAt { std::chrono::microseconds(clockEcho) };
+    if (sampledAt < this->startedAt || sampledAt > now)
+        return;
+    entry.permittedUntil = std::max(entry.permittedUntil, sampledAt + this->settings.entrySilenceLimit);
+}
+
+void RunSupervisor::answerClaims(SteadyTime now)
+{
+    if (!this->life.isListed)
+        return;
+    for (const auto& [id, claim] : std::exchange(this->claims, {})) {
+        Entry& entry = this->entries[id];
+        Run* run = this->runs.find(claim.task);
+        if (!run || (run->number != claim.run && run->entry != id)) {
+            entry.reports.push_back({ claim.task, claim.run, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0, 0 });
+            continue;
+        }
+        if (run->entry.empty() && run->phase != RunPhase::Ended) {
+            run->deadline = SteadyTime::max();
+            this->runs.setNeed(*run, claim.need);
+            this->log.write(LogLevel::Info, "run adopted",
+                { { "job", Messages::jobText(run->task.job) }, { "task", run->task.index }, { "entry", id } });
+        }
+        run->entry = id;
+        run->entryIncarnation = entry.incarnation;
+        this->report(now, *run);
+    }
+}
+
+void RunSupervisor::sendUpdates(SteadyTime now)
+{
+    const Messages::Room free = this->freeRoom();
+    for (auto& [id, entry] : this->entries) {
+        if (entry.connection == 0)
+            continue;
+        const bool hasNews = entry.isReadySent != this->isReady() || !(entry.freeSent == free);
+        const bool isDue = entry.isUpdateDue || (hasNews && now >= entry.updatedAt + this->settings.statusInterval)
+            || now >= entry.updatedAt + this->settings.aliveInterval;
+        if (!isDue)
+            continue;
+        SendUpdate send { entry.connection,
+            { this->settings.incarnation, Core::toClockSample(now), entry.handledSequence,
+                std::exchange(entry.reports, {}), {}, this->load(now) } };
+        Messages::WorkerProfile current = this->profile();
+        if (!(current == entry.profileSent)) {
+            entry.profileSent = current;
+            send.update.profile.push_back(std::move(current));
+        }
+        entry.isUpdateDue = false;
+        entry.updatedAt = now;
+        entry.freeSent = free;
+        entry.isReadySent = this->isReady();
+        this->actions.push_back(std::move(send));
+    }
+}
+
+Messages::Room RunSupervisor::freeRoom() const
+{
+    return this->life.profile ? this->life.profile->capacity - this->runs.used() : Messages::Room {};
+}
+
+Messages::WorkerLoad RunSupervisor::load(SteadyTime now) const
+{
+    Messages::WorkerLoad load;
+    load.free = this->freeRoom();
+    for (const auto& [place, task] : this->runs.queue()) {
+        const Run& run = this->runs.all().at(task);
+        const std::int16_t rankClass = Messages::rankClassOf(run.rank);
+        if (load.queued.empty() || load.queued.back().rankClass != rankClass)
+            load.queued.push_back({ rankClass, 0 });
+        load.queued.back().milliCores += run.need.milliCores;
+    }
+    load.freedMilliCoresPerSecond = this->health.freedMilliCoresPerSecond(now);
+    load.pacePercent = this->health.pacePercent(now);
+    load.isReady = this->isReady();
+    load.isDraining = this->life.isDraining;
+    load.isOnProbation = this->health.isOnProbation();
+    if (load.isOnProbation && now < this->health.probeAt())
+        load.probeWaitMilliseconds = static_cast<std::uint16_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(this->health.probeAt() - now).count());
+    load.failurePercent = this->health.failurePercent(now);
+    return load;
+}
+
+void RunSupervisor::report(SteadyTime now, const Run& run)
+{
+    const auto found = this->entries.find(run.entry);
+    if (found == this->entries.end() || found->second.incarnation != run.entryIncarnation)
+        return;
+    const bool hasEnded = run.phase == RunPhase::Ended;
+    const SteadyTime until = hasEnded ? run.endedAt : now;
+    const std::int64_t time = run.startedAt == SteadyTime {}
+        ? 0
+        : std::chrono::duration_cast<std::chrono::microseconds>(until - run.startedAt).count();
+    found->second.reports.push_back({ run.task, run.number, hasEnded ? RunState::Ended : RunState::Running,
+        hasEnded ? run.end : RunEnd::NotStarted, run.refusal, time, static_cast<std::uint8_t>(run.percent) });
+    found->second.isUpdateDue = true;
+}
+
+}
