--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -39,6 +39,12 @@
     fi
 }
 
+# Prints what a background run wrote to a file, and returns its status.
+finished_run() {
+    cat "$2"
+    return "$1"
+}
+
 echo "== unit tests"
 if output=$(./scripts/run-unit-tests.sh "$build" 2>&1); then
     # "All tests passed (N assertions in M test cases)"
@@ -70,9 +76,19 @@
 echo "== soak"
 run_case "soak, calm" "$build/celeryswitch-soak" "--program=$build/celeryswitch" --calm --seconds=2
 run_case "soak, faults" "$build/celeryswitch-soak" "--program=$build/celeryswitch" --seed=1 --seconds=12
+# The seeds that failed once are played at the same time, each on addresses of its own.
+seeds=()
+outputs=$(mktemp -d)
 while read -r seed _; do
-    run_case "soak, seed $seed" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--seed=$seed"
+    "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--seed=$seed" > "$outputs/$seed" 2>&1 &
+    seeds+=("$seed:$!")
 done < <(grep -v '^#' Soak/regression-seeds.txt)
+for entry in "${seeds[@]}"; do
+    status=0
+    wait "${entry#*:}" || status=$?
+    run_case "soak, seed ${entry%:*}" finished_run "$status" "$outputs/${entry%:*}"
+done
+rm -r "$outputs"
 
 echo "== scenarios"
 for file in scenarios/*.toml; do
