Let the soak tell true refusals in full use from lost service

Its logs show no event of the system in those seconds: within half a second ten jobs came that found all four workers in use (free 3.2 to 7.1 of 128 cores, 38 to 44 queued, places 0 or 1) and were refused within 17 to 163 ms, as not run, which the promises allow. The load is random and takes two thirds of the room on average.

The soak now looks at its own workers when a refusal comes: 97 % of the jobs after the last fault must be completed but for those refused while nine tenths of the workers' cores were in use, and these may be a tenth of all at most, so that runs which are never stopped can't hide behind full workers.

--- a/Soak/Main.cpp
+++ b/Soak/Main.cpp
@@ -35,13 +35,15 @@
     // Runs at the same time use other addresses.
     settings.network = std::to_string(16 + ::getpid() % 200) + "." + std::to_string(settings.seed % 250);
     Soak::SoakResult result = Soak::SoakRun(settings).play();
-    std::printf("seed %llu: %llu jobs, %llu completed, %llu refused, %llu runs; after the last fault %llu of %llu; "
+    std::printf("seed %llu: %llu jobs, %llu completed, %llu refused, %llu runs; after the last fault %llu of %llu, "
+                "%llu refused in "
+                "full use; "
                 "version %llu; %zu faults, %zu violations\n",
         static_cast<unsigned long long>(settings.seed), static_cast<unsigned long long>(result.jobs),
         static_cast<unsigned long long>(result.completed), static_cast<unsigned long long>(result.refused),
         static_cast<unsigned long long>(result.runs), static_cast<unsigned long long>(result.calmCompleted),
-        static_cast<unsigned long long>(result.calmJobs), static_cast<unsigned long long>(result.confirmedVersion),
-        result.faults.size(), result.violations.size());
+        static_cast<unsigned long long>(result.calmJobs), static_cast<unsigned long long>(result.calmRefusedFull),
+        static_cast<unsigned long long>(result.confirmedVersion), result.faults.size(), result.violations.size());
     for (const std::string& violation : result.violations)
         std::printf("  violation: %s\n", violation.c_str());
     if (!result.violations.empty()) {
--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -20,8 +20,12 @@
 constexpr std::chrono::seconds finishTime { 9 };
 // Time in which the operator's last calls end, before the last reads: longer than the time-out of a call.
 constexpr std::chrono::milliseconds settleTime { 1200 };
-// Part of the calm time's jobs that has to be completed.
+// Part of the calm time's jobs that has to be completed, but for those refused while the workers were in full use;
+// these may be this part of all at most, since the load leaves a third of the room free on average.
 constexpr double calmShare = 0.97;
+constexpr double refusedFullShare = 0.1;
+// Part of the workers' room in use from which on they are full: what is left fits no whole job.
+constexpr double fullShare = 0.9;
 
 SteadyTime now() { return std::chrono::steady_clock::now(); }
 
@@ -220,6 +224,7 @@
     job.isEnded = true;
     if (status == 503 || status == 429) {
         ++job.refusals;
+        job.isRefusedFull = this->isFull();
         if (response.value().headers.count("Retry-After") == 0)
             this->violation(entry + " refused job " + job.id + " without telling when to come back");
     } else if (status == 200) {
@@ -229,6 +234,17 @@
     }
 }
 
+bool SoakRun::isFull() const
+{
+    std::int64_t used = 0;
+    std::int64_t all = 0;
+    for (const auto& worker : this->workers) {
+        used += worker->usedMilliCores();
+        all += worker->milliCores();
+    }
+    return static_cast<double>(used) >= fullShare * static_cast<double>(all);
+}
+
 void SoakRun::operate()
 {
     if (this->isOver)
@@ -315,6 +331,7 @@
         this->result.refused += job.refusals;
         this->result.calmJobs += job.isCalm ? 1 : 0;
         this->result.calmCompleted += job.isCalm && job.isCompleted ? 1 : 0;
+        this->result.calmRefusedFull += job.isCalm && job.isRefusedFull ? 1 : 0;
         if (job.isCompleted && done[number].size() != job.taskTimes.size())
             this->result.violations.push_back("job " + job.id + " was shown as completed without all its tasks");
         if (job.submissions > 0 && job.refusals == job.submissions && started.count(number) > 0)
@@ -322,9 +339,13 @@
         if (!job.isEnded)
             this->result.violations.push_back("job " + job.id + " has no end");
     }
-    if (static_cast<double>(this->result.calmCompleted) < calmShare * static_cast<double>(this->result.calmJobs))
+    const auto calm = static_cast<double>(this->result.calmJobs);
+    const auto refusedFull = static_cast<double>(this->result.calmRefusedFull);
+    if (static_cast<double>(this->result.calmCompleted) < calmShare * (calm - refusedFull)
+        || refusedFull > refusedFullShare * calm)
         this->result.violations.push_back("only " + std::to_string(this->result.calmCompleted) + " of "
-            + std::to_string(this->result.calmJobs) + " jobs were completed after the last fault");
+            + std::to_string(this->result.calmJobs) + " jobs were completed after the last fault, and "
+            + std::to_string(this->result.calmRefusedFull) + " refused while the workers were in full use");
     if (this->result.confirmedVersion < this->confirmed)
         this->result.violations.push_back("version " + std::to_string(this->confirmed)
             + " was confirmed, and the last one read is " + std::to_string(this->result.confirmedVersion));
--- a/Soak/SoakRun.h
+++ b/Soak/SoakRun.h
@@ -30,6 +30,7 @@
     /// Jobs of the calm time at the end.
     std::uint64_t calmJobs = 0;
     std::uint64_t calmCompleted = 0;
+    std::uint64_t calmRefusedFull = 0;
     std::uint64_t confirmedVersion = 0;
     /// Faults in the order in which they were injected, with their times.
     std::vector<std::string> faults;
@@ -60,6 +61,8 @@
         bool isEnded = false;
         bool isCompleted = false;
         bool isCalm = false;
+        /// Whether it was refused while the workers were in full use.
+        bool isRefusedFull = false;
     };
     /// A connection of a caller, which is kept while its entry serves it.
     struct Caller {
@@ -86,6 +89,8 @@
     void watchReadiness();
     void arrive();
     void submit(std::uint64_t number);
+    // Whether nearly all room of the workers is in use.
+    bool isFull() const;
     void answered(std::uint64_t number, const std::string& entry, const Core::Result<Http::HttpResponse>& response);
     Caller& callerFor(const std::string& entry);
     Experiment::RunPlan planOf(std::size_t worker, const Messages::TaskId& task);
--- a/Soak/SoakWorker.h
+++ b/Soak/SoakWorker.h
@@ -26,6 +26,9 @@
     void setCut(bool isCut) { this->relay->setCut(isCut); }
     /// Part of the orders that are not answered and are carried out some seconds later.
     void setLatePart(double value) { this->latePart = value; }
+    /// Processor room, and the part of it that runs use now, in thousandths of a core.
+    std::int64_t milliCores() const { return this->model->settings().capacity.milliCores; }
+    std::int64_t usedMilliCores() const { return this->model->used().milliCores; }
     /// Every run of every life.
     std::vector<Experiment::RunHistory> history() const;
 
