Let one function end a job without a result; remove an unused member of the soak

Found on reading the change again: the choice between "given up" and "not run" stood twice in the job scheduler (jobs past their end, jobs left at a stop), and SoakRun kept a list of operator calls that nothing used.

--- a/Soak/SoakRun.h
+++ b/Soak/SoakRun.h
@@ -129,7 +129,6 @@
     std::map<std::string, Core::SteadyTime> stoppedAt;
     /// Grey workers: until when, and whether they fail or stand still.
     std::map<std::size_t, std::pair<Core::SteadyTime, bool>> grey;
-    std::vector<std::unique_ptr<Http::HttpConnection>> operatorCalls;
     std::uint64_t nextVersion = 0;
     std::uint64_t confirmed = 0;
     Core::SteadyTime startedAt;
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -265,10 +265,7 @@
         const auto found = next++;
         if (now < found->second.limit)
             continue;
-        if (found->second.hasBegun)
-            this->end(now, found, { AnswerKind::GivenUp, {}, 0, {}, "deadline" });
-        else
-            this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, "deadline" });
+        this->giveUp(now, found, "deadline");
     }
 }
 
@@ -362,13 +359,16 @@
 
 void JobScheduler::endAll(SteadyTime now)
 {
-    while (!this->jobs.empty()) {
-        const auto first = this->jobs.begin();
-        const bool hasBegun = first->second.hasBegun;
-        this->end(now, first,
-            { hasBegun ? AnswerKind::GivenUp : AnswerKind::NotRun, {}, 0,
-                hasBegun ? Core::Duration() : retryAfterRefusal, "process ends" });
-    }
+    while (!this->jobs.empty())
+        this->giveUp(now, this->jobs.begin(), "process ends");
+}
+
+void JobScheduler::giveUp(SteadyTime now, Jobs::iterator found, const std::string& reason)
+{
+    if (found->second.hasBegun)
+        this->end(now, found, { AnswerKind::GivenUp, {}, 0, {}, reason });
+    else
+        this->end(now, found, { AnswerKind::NotRun, {}, 0, retryAfterRefusal, reason });
 }
 
 void JobScheduler::answer(RequestNumber request, CallerAnswer answer)
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -185,6 +185,8 @@
     void loseRuns(Core::SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason);
     void end(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
     void answer(RequestNumber request, CallerAnswer answer);
+    // Ends a job without a result: as not run when none of its runs may have started.
+    void giveUp(Core::SteadyTime now, Jobs::iterator found, const std::string& reason);
     // Ends jobs whose answers have no value any more.
     void endExpired(Core::SteadyTime now);
     // Refuses jobs that have waited for room for too long, as not run.
