--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -1,4 +1,5 @@
 #include "celeryswitch/Scheduling/JobScheduler.h"
+#include "celeryswitch/Scheduling/RefusalAdvice.h"
 #include <catch2/catch.hpp>
 
 using namespace celeryswitch;
@@ -78,6 +79,36 @@
         submission.job.steps[0].declaredMilliseconds = 60;
         return submission;
     }
+    // Offers the room of a reservation.
+    void offer(const std::pair<std::string, Messages::ReserveRoom>& reserve)
+    {
+        this->scheduler.roomOffered(this->now(), reserve.first, { reserve.second.reservation });
+        this->pollScheduler();
+    }
+    // Number of tasks of a job that were ordered in reserved room.
+    std::size_t reservedTasks(std::uint64_t job) const
+    {
+        std::size_t tasks = 0;
+        for (const auto& [sidecar, reserved] : this->reservedStarts)
+            tasks += reserved.start.job == job ? reserved.start.tasks.size() : 0;
+        return tasks;
+    }
+    // Whether a reservation was released at its sidecar.
+    bool isReleased(const std::pair<std::string, Messages::ReserveRoom>& reserve) const
+    {
+        return std::any_of(this->releases.begin(), this->releases.end(), [&](const auto& release) {
+            const auto& numbers = release.second.reservations;
+            return release.first == reserve.first
+                && std::find(numbers.begin(), numbers.end(), reserve.second.reservation) != numbers.end();
+        });
+    }
+    // All workers are full and release room at this rate each.
+    void fillWorkers(std::size_t workers, std::int64_t freedMilliCoresPerSecond)
+    {
+        this->load.freedMilliCoresPerSecond = freedMilliCoresPerSecond;
+        for (std::size_t index = 1; index <= workers; ++index)
+            this->update("side-" + std::to_string(index), { 0, 65'536, 0 });
+    }
     void submit(RequestNumber request, SubmitJob submission)
     {
         this->scheduler.submit(this->now(), this->now(), request, this->queue, std::move(submission));
@@ -94,6 +125,12 @@
             if (auto* send = std::get_if<SendToSidecar>(&action)) {
                 if (auto* start = std::get_if<Messages::StartRuns>(&send->message))
                     this->starts.emplace_back(send->sidecar, *start);
+                else if (auto* reserved = std::get_if<Messages::StartReserved>(&send->message))
+                    this->reservedStarts.emplace_back(send->sidecar, *reserved);
+                else if (auto* reserve = std::get_if<Messages::ReserveRoom>(&send->message))
+                    this->reserves.emplace_back(send->sidecar, *reserve);
+                else if (auto* release = std::get_if<Messages::ReleaseRoom>(&send->message))
+                    this->releases.emplace_back(send->sidecar, *release);
                 else if (auto* stop = std::get_if<Messages::StopRuns>(&send->message))
                     this->stops.emplace_back(send->sidecar, *stop);
                 else if (auto* claim = std::get_if<Messages::ClaimRuns>(&send->message))
@@ -125,6 +162,9 @@
     Configuration::Queue queue;
     Messages::WorkerLoad load;
     std::vector<std::pair<std::string, Messages::StartRuns>> starts;
+    std::vector<std::pair<std::string, Messages::StartReserved>> reservedStarts;
+    std::vector<std::pair<std::string, Messages::ReserveRoom>> reserves;
+    std::vector<std::pair<std::string, Messages::ReleaseRoom>> releases;
     std::vector<std::pair<std::string, Messages::StopRuns>> stops;
     std::vector<std::pair<std::string, Messages::ClaimRuns>> claims;
     std::map<RequestNumber, CallerAnswer> answers;
@@ -448,3 +488,120 @@
     REQUIRE_FALSE(fixture.scheduler.hasRuns(sidecar));
     fixture.scheduler.removeSidecar(sidecar);
 }
+
+// Guards against a job that waits for its slowest queue under overload: each of its tasks was bound to one full worker
+// while others released room earlier.
+TEST_CASE("a task that has to wait takes the room that is offered first", "[Scheduling]")
+{
+    SchedulerFixture fixture(4);
+    fixture.fillWorkers(4, 300'000);
+    fixture.submit(1, fixture.makeJob(100));
+    REQUIRE(fixture.starts.empty());
+    REQUIRE(fixture.reserves.size() == 3);
+    const auto first = fixture.reserves[2];
+    fixture.offer(first);
+    REQUIRE(fixture.reservedStarts.size() == 1);
+    REQUIRE(fixture.reservedStarts[0].first == first.first);
+    REQUIRE(fixture.reservedStarts[0].second.reservation == first.second.reservation);
+    REQUIRE(fixture.reservedStarts[0].second.start.tasks
+        == std::vector<std::pair<std::uint32_t, std::uint32_t>> { { 0, 1 } });
+    REQUIRE(fixture.isReleased(fixture.reserves[0]));
+    REQUIRE(fixture.isReleased(fixture.reserves[1]));
+    // Offers that cross the release start nothing.
+    fixture.offer(fixture.reserves[0]);
+    fixture.offer(fixture.reserves[1]);
+    REQUIRE(fixture.reservedStarts.size() == 1);
+    fixture.update(first.first, { 0, 65'536, 0 },
+        { { { 100, 0, 0, 0 }, 1, RunState::Ended, RunEnd::Done, RunRefusal::None, 60'000, 0 } });
+    REQUIRE(fixture.answers.at(1).state == JobState::Completed);
+}
+
+// Guards against tasks that are started twice when more room is offered than a job needs.
+TEST_CASE("surplus offers are released", "[Scheduling]")
+{
+    SchedulerFixture fixture(6);
+    fixture.fillWorkers(6, 600'000);
+    fixture.submit(1, fixture.makeJob(100, 3));
+    std::size_t units = 0;
+    for (const auto& reserve : std::vector(fixture.reserves)) {
+        for (std::uint32_t unit = 0; unit < reserve.second.units; ++unit, ++units)
+            fixture.offer(reserve);
+    }
+    REQUIRE(units == 9);
+    REQUIRE(fixture.reservedTasks(100) == 3);
+    std::set<std::uint32_t> tasks;
+    for (const auto& [sidecar, reserved] : fixture.reservedStarts)
+        tasks.insert(reserved.start.tasks.front().first);
+    REQUIRE(tasks.size() == 3);
+}
+
+// Guards against reservations that outlive their job and keep room from others.
+TEST_CASE("the reservations of a job end with it", "[Scheduling]")
+{
+    SchedulerFixture fixture(3);
+    fixture.fillWorkers(3, 300'000);
+    fixture.submit(1, fixture.makeJob(100));
+    REQUIRE(fixture.reserves.size() == 3);
+    fixture.scheduler.callerDisconnected(fixture.now(), 1);
+    fixture.pollScheduler();
+    for (const auto& reserve : fixture.reserves)
+        REQUIRE(fixture.isReleased(reserve));
+    fixture.offer(fixture.reserves[0]);
+    REQUIRE(fixture.reservedStarts.empty());
+}
+
+// Guards against a request that is held until its caller has gone: reservations that are not answered end in time.
+TEST_CASE("a job whose reservations are not answered is refused as not run", "[Scheduling]")
+{
+    SchedulerFixture fixture(3);
+    fixture.fillWorkers(3, 300'000);
+    const Core::SteadyTime arrival = fixture.now();
+    fixture.submit(1, fixture.makeJob(100));
+    while (fixture.answers.empty() && fixture.now() < arrival + 5s)
+        fixture.advance(1ms);
+    REQUIRE(fixture.answers.at(1).kind == AnswerKind::NotRun);
+    REQUIRE(fixture.now() - arrival <= 1.6 * 60ms + 60ms);
+}
+
+// Guards against work that is placed on sidecars that were cut off, while the connection still looks open.
+TEST_CASE("no work is placed on a sidecar that has stopped answering", "[Scheduling]")
+{
+    SchedulerFixture fixture(2);
+    for (int round = 0; round < 3; ++round) {
+        fixture.clock.advance(150ms);
+        fixture.update("side-2", { 32'000, 65'536, 0 });
+    }
+    for (std::uint64_t job = 100; job < 110; ++job) {
+        fixture.submit(job, fixture.makeJob(job));
+        REQUIRE(fixture.orderOf(job, 0).first == "side-2");
+    }
+    // The runs that it has are neither stopped nor started elsewhere.
+    REQUIRE(fixture.stops.empty());
+}
+
+// Guards against requests that no worker can ever serve and that are refused only after a wait.
+TEST_CASE("a job that fits no worker is refused at once", "[Scheduling]")
+{
+    SchedulerFixture fixture;
+    fixture.submit(1, fixture.makeJob(100, 1, 33'000));
+    REQUIRE(fixture.answers.at(1).kind == AnswerKind::NotRun);
+    REQUIRE(fixture.starts.empty());
+    SubmitJob labelled = fixture.makeJob(101);
+    labelled.job.steps[0].requiredLabel = "rare";
+    fixture.submit(2, labelled);
+    REQUIRE(fixture.answers.at(2).kind == AnswerKind::NotRun);
+}
+
+// Guards against callers that were refused in a flood and all return at the same moment, into the same flood.
+TEST_CASE("refused callers return later and spread when more work waits", "[Scheduling]")
+{
+    std::set<std::int64_t> delays;
+    for (std::uint64_t job = 1; job <= 100; ++job) {
+        REQUIRE(retryDelay(0, job) >= 1s);
+        REQUIRE(retryDelay(0, job) <= 2s);
+        REQUIRE(retryDelay(4, job) >= 4s);
+        REQUIRE(retryDelay(std::numeric_limits<double>::infinity(), job) <= 30s);
+        delays.insert(std::chrono::duration_cast<std::chrono::milliseconds>(retryDelay(4, job)).count() / 500);
+    }
+    REQUIRE(delays.size() >= 6);
+}
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -64,6 +64,31 @@
             start.tasks.emplace_back(index, 1);
         this->supervisor->messageReceived(this->now(), connection, start);
     }
+    /// Reserves room for units of the size of `startTasks`.
+    void reserve(std::uint64_t connection, std::uint64_t reservation, std::uint32_t units = 1,
+        std::int64_t milliCores = 3000, float rank = 1, Core::Duration startWithin = std::chrono::milliseconds(500))
+    {
+        this->supervisor->messageReceived(this->now(), connection,
+            Messages::ReserveRoom { ++this->sequence, Core::toClockSample(this->now()), reservation,
+                { milliCores, 64, 0 }, units, 1, rank,
+                std::chrono::duration_cast<std::chrono::microseconds>(startWithin).count() });
+    }
+    /// Requests one run of a job in reserved room.
+    void startReserved(std::uint64_t connection, std::uint64_t reservation, std::uint64_t job, float rank = 1)
+    {
+        Messages::StartRuns start;
+        start.sequence = ++this->sequence;
+        start.clockEcho = Core::toClockSample(this->now());
+        start.job = job;
+        start.need = { 3000, 64, 0 };
+        start.expectedMilliseconds = 200;
+        start.rank = rank;
+        start.startWithinMicroseconds = 30'000;
+        start.deadlineMicroseconds = 5'000'000;
+        start.tasks = { { 0, 1 } };
+        this->supervisor->messageReceived(
+            this->now(), connection, Messages::StartReserved { reservation, std::move(start) });
+    }
     /// Replaces the worker by another incarnation under the same id, which runs nothing and has seen no fencing token.
     void restartWorker(std::int64_t bornAt)
     {
@@ -165,6 +190,8 @@
     /// All reports, and the newest load, sent to any entry.
     std::vector<Messages::RunReport> reports;
     Messages::WorkerLoad load;
+    /// All offers so far: connection and reservation.
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> offers;
     std::vector<WorkerCall> calls;
 
 private:
@@ -200,6 +227,8 @@
             for (const Messages::RunReport& report : send->update.reports)
                 this->reports.push_back(report);
             this->load = send->update.load;
+        } else if (const auto* offer = std::get_if<SendOffer>(&action)) {
+            this->offers.emplace_back(offer->connection, offer->offer.reservation);
         } else if (auto* call = std::get_if<CallWorker>(&action)) {
             this->calls.push_back(call->call);
             if (this->isWorkerResetting) {
--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -20,6 +20,12 @@
 constexpr Duration backlogPollDelay = std::chrono::milliseconds(50);
 constexpr double stretch = 1.6;
 constexpr double targetSeconds = 0.06;
+// Value of a late answer, and the multiple of the goal from which on an answer has no value.
+constexpr double lateValue = 0.2;
+constexpr double expiryFactor = 3;
+// Share of a job's value that does not depend on its work, and the largest multiple of its kind's mean value.
+constexpr double fixedValueShare = 0.3;
+constexpr double maximumRelativeWork = 4;
 
 }
 
@@ -84,6 +90,33 @@
     this->pollEntry(entry);
 }
 
+LeasedValue LeasedKindResult::valueOf(std::size_t firstSecond, std::size_t endSecond) const
+{
+    LeasedValue sum;
+    for (std::size_t second = firstSecond; second < std::min(endSecond, this->seconds.size()); ++second) {
+        sum.owed += this->seconds[second].owed;
+        sum.earned += this->seconds[second].earned;
+    }
+    return sum;
+}
+
+double LeasedFleet::arrivalRate(const LeasedJobKind& kind) const
+{
+    const Duration elapsed = this->events.now() - this->firstArrivalAt;
+    const bool isFlood = elapsed >= kind.flood.from && elapsed < kind.flood.from + kind.flood.length;
+    return kind.jobsPerSecond * (isFlood ? kind.floodFactor : 1);
+}
+
+LeasedValue& LeasedFleet::valueAt(const Job& job)
+{
+    std::vector<LeasedValue>& values = this->kindResults[job.kind].seconds;
+    const auto second = static_cast<std::size_t>(
+        std::chrono::duration_cast<std::chrono::seconds>(job.sentAt - this->firstArrivalAt).count());
+    if (values.size() <= second)
+        values.resize(second + 1);
+    return values[second];
+}
+
 LeasedResult LeasedFleet::run()
 {
     this->selectLinks("entry-");
@@ -98,6 +131,10 @@
     }
     this->maintainLinks();
     const SteadyTime begin = this->events.now() + std::chrono::seconds(2);
+    this->firstArrivalAt = begin;
+    if (this->options.cutOffShare > 0)
+        this->events.scheduleAt(begin + std::chrono::duration_cast<SteadyTime::duration>(this->options.cutOff.from),
+            [this] { this->cutOffSidecars(); });
     this->events.scheduleAt(begin, [this] {
         for (std::size_t kind = 0; kind < this->options.kinds.size(); ++kind)
             this->createJob(kind);
@@ -127,7 +164,7 @@
     const SteadyTime end = SteadyTime(std::chrono::seconds(1002))
         + std::chrono::duration_cast<SteadyTime::duration>(this->options.duration);
     if (this->events.now() < end)
-        this->events.scheduleAfter(seconds(-std::log(1 - this->uniform()) / description.jobsPerSecond),
+        this->events.scheduleAfter(seconds(-std::log(1 - this->uniform()) / this->arrivalRate(description)),
             [this, kind] { this->createJob(kind); });
     const std::uint64_t id = ++this->lastId;
     Job& job = this->jobs[id];
@@ -144,6 +181,11 @@
     step.need = { static_cast<std::int64_t>(this->lognormal(description.milliCores, 0.2)), 64, 0 };
     step.declaredMilliseconds = static_cast<std::uint32_t>(std::max(1.0, this->lognormal(longest, 0.4) * 1000));
     job.specification = { id, "content", { step }, true, 0, 0, 0 };
+    const double relativeWork = longest * tasks * static_cast<double>(step.need.milliCores)
+        / (description.meanSeconds * description.meanTasks * description.milliCores);
+    job.value
+        = description.value * std::min(maximumRelativeWork, fixedValueShare + (1 - fixedValueShare) * relativeWork);
+    this->valueAt(job).owed += job.value;
     ++this->kindResults[kind].submitted;
     this->submit(id);
 }
@@ -170,8 +212,8 @@
         if (this->jobs.at(id).request == request)
             this->abandonRequest(id, this->jobs.at(id).isHeldUp || this->uniform() < 0.5);
     });
-    const Configuration::Queue queue { this->options.kinds[job.kind].name, "h", "/", "loans", 1500, 60, stretch, 0,
-        this->options.kinds[job.kind].attempts };
+    const Configuration::Queue queue { this->options.kinds[job.kind].name, "h", "/", "loans", 1500, 60, stretch,
+        this->options.kinds[job.kind].priority, this->options.kinds[job.kind].attempts };
     this->runWhenAwake(entry, [this, index, id, request, queue] {
         Entry& awake = *this->entries[index];
         Job& submitted = this->jobs.at(id);
@@ -221,6 +263,7 @@
     entry.stallGuard = {};
     Scheduling::SchedulerSettings settings;
     settings.dataCentre = "dc-" + std::to_string(index % 3);
+    settings.reservationsPerTask = this->options.reservationsPerTask;
     if (!this->options.mechanisms.isUnreachableTimeoutEnabled)
         settings.unreachableRunsTimeout = std::chrono::milliseconds(1);
     entry.scheduler = std::make_unique<Scheduling::JobScheduler>(settings, *this->log, this->registry);
@@ -319,10 +362,13 @@
     job.isCompleted = answer.kind == AnswerKind::State && answer.state == JobState::Completed;
     const bool isExpectedFailure
         = answer.kind == AnswerKind::State && answer.state == JobState::Failed && job.isFailing;
-    if (job.isCompleted || isExpectedFailure)
+    if (job.isCompleted || isExpectedFailure) {
         ++(response <= goal ? kindResult.inTime : kindResult.late);
-    else
+        if (response <= goal * expiryFactor)
+            this->valueAt(job).earned += job.value * (response <= goal ? 1 : lateValue);
+    } else {
         ++(answer.kind == AnswerKind::NotRun ? kindResult.refused : kindResult.failed);
+    }
 }
 
 }
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -15,6 +15,12 @@
 
 namespace celeryswitch::Experiment {
 
+/// A part of a run, counted from the first arrival of a job.
+struct LeasedPeriod {
+    Core::Duration from {};
+    Core::Duration length {};
+};
+
 /// A kind of jobs for leased workers, with log-normally distributed run times, numbers of tasks and declared times.
 struct LeasedJobKind {
     std::string name;
@@ -27,6 +33,20 @@
     std::uint32_t attempts = 3;
     /// Share of the jobs whose tasks fail on every worker.
     double failingJobShare = 0;
+    /// Priority of the queue; 0 is the most urgent.
+    std::uint32_t priority = 0;
+    /// Value of a job of mean work that is answered in time.
+    double value = 1;
+    /// Factor of the arrival rate during a flood.
+    double floodFactor = 1;
+    LeasedPeriod flood;
+};
+
+/// Size and speed of a worker.
+struct LeasedWorkerClass {
+    std::int64_t milliCores = 0;
+    /// Speed relative to the workers that the kinds' run times refer to.
+    double speed = 1;
 };
 
 /// Faults at random times during a run, each as its rate per minute unless stated otherwise.
@@ -80,6 +100,13 @@
     std::size_t workers = 11;
     Scheduling::LinkSubsetSettings links;
     std::int64_t workerMilliCores = 32'000;
+    /// Classes that the workers take in turn; if there are none, all have `workerMilliCores`.
+    std::vector<LeasedWorkerClass> workerClasses;
+    /// Share of the workers' sidecars that are cut off from all entries during a period.
+    double cutOffShare = 0;
+    LeasedPeriod cutOff;
+    /// As in SchedulerSettings.
+    std::uint32_t reservationsPerTask = Scheduling::SchedulerSettings {}.reservationsPerTask;
     Core::Duration duration = std::chrono::seconds(30);
     LeasedFaults faults;
     LeasedMechanisms mechanisms;
@@ -88,6 +115,15 @@
     std::function<void(Core::SteadyTime, const std::string&)> log;
 };
 
+/// Value of jobs: of all that were submitted, and what was earned with them. A late answer earns a fifth, and nothing
+/// beyond three times the response goal.
+struct LeasedValue {
+    double owed = 0;
+    double earned = 0;
+
+    double share() const { return this->owed > 0 ? this->earned / this->owed : 1; }
+};
+
 /// Numbers of one kind's jobs by outcome.
 struct LeasedKindResult {
     std::uint64_t submitted = 0;
@@ -95,6 +131,11 @@
     std::uint64_t late = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
+    /// Value of the jobs by the second in which they were submitted.
+    std::vector<LeasedValue> seconds;
+
+    /// Value of the jobs submitted in a range of seconds.
+    LeasedValue valueOf(std::size_t firstSecond, std::size_t endSecond) const;
 };
 
 /// Result of a simulation run.
@@ -150,6 +191,7 @@
     void startSidecar(std::size_t index);
     void killSidecar(std::size_t index);
     void pollSidecar(std::size_t index);
+    void sendOffer(std::size_t index, const Workers::SendOffer& send);
     // An empty id stands for a new one.
     void startWorker(std::size_t index, const std::string& workerId);
     void crashWorker(std::size_t index);
@@ -163,6 +205,11 @@
     void maintainLinks();
     void removeUnusedLink(std::size_t entry, std::size_t worker);
     void handleAnswer(std::uint64_t job, const Scheduling::CallerAnswer& answer);
+    // Arrival rate of a kind's jobs now, per second.
+    double arrivalRate(const LeasedJobKind& kind) const;
+    // Account of the second in which a job was submitted.
+    LeasedValue& valueAt(const Job& job);
+    void cutOffSidecars();
     void finishWorker(std::size_t index);
     void scheduleFaults();
     RunPlan planRun(std::size_t worker, const Messages::TaskId& task, std::uint32_t run);
@@ -180,6 +227,7 @@
     /// Workers that each entry is linked to.
     std::vector<std::set<std::size_t>> linkedWorkers;
     std::map<std::uint64_t, Job> jobs;
+    Core::SteadyTime firstArrivalAt;
     std::vector<LeasedKindResult> kindResults;
     std::vector<RunRecord> runRecords;
     std::uint64_t lastId = 0;
--- a/celeryswitch/Experiment/LeasedFleetFaults.cpp
+++ b/celeryswitch/Experiment/LeasedFleetFaults.cpp
@@ -128,11 +128,28 @@
     scheduler.removeSidecar(sidecar);
 }
 
+void LeasedFleet::cutOffSidecars()
+{
+    const SteadyTime until
+        = this->events.now() + std::chrono::duration_cast<SteadyTime::duration>(this->options.cutOff.length);
+    for (std::size_t worker = 0; worker < this->sidecars.size(); ++worker) {
+        // Spread evenly, so that all classes of workers lose the same share.
+        const double share = this->options.cutOffShare;
+        if (std::floor(static_cast<double>(worker + 1) * share) <= std::floor(static_cast<double>(worker) * share))
+            continue;
+        for (std::size_t entry = 0; entry < this->entries.size(); ++entry)
+            this->links[{ entry, worker }].cutUntil = until;
+    }
+}
+
 RunPlan LeasedFleet::planRun(std::size_t worker, const Messages::TaskId& task, std::uint32_t)
 {
     const Sidecar& sidecar = *this->sidecars[worker];
     const Job& job = this->jobs.at(task.job);
-    RunPlan plan { seconds(job.taskSeconds.at(task.index)), job.isFailing, job.specification.steps.front().need };
+    const auto& classes = this->options.workerClasses;
+    const double speed = classes.empty() ? 1 : classes[worker % classes.size()].speed;
+    RunPlan plan { seconds(job.taskSeconds.at(task.index) / speed), job.isFailing,
+        job.specification.steps.front().need };
     if (this->events.now() >= sidecar.degradedUntil)
         return plan;
     if (sidecar.degradation == Sidecar::Degradation::Fails)
--- a/celeryswitch/Experiment/LeasedFleetSidecars.cpp
+++ b/celeryswitch/Experiment/LeasedFleetSidecars.cpp
@@ -57,6 +57,8 @@
         for (Workers::SupervisorAction& action : sidecar.supervisor->poll(this->events.now())) {
             if (auto* order = std::get_if<Workers::CallWorker>(&action)) {
                 this->callWorker(index, std::move(*order));
+            } else if (const auto* offer = std::get_if<Workers::SendOffer>(&action)) {
+                this->sendOffer(index, *offer);
             } else if (auto* send = std::get_if<Workers::SendUpdate>(&action)) {
                 for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
                     const Link& link = this->links[{ entry, index }];
@@ -91,6 +93,26 @@
     });
 }
 
+void LeasedFleet::sendOffer(std::size_t index, const Workers::SendOffer& send)
+{
+    for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
+        const Link& link = this->links[{ entry, index }];
+        if (link.connectionId != send.connection || !link.isOpen)
+            continue;
+        ++this->messages;
+        this->events.scheduleAt(this->arrivalTime(link, entry, index),
+            [this, entry, index, number = link.connectionId, offer = send.offer] {
+                if (this->links[{ entry, index }].connectionId != number)
+                    return;
+                this->runWhenAwake(*this->entries[entry], [this, entry, index, offer] {
+                    Entry& receiver = *this->entries[entry];
+                    receiver.scheduler->roomOffered(receiver.now(this->events.now()), std::to_string(index), offer);
+                    this->pollEntry(entry);
+                });
+            });
+    }
+}
+
 void LeasedFleet::startWorker(std::size_t index, const std::string& workerId)
 {
     Sidecar& sidecar = *this->sidecars[index];
@@ -99,7 +121,9 @@
     settings.workerId = !workerId.empty() ? workerId : "w-" + std::to_string(index) + "-" + std::to_string(incarnation);
     settings.bornAt = static_cast<std::int64_t>(incarnation) * 1000;
     settings.service = "loans";
-    settings.capacity = { this->options.workerMilliCores, 262'144, 0 };
+    const auto& classes = this->options.workerClasses;
+    settings.capacity
+        = { classes.empty() ? this->options.workerMilliCores : classes[index % classes.size()].milliCores, 262'144, 0 };
     settings.clockRate = 0.98 + 0.02 * this->uniform();
     sidecar.worker = std::make_unique<LeasedWorkerModel>(
         settings,
--- a/celeryswitch/Experiment/LeasedFleetState.h
+++ b/celeryswitch/Experiment/LeasedFleetState.h
@@ -62,6 +62,7 @@
     Scheduling::JobSpecification specification;
     std::vector<double> taskSeconds;
     bool isFailing = false;
+    double value = 1;
     Core::SteadyTime sentAt;
     Core::Duration callerTimeout {};
     std::size_t submissions = 0;
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -242,8 +242,56 @@
     }
 };
 
+/// Entry to sidecar: wait for room for tasks of one step and offer it; nothing starts. An entry reserves room on more
+/// workers than it has tasks and releases what it does not use.
+struct ReserveRoom {
+    /// Counts the orders of this entry on this connection, together with those of StartRuns.
+    std::uint64_t sequence = 0;
+    std::int64_t clockEcho = 0;
+    /// Number of the reservation, unique among those of this entry.
+    std::uint64_t reservation = 0;
+    /// Room of one unit, and number of units.
+    Room need;
+    std::uint32_t units = 0;
+    /// Number of workers on which room is reserved for each task.
+    std::uint32_t alternatives = 1;
+    /// As in StartRuns.
+    float rank = 0;
+    std::int64_t startWithinMicroseconds = 0;
+
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->sequence, this->clockEcho, this->reservation, this->need, this->units, this->alternatives,
+            this->rank, this->startWithinMicroseconds);
+    }
+};
+
+/// Entry to sidecar: reservations that are no longer needed, whether their room was offered or not.
+struct ReleaseRoom {
+    std::int64_t clockEcho = 0;
+    std::vector<std::uint64_t> reservations;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->clockEcho, this->reservations); }
+};
+
+/// Sidecar to entry: there is room for one unit of a reservation. It is held for a short time.
+struct RoomOffer {
+    std::uint64_t reservation = 0;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->reservation); }
+};
+
+/// Entry to sidecar: start runs in the room that was offered for a reservation.
+struct StartReserved {
+    std::uint64_t reservation = 0;
+    StartRuns start;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->reservation, this->start); }
+};
+
 /// Every frame between entries and sidecars of leased workers. Append only: the index is part of the format.
-using WorkMessage = std::variant<Hello, StartRuns, StopRuns, EntryAlive, ClaimRuns, WorkerUpdate, KnownWorker>;
+using WorkMessage = std::variant<Hello, StartRuns, StopRuns, EntryAlive, ClaimRuns, WorkerUpdate, KnownWorker,
+    ReserveRoom, ReleaseRoom, RoomOffer, StartReserved>;
 
 }
 
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -1,6 +1,7 @@
 #include "celeryswitch/Scheduling/JobScheduler.h"
 
 #include "celeryswitch/Core/Assert.h"
+#include "celeryswitch/Scheduling/RefusalAdvice.h"
 #include "celeryswitch/Scheduling/SchedulerTime.h"
 #include <algorithm>
 
@@ -12,8 +13,6 @@
 
 namespace {
 
-// Minimum delay that refused callers are told to wait before they send again.
-constexpr Core::Duration refusalRetryDelay = std::chrono::seconds(1);
 // Share of higher-ranked work from which on a predicted wait is not trusted at all.
 constexpr double untrustedWaitShare = 0.35;
 // Step by which waiting jobs' refusal is put off during worker discovery.
@@ -77,6 +76,7 @@
 void JobScheduler::removeSidecar(const Core::InstanceId& sidecar)
 {
     CELERY_ASSERT(!this->hasRuns(sidecar));
+    this->forgetReservationsAt(sidecar);
     this->workerTable.erase(sidecar);
     this->lastSentAt.erase(sidecar);
 }
@@ -205,7 +205,29 @@
             { "patience_ms", toMilliseconds(callerTimeout) }, { "rank_class", Messages::rankClassOf(job.rank) },
             { "limit_ms", toMilliseconds(job.expiresAt - now) },
             { "refused_after_ms", toMilliseconds(job.refuseAt - now) } });
-    this->enqueue(this->jobs.emplace(id, std::move(job)).first->second);
+    const auto admitted = this->jobs.emplace(id, std::move(job)).first;
+    if (!this->isDiscoveringWorkers(now) && this->isHopeless(now, admitted->second))
+        this->endJob(now, admitted, this->refusal(now, admitted->second, "no suitable worker"));
+    else
+        this->enqueue(admitted->second);
+}
+
+bool JobScheduler::isHopeless(SteadyTime now, const Job& job)
+{
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        if (!hasSuitableWorker(this->workerTable, this->placementRequest(now, job, step)))
+            return true;
+    }
+    return false;
+}
+
+CallerAnswer JobScheduler::refusal(SteadyTime now, const Job& job, const std::string& reason)
+{
+    double waitSeconds = 0;
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+        waitSeconds
+            = std::max(waitSeconds, predictSharedWait(this->workerTable, this->placementRequest(now, job, step)));
+    return { AnswerKind::NotRun, {}, 0, retryDelay(waitSeconds, job.specification.id), reason };
 }
 
 void JobScheduler::query(RequestNumber request, const QueryJob& query)
@@ -253,6 +275,7 @@
 std::vector<SchedulerAction> JobScheduler::poll(SteadyTime now)
 {
     this->endExpired(now);
+    this->forgetExpiredReservations(now);
     // Place before refusing: a job whose order was just returned may be due for refusal and have room again.
     this->placeWaitingJobs(now);
     this->refuseWaiting(now);
@@ -279,7 +302,7 @@
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
         Job& job = found->second;
-        if (job.hasBegun || now < job.refuseAt)
+        if (job.hasBegun || now < job.refuseAt || !job.reservations.empty())
             continue;
         const SteadyTime longest = addSeconds(job.arrivedAt,
             std::chrono::duration<double>(job.callerTimeout).count() * this->settings.discoveryWaitShare);
@@ -289,7 +312,7 @@
             continue;
         }
         this->traceAvailableRoom(now, job);
-        this->endJob(now, found, { AnswerKind::NotRun, {}, 0, refusalRetryDelay, "no room" });
+        this->endJob(now, found, this->refusal(now, job, "no room"));
     }
 }
 
@@ -318,6 +341,7 @@
 
 void JobScheduler::endJob(SteadyTime now, Jobs::iterator found, CallerAnswer answer)
 {
+    this->releaseReservations(found->second, std::nullopt);
     Job job = std::move(found->second);
     this->jobs.erase(found);
     const std::uint64_t id = job.specification.id;
@@ -373,7 +397,7 @@
     if (found->second.hasBegun)
         this->endJob(now, found, { AnswerKind::GivenUp, {}, 0, {}, reason });
     else
-        this->endJob(now, found, { AnswerKind::NotRun, {}, 0, refusalRetryDelay, reason });
+        this->endJob(now, found, this->refusal(now, found->second, reason));
 }
 
 void JobScheduler::sendAnswer(RequestNumber request, CallerAnswer answer)
@@ -412,8 +436,11 @@
 SteadyTime JobScheduler::nextWakeUp() const
 {
     SteadyTime due = SteadyTime::max();
-    for (const auto& [id, job] : this->jobs)
-        due = std::min(due, job.hasBegun ? job.expiresAt : job.refuseAt);
+    for (const auto& [id, job] : this->jobs) {
+        due = std::min(due, job.hasBegun || !job.reservations.empty() ? job.expiresAt : job.refuseAt);
+        for (const Reservation& reservation : job.reservations)
+            due = std::min(due, reservation.until);
+    }
     for (const auto& [sidecar, worker] : this->workerTable) {
         const auto sent = this->lastSentAt.find(sidecar);
         if (worker.isConnected && sent != this->lastSentAt.end())
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -9,6 +9,7 @@
 #include "celeryswitch/Scheduling/WorkerTable.h"
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +41,8 @@
     Core::Duration discoveryTime = std::chrono::seconds(3);
     double discoveryShare = 0.7;
     double discoveryWaitShare = 0.45;
+    /// Number of workers on which room is reserved for each task that has to wait.
+    std::uint32_t reservationsPerTask = 3;
     /// Retention period of the outcomes of ended jobs; a repeated request within it gets the same answer instead of a
     /// second run.
     Core::Duration outcomeRetention = std::chrono::seconds(10);
@@ -88,6 +91,8 @@
     void removeSidecar(const Core::InstanceId& sidecar);
     /// Applies a sidecar's update.
     void updateReceived(Core::SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update);
+    /// A sidecar offers room that was reserved there.
+    void roomOffered(Core::SteadyTime now, const Core::InstanceId& sidecar, const Messages::RoomOffer& offer);
 
     /// Answers all open jobs because the process ends.
     void endAllJobs(Core::SteadyTime now);
@@ -130,6 +135,15 @@
         double longestSeconds = 0;
         double sumSeconds = 0;
     };
+    /// Room that a step's waiting tasks have reserved on a worker.
+    struct Reservation {
+        std::uint64_t number = 0;
+        Core::InstanceId sidecar;
+        std::uint32_t step = 0;
+        /// Time at which the sidecar drops it.
+        Core::SteadyTime until;
+        float rank = 0;
+    };
     struct Job {
         JobSpecification specification;
         Configuration::Queue queue;
@@ -147,6 +161,7 @@
         /// Time at which the job is refused if none of its tasks was ordered.
         Core::SteadyTime refuseAt;
         std::vector<Step> steps;
+        std::vector<Reservation> reservations;
         /// Whether start orders were given whose runs may have started.
         bool hasBegun = false;
         /// Whether at least one run is known to have started.
@@ -180,8 +195,24 @@
     Core::SteadyTime goalTime(const Job& job, double chainSeconds, double factor) const;
     void placeWaitingJobs(Core::SteadyTime now);
     bool placeStep(Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex);
+    PlacementRequest placementRequest(Core::SteadyTime now, const Job& job, std::uint32_t stepIndex);
     void orderRuns(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
         const PlacementRequest& request);
+    // Assigns waiting tasks of a step to a sidecar and builds the order to start them.
+    Messages::StartRuns startOrder(
+        Core::SteadyTime now, Job& job, std::uint32_t stepIndex, WorkerView& worker, std::uint32_t count);
+    // Counts an order and adds it to the job's trace.
+    void recordOrder(Core::SteadyTime now, Job& job, const WorkerView& worker, const Messages::StartRuns& start,
+        double expectedWaitSeconds);
+    void reserveRoom(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
+        const PlacementRequest& request);
+    bool hasReservations(const Job& job, std::uint32_t stepIndex) const;
+    // Releases the reservations of one step of a job, or of all its steps.
+    void releaseReservations(Job& job, std::optional<std::uint32_t> stepIndex);
+    // Forgets the reservations of a job that meet a condition; their sidecars have dropped them as well.
+    void forgetReservations(Job& job, const std::function<bool(const Reservation&)>& isDropped);
+    void forgetExpiredReservations(Core::SteadyTime now);
+    void forgetReservationsAt(const Core::InstanceId& sidecar);
     // Whether a task is ordered at a sidecar and its end is not known.
     bool isOrderedAt(const Core::InstanceId& sidecar, const TaskId& id) const;
     // Stops a run that a sidecar reports although its job has ended or its task was ordered elsewhere.
@@ -197,6 +228,10 @@
     void declareRunsLost(Core::SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason);
     void endJob(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
     void sendAnswer(RequestNumber request, CallerAnswer answer);
+    // Whether no worker could ever run some step of a job.
+    bool isHopeless(Core::SteadyTime now, const Job& job);
+    // Answer that a job was not run, with the time after which its caller may come back.
+    CallerAnswer refusal(Core::SteadyTime now, const Job& job, const std::string& reason);
     // Ends a job without a result: as not run if none of its runs can have started, otherwise as given up.
     void endWithoutResult(Core::SteadyTime now, Jobs::iterator found, const std::string& reason);
     // Ends jobs whose answers have no value any more.
@@ -220,6 +255,9 @@
     /// Statistics of each queue, by queue name.
     std::map<std::string, QueueModel> models;
     Jobs jobs;
+    std::uint64_t lastReservation = 0;
+    /// Ids of the jobs by the numbers of their reservations.
+    std::unordered_map<std::uint64_t, std::uint64_t> reservationJobs;
     /// Ids of the jobs with tasks that wait for placement.
     std::vector<std::uint64_t> waitingJobs;
     std::unordered_map<std::uint64_t, Outcome> outcomes;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -53,16 +53,10 @@
     }
 }
 
-bool JobScheduler::placeStep(SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex)
+PlacementRequest JobScheduler::placementRequest(SteadyTime now, const Job& job, std::uint32_t stepIndex)
 {
-    Step& step = job.steps[stepIndex];
+    const Step& step = job.steps[stepIndex];
     const StepSpecification& specification = job.specification.steps[stepIndex];
-    if (step.waiting == 0)
-        return true;
-    for (std::uint32_t earlier : specification.dependencies) {
-        if (job.steps[earlier].done < job.steps[earlier].tasks.size())
-            return true;
-    }
     PlacementRequest request;
     request.service = job.queue.service;
     request.need = specification.need;
@@ -106,18 +100,38 @@
     }
     request.isProbeAllowed = !hasFailed && job.queue.maximumAttempts > 1
         && request.slackSeconds + request.time.medianSeconds * (request.stretch - 2) > minimumProbeSlackSeconds;
+    return request;
+}
+
+bool JobScheduler::placeStep(SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex)
+{
+    Step& step = job.steps[stepIndex];
+    const StepSpecification& specification = job.specification.steps[stepIndex];
+    if (step.waiting == 0)
+        return true;
+    for (std::uint32_t earlier : specification.dependencies) {
+        if (job.steps[earlier].done < job.steps[earlier].tasks.size())
+            return true;
+    }
+    PlacementRequest request = this->placementRequest(now, job, stepIndex);
+    request.reservationsPerTask = this->hasReservations(job, stepIndex) ? 0 : this->settings.reservationsPerTask;
     const std::vector<Placement> placements = choosePlacements(this->workerTable, referenceSpeed, request);
-    for (const Placement& placement : placements)
-        this->orderRuns(now, job, stepIndex, placement, request);
-    return !placements.empty();
+    for (const Placement& placement : placements) {
+        if (placement.waitSeconds > 0 && this->settings.reservationsPerTask > 0)
+            this->reserveRoom(now, job, stepIndex, placement, request);
+        else
+            this->orderRuns(now, job, stepIndex, placement, request);
+    }
+    if (step.waiting == 0)
+        this->releaseReservations(job, stepIndex);
+    return step.waiting == 0;
 }
 
-void JobScheduler::orderRuns(
-    SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement, const PlacementRequest& request)
+Messages::StartRuns JobScheduler::startOrder(
+    SteadyTime now, Job& job, std::uint32_t stepIndex, WorkerView& worker, std::uint32_t count)
 {
     Step& step = job.steps[stepIndex];
     const StepSpecification& specification = job.specification.steps[stepIndex];
-    WorkerView& worker = this->workerTable.at(placement.sidecar);
     Messages::StartRuns start;
     start.sequence = ++worker.lastSequence;
     start.clockEcho = worker.clockSample;
@@ -127,38 +141,53 @@
     start.need = specification.need;
     start.expectedMilliseconds = static_cast<std::uint32_t>(
         this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000);
-    start.rank = request.rank;
-    // An order that waits much longer than predicted is returned by the sidecar and placed again.
-    const double startWithin
-        = std::min(request.maximumWaitSeconds, placement.waitSeconds * waitToleranceFactor + minimumStartWindowSeconds);
-    start.startWithinMicroseconds = static_cast<std::int64_t>(std::max(startWithin, minimumStartWindowSeconds) * 1e6);
+    start.startWithinMicroseconds = static_cast<std::int64_t>(minimumStartWindowSeconds * 1e6);
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.expiresAt) * 1e6));
-    for (std::uint32_t index = 0; index < step.tasks.size() && start.tasks.size() < placement.count; ++index) {
+    for (std::uint32_t index = 0; index < step.tasks.size() && start.tasks.size() < count; ++index) {
         Task& task = step.tasks[index];
         if (task.phase != TaskPhase::Waiting)
             continue;
         task.phase = TaskPhase::Ordered;
-        task.sidecar = placement.sidecar;
+        task.sidecar = worker.sidecar;
         --step.waiting;
         start.tasks.emplace_back(index, task.run);
     }
-    worker.uncountedOrders.emplace_back(
-        start.sequence, specification.need * static_cast<std::int64_t>(start.tasks.size()));
-    this->lastSentAt[placement.sidecar] = now;
+    this->lastSentAt[worker.sidecar] = now;
     job.hasBegun = true;
+    return start;
+}
+
+void JobScheduler::recordOrder(
+    SteadyTime now, Job& job, const WorkerView& worker, const Messages::StartRuns& start, double expectedWaitSeconds)
+{
     if (job.orders == 0)
         job.firstOrderAt = now;
     job.orders += static_cast<std::uint32_t>(start.tasks.size());
     this->metrics.runsOrdered(start.tasks.size());
     job.trace.add(now, "tasks placed",
-        { { "job", Messages::jobText(job.specification.id) }, { "sidecar", placement.sidecar },
+        { { "job", Messages::jobText(job.specification.id) }, { "sidecar", worker.sidecar },
             { "worker", worker.profile.workerId }, { "order", start.sequence },
             { "first_task", start.tasks.front().first }, { "run", start.tasks.front().second },
             { "tasks", static_cast<std::uint64_t>(start.tasks.size()) },
             { "free_millicores", worker.load.free.milliCores },
             { "room_age_ms", toMilliseconds(now - worker.lastReceivedAt) }, { "pace_percent", worker.load.pacePercent },
-            { "expected_wait_ms", static_cast<std::int64_t>(placement.waitSeconds * 1000) } });
+            { "expected_wait_ms", static_cast<std::int64_t>(expectedWaitSeconds * 1000) } });
+}
+
+void JobScheduler::orderRuns(
+    SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement, const PlacementRequest& request)
+{
+    WorkerView& worker = this->workerTable.at(placement.sidecar);
+    Messages::StartRuns start = this->startOrder(now, job, stepIndex, worker, placement.count);
+    start.rank = request.rank;
+    // An order that waits much longer than predicted is returned by the sidecar and placed again.
+    const double startWithin
+        = std::min(request.maximumWaitSeconds, placement.waitSeconds * waitToleranceFactor + minimumStartWindowSeconds);
+    start.startWithinMicroseconds = static_cast<std::int64_t>(std::max(startWithin, minimumStartWindowSeconds) * 1e6);
+    worker.uncountedOrders.push_back(
+        { start.sequence, start.need * static_cast<std::int64_t>(start.tasks.size()), now });
+    this->recordOrder(now, job, worker, start, placement.waitSeconds);
     this->actions.push_back(SendToSidecar { placement.sidecar, std::move(start) });
 }
 
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -66,6 +66,7 @@
     const auto found = this->workerTable.find(sidecar);
     if (found != this->workerTable.end())
         found->second.isConnected = false;
+    this->forgetReservationsAt(sidecar);
 }
 
 void JobScheduler::updateReceived(SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update)
@@ -76,8 +77,11 @@
     worker.lastReceivedAt = now;
     if (!update.profile.empty())
         worker.profile = std::move(update.profile.front());
+    const bool wasUsable = worker.isUsable();
     worker.load = std::move(update.load);
-    while (!worker.uncountedOrders.empty() && worker.uncountedOrders.front().first <= update.handledSequence)
+    if (wasUsable && !worker.isUsable())
+        this->forgetReservationsAt(sidecar);
+    while (!worker.uncountedOrders.empty() && worker.uncountedOrders.front().sequence <= update.handledSequence)
         worker.uncountedOrders.pop_front();
     if (std::exchange(worker.isEchoDue, false)) {
         this->lastSentAt[sidecar] = now;
--- /dev/null
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -0,0 +1,118 @@
+// Reservations of room for tasks that have to wait, and the offers that sidecars answer them with.
+#include "celeryswitch/Scheduling/JobScheduler.h"
+
+#include "celeryswitch/Scheduling/SchedulerTime.h"
+#include <algorithm>
+
+namespace celeryswitch::Scheduling {
+
+using Core::SteadyTime;
+
+void JobScheduler::reserveRoom(
+    SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement, const PlacementRequest& request)
+{
+    WorkerView& worker = this->workerTable.at(placement.sidecar);
+    Messages::ReserveRoom reserve;
+    reserve.sequence = ++worker.lastSequence;
+    reserve.clockEcho = worker.clockSample;
+    reserve.reservation = ++this->lastReservation;
+    reserve.need = request.need;
+    reserve.units = placement.count;
+    reserve.alternatives = request.reservationsPerTask;
+    reserve.rank = request.rank;
+    reserve.startWithinMicroseconds = static_cast<std::int64_t>(request.maximumWaitSeconds * 1e6);
+    // On average each task uses one of its reservations.
+    Room expectedUse = request.need * static_cast<std::int64_t>(placement.count);
+    expectedUse.milliCores /= reserve.alternatives;
+    expectedUse.memoryMegabytes /= reserve.alternatives;
+    worker.uncountedOrders.push_back({ reserve.sequence, expectedUse, now });
+    this->lastSentAt[placement.sidecar] = now;
+    job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex,
+        addSeconds(now, request.maximumWaitSeconds), request.rank });
+    this->reservationJobs[reserve.reservation] = job.specification.id;
+    job.trace.add(now, "room reserved",
+        { { "job", Messages::jobText(job.specification.id) }, { "sidecar", placement.sidecar },
+            { "reservation", reserve.reservation }, { "units", placement.count },
+            { "expected_wait_ms", static_cast<std::int64_t>(placement.waitSeconds * 1000) },
+            { "longest_wait_ms", static_cast<std::int64_t>(request.maximumWaitSeconds * 1000) } });
+    this->actions.push_back(SendToSidecar { placement.sidecar, std::move(reserve) });
+}
+
+void JobScheduler::roomOffered(SteadyTime now, const Core::InstanceId& sidecar, const Messages::RoomOffer& offer)
+{
+    WorkerView& worker = this->workerTable[sidecar];
+    const auto owner = this->reservationJobs.find(offer.reservation);
+    Job* job = owner != this->reservationJobs.end() ? &this->jobs.at(owner->second) : nullptr;
+    const auto reservation = job ? std::find_if(job->reservations.begin(), job->reservations.end(),
+                                 [&](const Reservation& each) { return each.number == offer.reservation; })
+                                 : std::vector<Reservation>::iterator {};
+    if (!job || now >= reservation->until || job->steps[reservation->step].waiting == 0) {
+        this->actions.push_back(
+            SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockSample, { offer.reservation } } });
+        return;
+    }
+    const std::uint32_t stepIndex = reservation->step;
+    Messages::StartReserved reserved { offer.reservation, this->startOrder(now, *job, stepIndex, worker, 1) };
+    reserved.start.rank = reservation->rank;
+    this->recordOrder(now, *job, worker, reserved.start, 0);
+    this->actions.push_back(SendToSidecar { sidecar, std::move(reserved) });
+    if (job->steps[stepIndex].waiting == 0)
+        this->releaseReservations(*job, stepIndex);
+}
+
+bool JobScheduler::hasReservations(const Job& job, std::uint32_t stepIndex) const
+{
+    return std::any_of(job.reservations.begin(), job.reservations.end(),
+        [&](const Reservation& reservation) { return reservation.step == stepIndex; });
+}
+
+void JobScheduler::releaseReservations(Job& job, std::optional<std::uint32_t> stepIndex)
+{
+    const auto isReleased
+        = [&](const Reservation& reservation) { return !stepIndex || reservation.step == *stepIndex; };
+    std::map<Core::InstanceId, Messages::ReleaseRoom> releases;
+    for (const Reservation& reservation : job.reservations) {
+        if (isReleased(reservation))
+            releases[reservation.sidecar].reservations.push_back(reservation.number);
+    }
+    this->forgetReservations(job, isReleased);
+    for (auto& [sidecar, release] : releases) {
+        release.clockEcho = this->workerTable[sidecar].clockSample;
+        this->actions.push_back(SendToSidecar { sidecar, std::move(release) });
+    }
+}
+
+void JobScheduler::forgetReservations(Job& job, const std::function<bool(const Reservation&)>& isDropped)
+{
+    std::erase_if(job.reservations, [&](const Reservation& reservation) {
+        if (!isDropped(reservation))
+            return false;
+        this->reservationJobs.erase(reservation.number);
+        return true;
+    });
+}
+
+void JobScheduler::forgetExpiredReservations(SteadyTime now)
+{
+    for (const std::uint64_t id : this->waitingJobs) {
+        const auto found = this->jobs.find(id);
+        if (found == this->jobs.end() || found->second.reservations.empty())
+            continue;
+        const std::size_t before = found->second.reservations.size();
+        this->forgetReservations(
+            found->second, [now](const Reservation& reservation) { return now >= reservation.until; });
+        this->isPlacementDue = this->isPlacementDue || found->second.reservations.size() != before;
+    }
+}
+
+void JobScheduler::forgetReservationsAt(const Core::InstanceId& sidecar)
+{
+    for (const std::uint64_t id : this->waitingJobs) {
+        if (const auto found = this->jobs.find(id); found != this->jobs.end())
+            this->forgetReservations(
+                found->second, [&](const Reservation& reservation) { return reservation.sidecar == sidecar; });
+    }
+    this->isPlacementDue = true;
+}
+
+}
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -81,6 +81,10 @@
               [this](const Core::InstanceId& sidecar, Messages::WorkerUpdate update) {
                   this->scheduler.updateReceived(this->clock.steadyNow(), sidecar, std::move(update));
                   this->runScheduler();
+              },
+              [this](const Core::InstanceId& sidecar, const Messages::RoomOffer& offer) {
+                  this->scheduler.roomOffered(this->clock.steadyNow(), sidecar, offer);
+                  this->runScheduler();
               } })
     , watcher(context, this->transport, log, watcherSettings(this->settings),
           { [this](const std::vector<Messages::Member>& members) { this->membersReceived(members); },
--- a/celeryswitch/Scheduling/SidecarLinks.cpp
+++ b/celeryswitch/Scheduling/SidecarLinks.cpp
@@ -103,8 +103,11 @@
             found->second.lastReceivedAt = this->clock.steadyNow();
             Core::Result<Messages::WorkMessage> message = Network::decodeMessage<Messages::WorkMessage>(payload);
             auto* update = message ? std::get_if<Messages::WorkerUpdate>(&message.value()) : nullptr;
+            const auto* offer = message ? std::get_if<Messages::RoomOffer>(&message.value()) : nullptr;
             if (update)
                 this->handlers.onUpdate(sidecar, std::move(*update));
+            else if (offer)
+                this->handlers.onOffer(sidecar, *offer);
             else
                 this->connectionLost(sidecar, "unreadable frame");
         },
--- a/celeryswitch/Scheduling/SidecarLinks.h
+++ b/celeryswitch/Scheduling/SidecarLinks.h
@@ -21,6 +21,7 @@
         std::function<void(const Messages::Member&)> onConnected;
         std::function<void(const Core::InstanceId&)> onDisconnected;
         std::function<void(const Core::InstanceId&, Messages::WorkerUpdate)> onUpdate;
+        std::function<void(const Core::InstanceId&, const Messages::RoomOffer&)> onOffer;
     };
 
     /// `context`, `transport`, `clock` and `log` outlive the links.
--- a/celeryswitch/Scheduling/WorkerTable.cpp
+++ b/celeryswitch/Scheduling/WorkerTable.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Sidecars send at least every 200 ms, and acknowledge orders within 15 ms.
+constexpr Core::Duration silenceLimit = std::chrono::milliseconds(280);
+constexpr Core::Duration acknowledgementLimit = std::chrono::milliseconds(100);
+
 constexpr double unbounded = std::numeric_limits<double>::infinity();
 
 // Costs of a placement, as shares of the value of the work. The probability of missing the caller's timeout weighs
@@ -30,6 +34,8 @@
 // Cost of a worker with room for one task only, which another entry may take at the same time; it falls with the number
 // of tasks that fit.
 constexpr double contentionCost = 0.05;
+// Predicted wait, in seconds, from which on room is reserved.
+constexpr double minimumReservationWait = 1e-9;
 // Range of the hash-based tie-break by which jobs choose different ones of similar workers.
 constexpr double tieBreakCost = 0.02;
 
@@ -88,8 +94,7 @@
 
 bool isEligible(const WorkerView& worker, const PlacementRequest& request)
 {
-    if (!worker.isUsable() || worker.profile.service != request.service || !request.need.fits(worker.profile.capacity)
-        || (!request.requiredLabel.empty() && !worker.hasLabel(request.requiredLabel)))
+    if (!worker.isUsable() || !worker.isSuitable(request))
         return false;
     const auto probeAt = worker.lastReceivedAt + std::chrono::milliseconds(worker.load.probeWaitMilliseconds);
     return !worker.load.isOnProbation
@@ -127,11 +132,23 @@
         if (queued.rankClass >= rankClass)
             room.milliCores -= queued.milliCores;
     }
-    for (const auto& [sequence, used] : this->uncountedOrders)
-        room -= used;
+    for (const UncountedOrder& order : this->uncountedOrders)
+        room -= order.room;
     return room;
 }
 
+bool WorkerView::isSilent(Core::SteadyTime now) const
+{
+    return now > this->lastReceivedAt + silenceLimit
+        || (!this->uncountedOrders.empty() && now > this->uncountedOrders.front().sentAt + acknowledgementLimit);
+}
+
+bool WorkerView::isSuitable(const PlacementRequest& request) const
+{
+    return this->profile.service == request.service && request.need.fits(this->profile.capacity)
+        && (request.requiredLabel.empty() || this->hasLabel(request.requiredLabel));
+}
+
 bool WorkerView::hasLabel(const std::string& label) const
 {
     const auto& labels = this->profile.labels;
@@ -163,46 +180,107 @@
     return std::max(0.01, *middle);
 }
 
-std::vector<Placement> choosePlacements(
+namespace {
+
+std::vector<Candidate> makeCandidates(
     const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request)
 {
     std::vector<Candidate> candidates;
+    std::vector<Candidate> silentCandidates;
     for (const auto& [sidecar, worker] : workers) {
         if (isEligible(worker, request))
-            candidates.push_back(makeCandidate(worker, referenceSpeed, request));
+            (worker.isSilent(request.now) ? silentCandidates : candidates)
+                .push_back(makeCandidate(worker, referenceSpeed, request));
     }
-    std::vector<Placement> placements;
-    for (std::uint32_t remaining = request.count; remaining > 0;) {
-        Candidate* best = nullptr;
-        double bestCost = unbounded;
-        for (Candidate& candidate : candidates) {
-            if (candidate.assigned >= candidate.maximumTasks)
-                continue;
-            candidate.waitSeconds = predictWait(candidate, request.need);
-            if (candidate.waitSeconds > request.maximumWaitSeconds)
-                continue;
-            const double cost = costOf(candidate, request);
-            if (cost < bestCost) {
-                best = &candidate;
-                bestCost = cost;
-            }
+    return candidates.empty() ? silentCandidates : candidates;
+}
+
+// Candidate of the lowest cost for one more task, among those with a predicted wait in a range; nullptr if there is
+// none.
+Candidate* chooseCandidate(
+    std::vector<Candidate>& candidates, const PlacementRequest& request, double minimumWait, double maximumWait)
+{
+    Candidate* best = nullptr;
+    double bestCost = unbounded;
+    for (Candidate& candidate : candidates) {
+        if (candidate.assigned >= candidate.maximumTasks)
+            continue;
+        candidate.waitSeconds = predictWait(candidate, request.need);
+        if (candidate.waitSeconds > maximumWait || candidate.waitSeconds < minimumWait)
+            continue;
+        const double cost = costOf(candidate, request);
+        if (cost < bestCost) {
+            best = &candidate;
+            bestCost = cost;
         }
+    }
+    return best;
+}
+
+// Predicted wait, in seconds, until room for a number of tasks has been released on any candidate: they reserve room on
+// several workers and take what is released first.
+double sharedWait(const std::vector<Candidate>& candidates, const PlacementRequest& request, std::uint32_t tasks)
+{
+    std::int64_t shortfall = request.need.milliCores * tasks;
+    std::int64_t rate = 0;
+    for (const Candidate& candidate : candidates) {
+        if (candidate.worker->load.isOnProbation)
+            continue;
+        shortfall += std::max<std::int64_t>(0, -candidate.room.milliCores);
+        rate += candidate.worker->load.freedMilliCoresPerSecond;
+    }
+    return rate > 0 ? static_cast<double>(shortfall) / static_cast<double>(rate) : unbounded;
+}
+
+// Assigns tasks to a candidate and adds them to its placement.
+void assign(
+    Candidate& candidate, std::uint32_t count, const PlacementRequest& request, std::vector<Placement>& placements)
+{
+    const bool isWaiting = candidate.waitSeconds > 0;
+    candidate.assigned += count;
+    candidate.room -= request.need * count;
+    const auto existing = std::find_if(placements.begin(), placements.end(), [&](const Placement& placement) {
+        return placement.sidecar == candidate.worker->sidecar && (placement.waitSeconds > 0) == isWaiting;
+    });
+    if (existing == placements.end())
+        placements.push_back({ candidate.worker->sidecar, count, candidate.waitSeconds });
+    else
+        existing->count += count;
+}
+
+}
+
+double predictSharedWait(const WorkerTable& workers, const PlacementRequest& request)
+{
+    return sharedWait(makeCandidates(workers, 1, request), request, request.count);
+}
+
+std::vector<Placement> choosePlacements(
+    const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request)
+{
+    std::vector<Candidate> candidates = makeCandidates(workers, referenceSpeed, request);
+    std::vector<Placement> placements;
+    std::uint32_t remaining = request.count;
+    while (remaining > 0) {
+        Candidate* best = chooseCandidate(candidates, request, 0, 0);
         if (!best)
-            return {};
-        // At most half of a worker's room is taken at a time, as other entries may order simultaneously; tasks that
-        // have to wait are spread one by one.
-        const std::int64_t fitting = best->waitSeconds > 0 ? 1 : (request.need.countIn(best->room) + 1) / 2;
+            break;
+        // At most half of a worker's room is taken at a time, as other entries may order simultaneously.
+        const std::int64_t fitting = (request.need.countIn(best->room) + 1) / 2;
         const auto count = static_cast<std::uint32_t>(std::min<std::int64_t>(
             { remaining, best->maximumTasks - best->assigned, std::max<std::int64_t>(1, fitting) }));
-        best->assigned += count;
-        best->room -= request.need * count;
         remaining -= count;
-        const auto existing = std::find_if(placements.begin(), placements.end(),
-            [&](const Placement& placement) { return placement.sidecar == best->worker->sidecar; });
-        if (existing == placements.end())
-            placements.push_back({ best->worker->sidecar, count, best->waitSeconds });
-        else
-            existing->count += count;
+        assign(*best, count, request, placements);
+    }
+    if (remaining == 0 || request.reservationsPerTask == 0)
+        return placements;
+    if (sharedWait(candidates, request, remaining) > request.maximumWaitSeconds)
+        return {};
+    for (std::uint32_t units = remaining * request.reservationsPerTask; units > 0; --units) {
+        Candidate* best = chooseCandidate(candidates, request, minimumReservationWait, unbounded);
+        if (!best)
+            break;
+        assign(*best, 1, request, placements);
     }
     return placements;
 }
--- a/celeryswitch/Scheduling/WorkerTable.h
+++ b/celeryswitch/Scheduling/WorkerTable.h
@@ -9,6 +9,16 @@
 
 namespace celeryswitch::Scheduling {
 
+struct PlacementRequest;
+
+/// An order that a sidecar has not acknowledged yet.
+struct UncountedOrder {
+    std::uint64_t sequence = 0;
+    /// Room that it is expected to use.
+    Messages::Room room;
+    Core::SteadyTime sentAt;
+};
+
 /// An entry's view of one worker, as reported by the worker's sidecar.
 struct WorkerView {
     Core::InstanceId sidecar;
@@ -27,7 +37,7 @@
     Core::SteadyTime lastReceivedAt;
     /// Sequence number of the last order, and the room of those orders that `load` does not include yet.
     std::uint64_t lastSequence = 0;
-    std::deque<std::pair<std::uint64_t, Messages::Room>> uncountedOrders;
+    std::deque<UncountedOrder> uncountedOrders;
 
     /// Room left for a run of a rank after the runs queued before it; negative when it would have to wait.
     Messages::Room roomFor(float rank) const;
@@ -36,6 +46,11 @@
     {
         return this->isConnected && this->isLinked && this->load.isReady && !this->profile.workerId.empty();
     }
+    /// Whether the sidecar is late with an update or with the acknowledgement of an order. It may be cut off: other
+    /// work is placed elsewhere, while its own runs go on.
+    bool isSilent(Core::SteadyTime now) const;
+    /// Whether the worker, when idle, can run a request's tasks.
+    bool isSuitable(const PlacementRequest& request) const;
     /// Whether the worker carries a label.
     bool hasLabel(const std::string& label) const;
     /// Speed relative to a worker of 100 %.
@@ -81,6 +96,8 @@
     bool isProbeAllowed = false;
     /// Whether the next failure of a task is final.
     bool isLastAttempt = false;
+    /// Number of workers on which room is reserved for each task that has to wait; 0 places only what fits now.
+    std::uint32_t reservationsPerTask = 1;
     Core::SteadyTime now;
 };
 
@@ -88,12 +105,17 @@
 struct Placement {
     Core::InstanceId sidecar;
     std::uint32_t count = 0;
-    /// Predicted wait for room there, in seconds.
+    /// Predicted wait for room there, in seconds; if there is one, room is reserved instead of tasks being ordered.
     double waitSeconds = 0;
 };
 
-/// Chooses workers for all tasks of a request; returns none if a task's predicted wait is too long everywhere.
-/// `referenceSpeed` is the speed of the worker that `request.time` refers to.
+/// Predicted wait, in seconds, until room for all tasks of a request has been released on any of the workers, behind
+/// the work of higher rank; infinite when none is being released.
+double predictSharedWait(const WorkerTable& workers, const PlacementRequest& request);
+
+/// Chooses workers for all tasks of a request; returns none if a task's predicted wait is too long everywhere. With
+/// `reservationsPerTask` 0 it chooses workers for the tasks that fit now. `referenceSpeed` is the speed of the worker
+/// that `request.time` refers to.
 std::vector<Placement> choosePlacements(
     const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request);
 
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -6,6 +6,13 @@
 using Logging::LogLevel;
 using Messages::RunState;
 
+namespace {
+
+// Largest number of tasks for which an entry reserves room at a time.
+constexpr std::uint32_t maximumReservedUnits = 2000;
+
+}
+
 RunSupervisor::RunSupervisor(
     SupervisorSettings settings, Logging::StructuredLog& log, Metrics::MetricRegistry& registry, SteadyTime now)
     : settings(settings)
@@ -28,6 +35,17 @@
     if (auto* start = std::get_if<Messages::StartRuns>(&message)) {
         this->extendEntryLifetime(now, *entry, start->clockEcho);
         this->handle(now, id, *entry, *start);
+    } else if (auto* reserved = std::get_if<Messages::StartReserved>(&message)) {
+        this->extendEntryLifetime(now, *entry, reserved->start.clockEcho);
+        this->handle(now, id, *entry, *reserved);
+    } else if (const auto* reserve = std::get_if<Messages::ReserveRoom>(&message)) {
+        this->extendEntryLifetime(now, *entry, reserve->clockEcho);
+        this->handle(now, id, *entry, *reserve);
+    } else if (const auto* release = std::get_if<Messages::ReleaseRoom>(&message)) {
+        this->extendEntryLifetime(now, *entry, release->clockEcho);
+        for (const std::uint64_t reservation : release->reservations)
+            this->reservations.release(id, reservation);
+        this->startQueued(now);
     } else if (const auto* stop = std::get_if<Messages::StopRuns>(&message)) {
         this->extendEntryLifetime(now, *entry, stop->clockEcho);
         this->handle(now, id, *entry, *stop);
@@ -58,6 +76,61 @@
 }
 
 void RunSupervisor::handle(SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartRuns& request)
+{
+    this->queueRuns(now, id, entry, request);
+    // After a freeze this may be the first message; the runs of entries that fell silent meanwhile must not start.
+    this->stopExpiredRuns(now);
+    this->startQueued(now);
+}
+
+void RunSupervisor::handle(SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartReserved& request)
+{
+    this->reservations.expire(now);
+    std::uint32_t held
+        = this->reservations.take(id, request.reservation, static_cast<std::uint32_t>(request.start.tasks.size()));
+    this->queueRuns(now, id, entry, request.start);
+    this->stopExpiredRuns(now);
+    // The room was held for these runs, whatever was queued meanwhile.
+    for (const auto& [index, number] : request.start.tasks) {
+        Run* run = this->runs.find({ request.start.job, request.start.occurrence, request.start.step, index });
+        if (held == 0 || !run || run->phase != RunPhase::Queued || run->entry != id || !this->isStartable(now, *run))
+            continue;
+        --held;
+        this->fire(now, *run, RunEvent::RoomGranted);
+    }
+    this->startQueued(now);
+}
+
+void RunSupervisor::handle(
+    SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ReserveRoom& request)
+{
+    entry.handledSequence = std::max(entry.handledSequence, request.sequence);
+    if (request.units == 0 || request.units > maximumReservedUnits || !this->isReady()
+        || !request.need.fits(this->worker.profile->capacity))
+        return;
+    this->reservations.add({ id, request.reservation, request.need, request.units, std::max(1U, request.alternatives),
+                               request.rank, now + std::chrono::microseconds(request.startWithinMicroseconds) },
+        this->runs.nextArrivalNumber());
+    this->startQueued(now);
+}
+
+bool RunSupervisor::offerReserved(SteadyTime now)
+{
+    const RoomReservation& reservation = this->reservations.first();
+    const auto entry = this->entries.find(reservation.entry);
+    if (entry == this->entries.end() || entry->second.connection == 0 || now >= entry->second.aliveUntil) {
+        this->reservations.dropFirst();
+        return true;
+    }
+    if (!this->isReady() || this->health.isOnProbation() || !reservation.need.fits(this->freeRoom())
+        || !this->isLeaseAvailable(now, reservation.entry))
+        return false;
+    const RoomReservation offered = this->reservations.offerFirst(now + this->settings.offerPeriod);
+    this->actions.push_back(SendOffer { entry->second.connection, { offered.number } });
+    return true;
+}
+
+void RunSupervisor::queueRuns(SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartRuns& request)
 {
     entry.handledSequence = std::max(entry.handledSequence, request.sequence);
     const auto content = std::make_shared<const std::string>(std::move(request.content));
@@ -95,23 +168,28 @@
             run.deadline = now + std::chrono::microseconds(request.deadlineMicroseconds);
         this->runs.add(std::move(run));
     }
-    // After a freeze this may be the first message; the runs of entries that fell silent meanwhile must not start.
-    this->stopExpiredRuns(now);
-    this->startQueued(now);
 }
 
 bool RunSupervisor::isStartable(SteadyTime now, const Run& run) const
 {
-    if (!this->isReady() || !run.need.fits(this->worker.profile->capacity - this->runs.used())
-        || !this->isLeaseAvailable(now, run))
+    if (!this->isReady() || !run.need.fits(this->freeRoom()) || !this->isLeaseAvailable(now, run.entry))
         return false;
     return !this->health.isOnProbation() || (this->runs.activeCount() == 0 && now >= this->health.probeAt());
 }
 
 void RunSupervisor::startQueued(SteadyTime now)
 {
-    // The first run blocks the queue until it fits; starting smaller runs behind it could starve it.
-    while (!this->runs.queue().empty()) {
+    this->reservations.expire(now);
+    // The first run or reservation blocks the queue until it fits; starting smaller ones behind it could starve it.
+    while (true) {
+        const std::optional<QueuePosition> reserved = this->reservations.firstPosition();
+        if (reserved && (this->runs.queue().empty() || *reserved < this->runs.queue().begin()->first)) {
+            if (!this->offerReserved(now))
+                break;
+            continue;
+        }
+        if (this->runs.queue().empty())
+            break;
         Run& best = *this->runs.find(this->runs.queue().begin()->second);
         if (now >= best.startBy)
             this->endRun(now, best, RunEvent::StopWanted, RunEnd::NotStarted, RunRefusal::NoRoom);
@@ -180,17 +258,17 @@
 
 SteadyTime RunSupervisor::nextWakeUp() const
 {
-    SteadyTime due = SteadyTime::max();
+    SteadyTime due = this->reservations.nextExpiry();
     const bool isIdle = this->runs.activeCount() == 0 && this->worker.isRunListKnown && this->unansweredCalls == 0
         && !this->hasDoubtfulCalls() && !this->announcedSuccessor;
     if (!isIdle && !this->isListPollPending)
-        due = std::max(this->nextListPollAt, this->backoffUntil);
-    const Messages::Room free = this->freeRoom();
+        due = std::min(due, std::max(this->nextListPollAt, this->backoffUntil));
     for (const auto& [id, entry] : this->entries) {
-        const bool hasNews = entry.isReadySent != this->isReady() || !(entry.freeSent == free);
         if (entry.connection != 0)
             due = std::min(due,
-                entry.updatedAt + (hasNews ? this->settings.loadUpdateInterval : this->settings.maximumUpdateInterval));
+                entry.updatedAt
+                    + (this->hasNews(entry) ? this->settings.loadUpdateInterval
+                                            : this->settings.maximumUpdateInterval));
     }
     for (const auto& [task, run] : this->runs.all()) {
         if (run.phase == RunPhase::Ended)
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Logging/StructuredLog.h"
+#include "celeryswitch/Workers/RoomReservations.h"
 #include "celeryswitch/Workers/RunTable.h"
 #include "celeryswitch/Workers/SupervisorMetrics.h"
 #include "celeryswitch/Workers/WorkerClock.h"
@@ -54,6 +55,8 @@
     Core::Duration claimPeriod = std::chrono::milliseconds(250);
     /// Retention of ended runs.
     Core::Duration endedRetention = std::chrono::seconds(5);
+    /// Time for which offered room is held for the entry's answer.
+    Core::Duration offerPeriod = std::chrono::milliseconds(30);
     /// Minimum time between updates that only report changed capacity or readiness, and maximum time between updates.
     Core::Duration loadUpdateInterval = std::chrono::milliseconds(15);
     Core::Duration maximumUpdateInterval = std::chrono::milliseconds(200);
@@ -73,12 +76,17 @@
     std::uint64_t connection = 0;
     Messages::WorkerUpdate update;
 };
+/// Offer room to an entry.
+struct SendOffer {
+    std::uint64_t connection = 0;
+    Messages::RoomOffer offer;
+};
 /// Close the connection to an entry.
 struct DisconnectEntry {
     std::uint64_t connection = 0;
 };
 
-using SupervisorAction = std::variant<CallWorker, SendUpdate, DisconnectEntry>;
+using SupervisorAction = std::variant<CallWorker, SendUpdate, SendOffer, DisconnectEntry>;
 
 /// Manages the runs on one leased worker on behalf of the entries: starts and stops runs, renews the lease, reports
 /// each end once, and stops runs whose entry is gone. Deterministic: it has no sockets or clocks, and equal inputs at
@@ -144,6 +152,8 @@
         /// Free capacity and readiness as of the last update.
         Messages::Room freeSent;
         bool isReadySent = false;
+        /// Newest order that the last update acknowledged.
+        std::uint64_t sequenceSent = 0;
         Core::SteadyTime updatedAt;
         bool isUpdateDue = true;
     };
@@ -175,8 +185,17 @@
         bool isLongPoll = false;
     };
 
+    // Whether an entry has to be told of orders received, of changed capacity or of changed readiness.
+    bool hasNews(const Entry& entry) const;
     Entry* findEntry(std::uint64_t connection, Core::InstanceId* id = nullptr);
     void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartRuns& request);
+    void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartReserved& request);
+    void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ReserveRoom& request);
+    // Queues the runs of a request, or refuses them.
+    void queueRuns(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, Messages::StartRuns& request);
+    // Offers the first reservation's room, or drops the reservation if its entry can't use it. Returns false if it has
+    // to wait.
+    bool offerReserved(Core::SteadyTime now);
     void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::StopRuns& request);
     void handle(Core::SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::ClaimRuns& claims);
     void extendEntryLifetime(Core::SteadyTime now, Entry& entry, std::int64_t clockEcho);
@@ -221,9 +240,9 @@
     void raiseRefusedToken(const PendingCall& call);
     // Time by which the lease has to end, so that no active run outlives its entry until callers retry.
     Core::SteadyTime leaseLimit() const;
-    // Whether a run may start under the lease: no call is in doubt, and the lease ends before the callers of its entry
-    // retry.
-    bool isLeaseAvailable(Core::SteadyTime now, const Run& run) const;
+    // Whether a run of an entry may start under the lease: no call is in doubt, and the lease ends before the callers
+    // of the entry retry.
+    bool isLeaseAvailable(Core::SteadyTime now, const Core::InstanceId& entryId) const;
     // End of the lease to request now, on the worker's clock; std::nullopt if it must not be extended.
     std::optional<std::int64_t> extendLease(Core::SteadyTime now);
     std::uint64_t sendCall(Core::SteadyTime now, WorkerCall call, Core::Duration timeout, bool isLongPoll = false);
@@ -260,6 +279,7 @@
     WorkerIncarnation worker;
     WorkerHealth health;
     RunTable runs;
+    RoomReservations reservations;
     std::map<Core::InstanceId, Entry> entries;
     /// Newest profile of the worker that an entry sent; used until the worker announces itself.
     std::optional<Messages::KnownWorker> entryProvidedWorker;
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -208,12 +208,12 @@
         if (result.refusal == CallRefusal::Fence)
             this->raiseRefusedToken(pending);
         if (isOpen && result.refusal == CallRefusal::Fence && run->startRetries++ < startRetryLimit
-            && this->isLeaseAvailable(now, *run)) {
+            && this->isLeaseAvailable(now, run->entry)) {
             this->sendStart(now, *run);
             return;
         }
         if (isOpen && result.refusal == CallRefusal::Old && run->startRetries++ < startRetryLimit
-            && this->isLeaseAvailable(now, *run)) {
+            && this->isLeaseAvailable(now, run->entry)) {
             ++run->number;
             this->sendStart(now, *run);
             return;
--- a/celeryswitch/Workers/RunSupervisorEntries.cpp
+++ b/celeryswitch/Workers/RunSupervisorEntries.cpp
@@ -24,6 +24,7 @@
 void RunSupervisor::entryConnected(SteadyTime now, std::uint64_t connection, const Messages::Hello& hello)
 {
     Entry& entry = this->entries[hello.instanceId];
+    this->reservations.releaseAll(hello.instanceId);
     if (entry.connection != 0)
         this->actions.push_back(DisconnectEntry { entry.connection });
     if (entry.incarnation != hello.incarnation) {
@@ -37,6 +38,7 @@
     }
     entry.connection = connection;
     entry.handledSequence = 0;
+    entry.sequenceSent = 0;
     entry.isUpdateDue = true;
     // The greeting may have waited in the network for longer than the entry lived; only a clock sample proves its life.
     // A new entry has the time of a reconnection to return the first one.
@@ -51,6 +53,7 @@
     Core::InstanceId id;
     if (Entry* entry = this->findEntry(connection, &id)) {
         entry->connection = 0;
+        this->reservations.releaseAll(id);
         entry->aliveUntil = std::min(entry->aliveUntil, now + this->settings.reconnectGracePeriod);
         // It claims its runs again when it reconnects.
         std::erase_if(this->claims, [&](const auto& claim) { return claim.first == id; });
@@ -115,14 +118,19 @@
     }
 }
 
+bool RunSupervisor::hasNews(const Entry& entry) const
+{
+    return entry.isReadySent != this->isReady() || entry.sequenceSent != entry.handledSequence
+        || !(entry.freeSent == this->freeRoom());
+}
+
 void RunSupervisor::sendUpdates(SteadyTime now)
 {
-    const Messages::Room free = this->freeRoom();
     for (auto& [id, entry] : this->entries) {
         if (entry.connection == 0)
             continue;
-        const bool hasNews = entry.isReadySent != this->isReady() || !(entry.freeSent == free);
-        const bool isDue = entry.isUpdateDue || (hasNews && now >= entry.updatedAt + this->settings.loadUpdateInterval)
+        const bool isDue = entry.isUpdateDue
+            || (this->hasNews(entry) && now >= entry.updatedAt + this->settings.loadUpdateInterval)
             || now >= entry.updatedAt + this->settings.maximumUpdateInterval;
         if (!isDue)
             continue;
@@ -136,7 +144,8 @@
         }
         entry.isUpdateDue = false;
         entry.updatedAt = now;
-        entry.freeSent = free;
+        entry.freeSent = this->freeRoom();
+        entry.sequenceSent = entry.handledSequence;
         entry.isReadySent = this->isReady();
         this->actions.push_back(std::move(send));
     }
@@ -144,20 +153,22 @@
 
 Messages::Room RunSupervisor::freeRoom() const
 {
-    return this->worker.profile ? this->worker.profile->capacity - this->runs.used() : Messages::Room {};
+    return this->worker.profile ? this->worker.profile->capacity - this->runs.used() - this->reservations.held()
+                                : Messages::Room {};
 }
 
 Messages::WorkerLoad RunSupervisor::load(SteadyTime now) const
 {
     Messages::WorkerLoad load;
     load.free = this->freeRoom();
-    for (const auto& [position, task] : this->runs.queue()) {
-        const Run& run = this->runs.all().at(task);
-        const std::int16_t rankClass = Messages::rankClassOf(run.rank);
-        if (load.queued.empty() || load.queued.back().rankClass != rankClass)
-            load.queued.push_back({ rankClass, 0 });
-        load.queued.back().milliCores += run.need.milliCores;
-    }
+    std::map<std::int16_t, std::int64_t> queued;
+    for (const auto& [position, task] : this->runs.queue())
+        queued[position.negativeRankClass] += this->runs.all().at(task).need.milliCores;
+    for (const auto& [position, reservation] : this->reservations.queue())
+        queued[position.negativeRankClass]
+            += reservation.need.milliCores * reservation.units / reservation.alternatives;
+    for (const auto& [negativeRankClass, milliCores] : queued)
+        load.queued.push_back({ static_cast<std::int16_t>(-negativeRankClass), milliCores });
     load.freedMilliCoresPerSecond = this->health.freedMilliCoresPerSecond(now);
     load.pacePercent = this->health.pacePercent(now);
     load.isReady = this->isReady();
--- a/celeryswitch/Workers/RunSupervisorLease.cpp
+++ b/celeryswitch/Workers/RunSupervisorLease.cpp
@@ -26,9 +26,9 @@
     return limit;
 }
 
-bool RunSupervisor::isLeaseAvailable(SteadyTime now, const Run& run) const
+bool RunSupervisor::isLeaseAvailable(SteadyTime now, const Core::InstanceId& entryId) const
 {
-    const auto entry = this->entries.find(run.entry);
+    const auto entry = this->entries.find(entryId);
     if (this->hasDoubtfulCalls() || entry == this->entries.end() || this->leaseLimit() < now + minimumStartLease)
         return false;
     // Other runs may have prolonged the lease beyond the time that the entry of this one allows, and it never shortens.
--- a/celeryswitch/Workers/RunTable.cpp
+++ b/celeryswitch/Workers/RunTable.cpp
@@ -33,7 +33,7 @@
     }
     CELERY_ASSERT(run.phase != RunPhase::Ended);
     const TaskId task = run.task;
-    run.arrivalNumber = ++this->lastArrivalNumber;
+    run.arrivalNumber = this->nextArrivalNumber();
     if (run.phase == RunPhase::Queued) {
         this->waiting.emplace(positionOf(run), task);
     } else {
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -140,6 +140,8 @@
     std::size_t activeCount() const { return this->active; }
     /// Runs that wait for free capacity, in starting order.
     const std::map<QueuePosition, TaskId>& queue() const { return this->waiting; }
+    /// Next number in the order of arrival, shared by runs and reservations.
+    std::uint64_t nextArrivalNumber() { return ++this->lastArrivalNumber; }
     /// Removes runs that ended before `time`.
     void forgetEndedBefore(Core::SteadyTime time);
 
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -185,6 +185,10 @@
         const auto found = this->connections.find(send->connection);
         if (found != this->connections.end())
             found->second.connection->send(Network::encodeMessage(Messages::WorkMessage(std::move(send->update))));
+    } else if (const auto* offer = std::get_if<SendOffer>(&action)) {
+        const auto found = this->connections.find(offer->connection);
+        if (found != this->connections.end())
+            found->second.connection->send(Network::encodeMessage(Messages::WorkMessage(offer->offer)));
     } else if (const auto* drop = std::get_if<DisconnectEntry>(&action)) {
         const auto found = this->connections.find(drop->connection);
         if (found != this->connections.end()) {
