Let an unexpected error end one connection, not the process

Cause: an exception in the handling of a frame or of a request left the event loop and ended the process, with all its other connections and runs; nothing between the handlers and main caught it.

Change: a frame or request whose handling throws ends its own connection (a request with 500, since it may have had an effect); the event loops of the platform's processes and of a state replica's peers log other exceptions and go on; flags that guard against re-entry are reset, and the entry's tick is armed before its work. A session answers once. Offers of room are answered in poll, behind the guard against acting right after a stall.

--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -2,6 +2,7 @@
 #include "Program/Commands.h"
 #include "Program/MetricsServer.h"
 #include "Program/StallWatch.h"
+#include "celeryswitch/Core/EventLoop.h"
 #include "celeryswitch/Logging/RecordWriter.h"
 #include "celeryswitch/State/StateProcess.h"
 #include "platform/BootFile.h"
@@ -83,7 +84,9 @@
         this->awaitReload();
         this->watchSettings();
         this->writeLog();
-        this->context.run();
+        Core::runEventLoop(this->context, [this](const std::string& detail) {
+            this->log.write(LogLevel::Error, "unexpected error", { { "detail", detail } });
+        });
         this->log.write(LogLevel::Info, "stopped");
         this->writer.flush();
     }
--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -52,3 +52,43 @@
     REQUIRE_FALSE(response);
     REQUIRE(response.error().is(Http::HttpError::BadAddress));
 }
+
+// Guards against a process that ends because the handling of one request fails unexpectedly.
+TEST_CASE("an error in the handling of a request ends its connection alone", "[Http]")
+{
+    boost::asio::io_context context;
+    int handled = 0;
+    Http::HttpServer server(context, Http::HttpLimits { 65'536, 16'384, 3s, 3s, 3s }, 8,
+        { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
+             if (request.path == "/faulty")
+                 throw std::runtime_error("unexpected");
+             ++handled;
+             session->respond({ 200, {}, "{}" });
+         },
+            [](std::uint16_t status, const std::string& reason) {
+                return Http::HttpResponse { status, {}, reason };
+            },
+            {} });
+    const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+    REQUIRE(address);
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1)));
+    const auto statusOf = [&](const std::string& path) {
+        boost::asio::ip::tcp::socket caller(context);
+        caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        boost::asio::write(caller, boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"));
+        std::string answer(512, '\0');
+        std::size_t size = 0;
+        caller.async_read_some(
+            boost::asio::buffer(answer), [&](const boost::system::error_code&, std::size_t count) { size = count; });
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (size == 0 && std::chrono::steady_clock::now() < limit) {
+            context.restart();
+            context.run_one_for(50ms);
+        }
+        return answer.substr(0, std::min<std::size_t>(size, 12));
+    };
+    CHECK(statusOf("/sound") == "HTTP/1.1 200");
+    CHECK(statusOf("/faulty") == "HTTP/1.1 500");
+    CHECK(statusOf("/sound") == "HTTP/1.1 200");
+    CHECK(handled == 2);
+}
--- a/UnitTests/Network/PeerTransportTest.cpp
+++ b/UnitTests/Network/PeerTransportTest.cpp
@@ -187,3 +187,23 @@
         REQUIRE(failure->is(Network::TransportError::BadAddress));
     }
 }
+
+// Guards against a process that ends because the handling of one frame fails unexpectedly.
+TEST_CASE("an error in the handling of a frame ends its connection alone", "[Network]")
+{
+    Pair pair;
+    const PeerConnectionPointer faulty = pair.connect();
+    const PeerConnectionPointer sound = pair.connect();
+    std::string reason;
+    std::vector<std::string> received;
+    pair.accepted[0]->start([](const std::string&) { throw std::runtime_error("unexpected"); },
+        [&](const std::string& text) { reason = text; });
+    pair.accepted[1]->start([&](std::string payload) { received.push_back(std::move(payload)); }, {});
+    faulty->start([](const std::string&) {}, {});
+    sound->start([](const std::string&) {}, {});
+    REQUIRE(faulty->send("a"));
+    REQUIRE(pair.runUntil([&] { return !reason.empty(); }));
+    REQUIRE(reason.find("unexpected") != std::string::npos);
+    REQUIRE(sound->send("b"));
+    REQUIRE(pair.runUntil([&] { return received.size() == 1; }));
+}
--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -82,7 +82,7 @@
     // Offers the room of a reservation.
     void offer(const std::pair<std::string, Messages::ReserveRoom>& reserve)
     {
-        this->scheduler.roomOffered(this->now(), reserve.first, { reserve.second.reservation });
+        this->scheduler.roomOffered(reserve.first, { reserve.second.reservation });
         this->pollScheduler();
     }
     // Number of tasks of a job that were ordered in reserved room.
--- a/celeryswitch/Experiment/LeasedFleetSidecars.cpp
+++ b/celeryswitch/Experiment/LeasedFleetSidecars.cpp
@@ -106,7 +106,7 @@
                     return;
                 this->runWhenAwake(*this->entries[entry], [this, entry, index, offer] {
                     Entry& receiver = *this->entries[entry];
-                    receiver.scheduler->roomOffered(receiver.now(this->events.now()), std::to_string(index), offer);
+                    receiver.scheduler->roomOffered(std::to_string(index), offer);
                     this->pollEntry(entry);
                 });
             });
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <optional>
 #include <sys/socket.h>
 
@@ -16,6 +17,8 @@
 // Time for which the rest of a refused request is read, and the bytes that are read at once.
 constexpr std::chrono::seconds drainTime { 2 };
 constexpr std::size_t drainBytes = 64 * 1024;
+// Status of a request whose handling failed unexpectedly.
+constexpr std::uint16_t internalErrorStatus = 500;
 
 /// Session over a Beast stream.
 class StreamSession final : public HttpSession, public std::enable_shared_from_this<StreamSession> {
@@ -49,6 +52,8 @@
 
     void respond(HttpResponse answer) override
     {
+        if (this->isAnswered)
+            return;
         this->response = {};
         this->response.version(11);
         this->response.result(answer.statusCode);
@@ -142,7 +147,14 @@
         for (const auto& field : message)
             request.headers[std::string(field.name_string())] = std::string(field.value());
         this->isAnswered = false;
-        this->handlers.onRequest(this->shared_from_this(), std::move(request));
+        // An unexpected error ends this connection, not the process.
+        try {
+            this->handlers.onRequest(this->shared_from_this(), std::move(request));
+        } catch (const std::exception& failure) {
+            this->isKeptAlive = false;
+            if (!this->isAnswered)
+                this->respond(this->handlers.onMalformed(internalErrorStatus, failure.what()));
+        }
         if (this->handlers.onAbandoned && !this->isAnswered)
             this->watchCaller();
     }
@@ -194,6 +206,7 @@
         this->isKeptAlive = false;
         this->isMalformed = true;
         this->isBusy = true;
+        this->isAnswered = false;
         this->respond(this->handlers.onMalformed(status, error.message()));
     }
 
--- a/celeryswitch/Network/SocketConnection.cpp
+++ b/celeryswitch/Network/SocketConnection.cpp
@@ -1,6 +1,7 @@
 #include "celeryswitch/Network/SocketConnection.h"
 
 #include <boost/asio/write.hpp>
+#include <exception>
 
 namespace celeryswitch::Network {
 
@@ -60,7 +61,12 @@
         }
         if (!next.value())
             break;
-        this->onFrame(std::move(*next.value()));
+        // An unexpected error ends this connection, not the process.
+        try {
+            this->onFrame(std::move(*next.value()));
+        } catch (const std::exception& failure) {
+            return this->fail(std::string("frame not handled: ") + failure.what());
+        }
     }
     this->read();
 }
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -276,6 +276,7 @@
 {
     this->endExpired(now);
     this->forgetExpiredReservations(now);
+    this->answerOffers(now);
     // Place before refusing: a job whose order was just returned may be due for refusal and have room again.
     this->placeWaitingJobs(now);
     this->refuseWaiting(now);
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -91,8 +91,8 @@
     void removeSidecar(const Core::InstanceId& sidecar);
     /// Applies a sidecar's update.
     void updateReceived(Core::SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update);
-    /// A sidecar offers room that was reserved there.
-    void roomOffered(Core::SteadyTime now, const Core::InstanceId& sidecar, const Messages::RoomOffer& offer);
+    /// A sidecar offers room that was reserved there; `poll` accepts or declines it.
+    void roomOffered(const Core::InstanceId& sidecar, const Messages::RoomOffer& offer);
 
     /// Answers all open jobs because the process ends.
     void endAllJobs(Core::SteadyTime now);
@@ -207,6 +207,8 @@
     void reserveRoom(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
         const PlacementRequest& request);
     bool hasReservations(const Job& job, std::uint32_t stepIndex) const;
+    void answerOffers(Core::SteadyTime now);
+    void answerOffer(Core::SteadyTime now, const Core::InstanceId& sidecar, std::uint64_t number);
     // Releases the reservations of one step of a job, or of all its steps.
     void releaseReservations(Job& job, std::optional<std::uint32_t> stepIndex);
     // Forgets the reservations of a job that meet a condition; their sidecars have dropped them as well.
@@ -256,6 +258,8 @@
     std::map<std::string, QueueModel> models;
     Jobs jobs;
     std::uint64_t lastReservation = 0;
+    /// Sidecars and reservations of offers that have not been answered.
+    std::vector<std::pair<Core::InstanceId, std::uint64_t>> offers;
     /// Ids of the jobs by the numbers of their reservations.
     std::unordered_map<std::uint64_t, std::uint64_t> reservationJobs;
     /// Ids of the jobs with tasks that wait for placement.
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -38,21 +38,31 @@
     this->actions.push_back(SendToSidecar { placement.sidecar, std::move(reserve) });
 }
 
-void JobScheduler::roomOffered(SteadyTime now, const Core::InstanceId& sidecar, const Messages::RoomOffer& offer)
+void JobScheduler::roomOffered(const Core::InstanceId& sidecar, const Messages::RoomOffer& offer)
+{
+    this->offers.emplace_back(sidecar, offer.reservation);
+}
+
+void JobScheduler::answerOffers(SteadyTime now)
+{
+    for (const auto& [sidecar, number] : std::exchange(this->offers, {}))
+        this->answerOffer(now, sidecar, number);
+}
+
+void JobScheduler::answerOffer(SteadyTime now, const Core::InstanceId& sidecar, std::uint64_t number)
 {
     WorkerView& worker = this->workerTable[sidecar];
-    const auto owner = this->reservationJobs.find(offer.reservation);
+    const auto owner = this->reservationJobs.find(number);
     Job* job = owner != this->reservationJobs.end() ? &this->jobs.at(owner->second) : nullptr;
     const auto reservation = job ? std::find_if(job->reservations.begin(), job->reservations.end(),
-                                 [&](const Reservation& each) { return each.number == offer.reservation; })
+                                 [&](const Reservation& each) { return each.number == number; })
                                  : std::vector<Reservation>::iterator {};
     if (!job || now >= reservation->until || job->steps[reservation->step].waiting == 0) {
-        this->actions.push_back(
-            SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockSample, { offer.reservation } } });
+        this->actions.push_back(SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockSample, { number } } });
         return;
     }
     const std::uint32_t stepIndex = reservation->step;
-    Messages::StartReserved reserved { offer.reservation, this->startOrder(now, *job, stepIndex, worker, 1) };
+    Messages::StartReserved reserved { number, this->startOrder(now, *job, stepIndex, worker, 1) };
     reserved.start.rank = reservation->rank;
     this->recordOrder(now, *job, worker, reserved.start, 0);
     this->actions.push_back(SendToSidecar { sidecar, std::move(reserved) });
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -1,5 +1,7 @@
 #include "celeryswitch/Scheduling/SchedulingEntry.h"
 
+#include "celeryswitch/Core/EventLoop.h"
+
 namespace celeryswitch::Scheduling {
 
 using Logging::LogLevel;
@@ -83,7 +85,7 @@
                   this->runScheduler();
               },
               [this](const Core::InstanceId& sidecar, const Messages::RoomOffer& offer) {
-                  this->scheduler.roomOffered(this->clock.steadyNow(), sidecar, offer);
+                  this->scheduler.roomOffered(sidecar, offer);
                   this->runScheduler();
               } })
     , watcher(context, this->transport, log, watcherSettings(this->settings),
@@ -231,6 +233,7 @@
     // Closing a connection while actions are carried out may call this function again.
     if (std::exchange(this->isSchedulerRunning, true))
         return;
+    const Core::ScopeExit endOfRun([this] { this->isSchedulerRunning = false; });
     const Core::SteadyTime now = this->clock.steadyNow();
     for (SchedulerAction& action : this->scheduler.poll(now)) {
         if (const auto* send = std::get_if<SendToSidecar>(&action)) {
@@ -246,7 +249,6 @@
             node.mapped()->closeAfterResponse();
         this->respond(node.mapped(), answer.answer);
     }
-    this->isSchedulerRunning = false;
     const Core::Duration sleep
         = std::clamp<Core::Duration>(this->scheduler.nextWakeUp() - now, std::chrono::milliseconds(1), maximumSleep);
     this->timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(sleep));
@@ -259,6 +261,13 @@
 
 void SchedulingEntry::tick()
 {
+    // Armed first, so that an unexpected error does not end the ticks.
+    this->tickTimer.expires_after(tickInterval);
+    this->tickTimer.async_wait(
+        [this, lifetime = std::weak_ptr<bool>(this->lifetimeToken)](const boost::system::error_code& error) {
+            if (!error && !lifetime.expired())
+                this->tick();
+        });
     // Requests that waited during a stall are begun once the ends of callers' connections are known.
     if (!this->stallGuard.isReadingBacklog(this->clock.steadyNow()) && this->routing.version > 0)
         this->processDeferred(true);
@@ -273,12 +282,6 @@
     this->processDeferred(false);
     this->finishDraining();
     this->runScheduler();
-    this->tickTimer.expires_after(tickInterval);
-    this->tickTimer.async_wait(
-        [this, lifetime = std::weak_ptr<bool>(this->lifetimeToken)](const boost::system::error_code& error) {
-            if (!error && !lifetime.expired())
-                this->tick();
-        });
 }
 
 void SchedulingEntry::drain(std::function<void()> onDone)
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -74,7 +74,12 @@
                 Messages::ReplicaInfo { this->folder.replicaId(), this->boundAddress }, this->settings.initialReplicas);
             BOOST_OUTCOME_TRY(this->follow(this->formation->start()));
         }
-        this->peerThread = std::thread([this] { this->context.run(); });
+        this->peerThread = std::thread([this] {
+            Core::runEventLoop(this->context, [this](const std::string& detail) {
+                if (this->log)
+                    this->log("unexpected error: " + detail);
+            });
+        });
         this->decisionThread = std::thread([this] { this->decide(); });
         return Core::success();
     }
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/Workers/WorkerSidecar.h"
 
+#include "celeryswitch/Core/EventLoop.h"
 #include "celeryswitch/Network/MessageCodec.h"
 
 namespace celeryswitch::Workers {
@@ -152,9 +153,11 @@
     if (std::exchange(this->isStepping, true))
         return;
     const Core::SteadyTime now = this->clock.steadyNow();
-    for (SupervisorAction& action : this->supervisor.poll(now))
-        this->perform(action);
-    this->isStepping = false;
+    {
+        const Core::ScopeExit endOfStep([this] { this->isStepping = false; });
+        for (SupervisorAction& action : this->supervisor.poll(now))
+            this->perform(action);
+    }
     this->registerWorker();
     this->finishDraining();
     const Core::Duration delay = std::clamp<Core::Duration>(
