Send entries what changed in the fleet, and begin with no stale view

Cause: each change of a member went to every entry as the whole view. With 300 machines that is 45 KB on a link of 25 Mbit/s and a choice of links that hashes 55 entries against 240 sidecars, in a storm of registrations after a loss of power. Besides, a replica that was restarted reported itself in contact with a leader it had not heard, so that an entry that was restarted as well could begin with routes that were withdrawn and members that had left.

State replicas are updated first.

--- a/UnitTests/Consensus/ReplicaTest.cpp
+++ b/UnitTests/Consensus/ReplicaTest.cpp
@@ -167,3 +167,21 @@
     REQUIRE(late.group() == fresh.group());
     REQUIRE(GroupFormation("d", { "d-1", "4" }, initial).start() == Verdict::Join);
 }
+
+// Guards against a restarted replica that passes its old state off as current: right after its start it has heard no
+// leader, and its log may lack what was committed while it was down.
+TEST_CASE("a replica counts as current only after it has caught up with a leader", "[Consensus]")
+{
+    ThreeReplicaCluster cluster;
+    for (const auto& [id, replica] : cluster.replicas)
+        REQUIRE_FALSE(replica.hasHadLeader());
+    cluster.isolated = "c";
+    cluster.run(3s);
+    REQUIRE(!cluster.leader().empty());
+    REQUIRE(cluster.replicas.at("a").hasHadLeader());
+    REQUIRE(cluster.replicas.at("b").hasHadLeader());
+    REQUIRE_FALSE(cluster.replicas.at("c").hasHadLeader());
+    cluster.isolated.clear();
+    cluster.run(3s);
+    REQUIRE(cluster.replicas.at("c").hasHadLeader());
+}
--- a/UnitTests/Scheduling/LinkSubsetTest.cpp
+++ b/UnitTests/Scheduling/LinkSubsetTest.cpp
@@ -30,7 +30,7 @@
     for (const Messages::Member& member : members) {
         if (member.identity.role != Messages::Role::Entry)
             continue;
-        for (const Messages::Member& sidecar : linkedSidecars(members, member.identity.instanceId, {}))
+        for (const Messages::Member& sidecar : LinkSubset(member.identity.instanceId, {}).select(members))
             result[member.identity.instanceId].insert(sidecar.identity.instanceId);
     }
     return result;
@@ -58,8 +58,8 @@
     for (const auto& [entry, sidecars] : linksByEntry(members))
         REQUIRE(sidecars.size() == 11);
     // An entry that is not registered yet gets the same links.
-    REQUIRE(linkedSidecars(makeMembers(0, 11), "entry-9", {}).size() == 11);
-    REQUIRE(linkedSidecars(makeMembers(3, 0), "entry-0", {}).empty());
+    REQUIRE(LinkSubset("entry-9", {}).select(makeMembers(0, 11)).size() == 11);
+    REQUIRE(LinkSubset("entry-0", {}).select(makeMembers(3, 0)).empty());
 }
 
 // Guards against workers that are linked to no entry, and entries that are linked to too few workers.
@@ -92,3 +92,20 @@
     }
     REQUIRE(added == before.at("entry-4").size());
 }
+
+// Guards against links that follow an earlier set of members.
+TEST_CASE("links after changes are those of a fresh selection", "[Scheduling]")
+{
+    LinkSubset subset("entry-1", {});
+    const auto idsOf = [](const std::vector<Messages::Member>& sidecars) {
+        std::set<std::string> ids;
+        for (const Messages::Member& sidecar : sidecars)
+            ids.insert(sidecar.identity.instanceId);
+        return ids;
+    };
+    const std::pair<std::size_t, std::size_t> fleets[] { { 13, 74 }, { 13, 80 }, { 13, 60 }, { 20, 60 }, { 9, 74 } };
+    for (const auto& [entries, sidecars] : fleets) {
+        const auto members = makeMembers(entries, sidecars);
+        REQUIRE(idsOf(subset.select(members)) == idsOf(LinkSubset("entry-1", {}).select(members)));
+    }
+}
--- a/UnitTests/State/StateMachineTest.cpp
+++ b/UnitTests/State/StateMachineTest.cpp
@@ -91,3 +91,54 @@
     apply(machine, 6, Membership::GrantPartitions { "e1", 1, { { 1, 0 } } });
     REQUIRE(machine.viewVersion() == 6);
 }
+
+// Guards against views whose size at each change grows with the fleet, and against members that have left and are used
+// again because a difference does not name them.
+TEST_CASE("a watcher that follows changes knows the same members as the replica", "[State]")
+{
+    StateMachine machine;
+    std::uint64_t index = 0;
+    const auto registerMember = [&](int number, Core::Incarnation incarnation) {
+        Messages::Member member;
+        member.identity.instanceId = "side-" + std::to_string(number);
+        member.identity.incarnation = incarnation;
+        apply(machine, ++index, Messages::RegisterMember { member });
+    };
+    std::map<std::string, Core::Incarnation> known;
+    std::uint64_t version = 0;
+    const auto follow = [&] {
+        const Messages::FleetChanges changes = machine.changes(version, 0);
+        if (changes.isWhole)
+            known.clear();
+        for (const Messages::Member& member : changes.view.members) {
+            if (member.removedAt == 0)
+                known[member.identity.instanceId] = member.identity.incarnation;
+            else
+                known.erase(member.identity.instanceId);
+        }
+        version = changes.view.viewVersion;
+        return changes.view.members.size();
+    };
+    for (int number = 0; number < 300; ++number)
+        registerMember(number, 1);
+    REQUIRE(follow() == 300);
+    registerMember(7, 2);
+    apply(machine, ++index, Messages::RemoveMember { "side-9", 1 });
+    registerMember(300, 1);
+    REQUIRE(follow() == 3);
+    REQUIRE(known.size() == 300);
+    REQUIRE(known.at("side-7") == 2);
+    REQUIRE(known.count("side-9") == 0);
+    // A replica that was restored from a snapshot does not know what changed before it.
+    StateMachine restored;
+    REQUIRE(restored.restore(machine.snapshot()));
+    machine = std::move(restored);
+    registerMember(11, 5);
+    REQUIRE(follow() == 1);
+    version = 5;
+    REQUIRE(machine.changes(version, 0).isWhole);
+    follow();
+    REQUIRE(known.size() == 300);
+    REQUIRE(known.at("side-11") == 5);
+    REQUIRE(known.count("side-9") == 0);
+}
--- a/celeryswitch/Consensus/Replica.cpp
+++ b/celeryswitch/Consensus/Replica.cpp
@@ -75,6 +75,8 @@
                              : this->leaderContactTime;
 }
 
+bool Replica::hasHadLeader() const { return this->hasCaughtUp || this->isLeaderReady(); }
+
 Core::SteadyTime Replica::lastReplyTime(const ReplicaId& id) const
 {
     if (!this->leaderState)
--- a/celeryswitch/Consensus/Replica.h
+++ b/celeryswitch/Consensus/Replica.h
@@ -34,6 +34,9 @@
     const ReplicaLog& log() const { return this->replicaLog; }
     /// When this replica last heard from the leader or, as the leader, from a majority of the voters.
     Core::SteadyTime lastContactTime() const;
+    /// Whether this replica has led, with an entry of its own term committed, or has applied all that a leader had
+    /// committed when it was in contact, since its start.
+    bool hasHadLeader() const;
     /// Start time of the newest round that another replica has acknowledged to this leader; SteadyTime::max() if this
     /// replica is not the leader or the id is not in the group.
     Core::SteadyTime lastReplyTime(const ReplicaId& id) const;
@@ -117,6 +120,8 @@
     Core::SteadyTime electionDeadline;
     Core::SteadyTime nextHeartbeat;
     Core::SteadyTime leaderContactTime;
+    /// Whether the log has reached what a leader had committed, at least once since the start.
+    bool hasCaughtUp = false;
     /// Replicas that granted the current vote or pre-vote.
     std::set<ReplicaId> grantedVotes;
     /// Set while this replica is the leader.
--- a/celeryswitch/Consensus/ReplicaFollower.cpp
+++ b/celeryswitch/Consensus/ReplicaFollower.cpp
@@ -41,6 +41,10 @@
     if (!this->storeEntries(request.entries))
         return;
     this->advanceCommitIndex(std::max(this->committedIndex, std::min(request.commitIndex, lastSentIndex)));
+    // An entry of the leader's term comes after all that earlier leaders have committed.
+    this->hasCaughtUp = this->hasCaughtUp
+        || (this->committedIndex >= request.commitIndex
+            && this->replicaLog.termAt(this->committedIndex) == this->currentTerm);
     reply.isAccepted = true;
     reply.matchIndex = lastSentIndex;
     if (!hasEntries && this->settings.isSyncedBeforeAcknowledged)
--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -73,7 +73,7 @@
     this->linkedWorkers.assign(this->options.entries, {});
     for (std::size_t entry = 0; entry < this->options.entries; ++entry) {
         for (const Messages::Member& sidecar :
-            Scheduling::linkedSidecars(members, entryPrefix + std::to_string(entry), this->options.links))
+            Scheduling::LinkSubset(entryPrefix + std::to_string(entry), this->options.links).select(members))
             this->linkedWorkers[entry].insert(std::stoul(sidecar.identity.instanceId));
         if (entry < this->entries.size() && this->entries[entry]->isUp)
             this->runWhenAwake(*this->entries[entry], [this, entry] { this->applyLinks(entry); });
--- a/celeryswitch/Messages/StateMessages.h
+++ b/celeryswitch/Messages/StateMessages.h
@@ -81,6 +81,23 @@
     }
 };
 
+/// The same as WatchView, answered by FleetChanges.
+struct WatchChanges {
+    WatchView watch;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->watch); }
+};
+
+/// Answer to WatchChanges: the view, with the members that changed after the version that the asker knows. Their number
+/// does not grow with the fleet, as that of a whole view does.
+struct FleetChanges {
+    FleetView view;
+    /// Whether `view.members` has all members, because the asker knows none or the replica has forgotten what changed.
+    bool isWhole = false;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->view, this->isWhole); }
+};
+
 /// Adds or replaces an entry or sidecar.
 struct RegisterMember {
     Member member;
@@ -245,7 +262,7 @@
     /// Append only: the index is part of the format.
     std::variant<WatchView, RegisterMember, RemoveMember, AcquirePartitions, RenewLeases, ReleasePartitions,
         ProposeChange, AppendReport, QueryReport, QueryAudit, ReplaceReplica, QueryReplicaStatus, PutRouting,
-        QueryRouting>
+        QueryRouting, WatchChanges>
         body;
 
     template <typename Archive> void serialize(Archive& archive) { archive(this->requestId, this->body); }
@@ -314,7 +331,8 @@
     /// Detail of a refusal; for NotLeader the leader's address when known.
     std::string detail;
     /// Append only: the index is part of the format.
-    std::variant<Done, FleetView, LeaseGrant, ChangeAccepted, ReportAnswer, AuditAnswer, ReplicaStatus, RoutingSource>
+    std::variant<Done, FleetView, LeaseGrant, ChangeAccepted, ReportAnswer, AuditAnswer, ReplicaStatus, RoutingSource,
+        FleetChanges>
         body;
 
     template <typename Archive> void serialize(Archive& archive)
--- a/celeryswitch/Scheduling/LinkSubset.cpp
+++ b/celeryswitch/Scheduling/LinkSubset.cpp
@@ -20,33 +20,43 @@
 
 }
 
-std::vector<Member> linkedSidecars(
-    const std::vector<Member>& members, const Core::InstanceId& entry, const LinkSubsetSettings& settings)
+std::vector<Member> LinkSubset::select(const std::vector<Member>& members)
 {
-    std::vector<Core::InstanceId> others;
+    std::vector<Core::InstanceId> entries;
     std::vector<Member> sidecars;
     for (const Member& member : members) {
         if (member.identity.role == Role::Sidecar) {
             if (member.worker.capacity.isInRange())
                 sidecars.push_back(member);
-        } else if (member.identity.role == Role::Entry && member.identity.instanceId != entry)
-            others.push_back(member.identity.instanceId);
+        } else if (member.identity.role == Role::Entry && member.identity.instanceId != this->entry)
+            entries.push_back(member.identity.instanceId);
+    }
+    if (entries != this->others) {
+        this->others = std::move(entries);
+        this->ranks.clear();
     }
     if (sidecars.empty())
         return sidecars;
-    const std::size_t entries = others.size() + 1;
-    const std::size_t entriesForAverage = (settings.sidecarsPerEntry * entries + sidecars.size() - 1) / sidecars.size();
-    const std::size_t linkCount = std::max(settings.entriesPerSidecar, entriesForAverage);
-    if (linkCount >= entries)
+    const std::size_t count = this->others.size() + 1;
+    const std::size_t entriesForAverage
+        = (this->settings.sidecarsPerEntry * count + sidecars.size() - 1) / sidecars.size();
+    const std::size_t linkCount = std::max(this->settings.entriesPerSidecar, entriesForAverage);
+    if (linkCount >= count)
         return sidecars;
-    std::erase_if(sidecars, [&](const Member& sidecar) {
-        const Core::InstanceId& id = sidecar.identity.instanceId;
-        const std::uint64_t own = weightOf(entry, id);
-        const auto higherWeights = std::count_if(
-            others.begin(), others.end(), [&](const Core::InstanceId& other) { return weightOf(other, id) > own; });
-        return static_cast<std::size_t>(higherWeights) >= linkCount;
-    });
+    std::erase_if(
+        sidecars, [&](const Member& sidecar) { return this->entriesAbove(sidecar.identity.instanceId) >= linkCount; });
     return sidecars;
 }
 
+std::size_t LinkSubset::entriesAbove(const Core::InstanceId& sidecar)
+{
+    const auto known = this->ranks.find(sidecar);
+    if (known != this->ranks.end())
+        return known->second;
+    const std::uint64_t own = weightOf(this->entry, sidecar);
+    const auto above = std::count_if(this->others.begin(), this->others.end(),
+        [&](const Core::InstanceId& other) { return weightOf(other, sidecar) > own; });
+    return this->ranks[sidecar] = static_cast<std::size_t>(above);
+}
+
 }
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -88,6 +88,7 @@
                   this->scheduler.roomOffered(sidecar, offer);
                   this->runScheduler();
               } })
+    , linkSubset(this->settings.instanceId, this->settings.links)
     , watcher(context, this->transport, log, watcherSettings(this->settings),
           { [this](const std::vector<Messages::Member>& members) { this->membersReceived(members); },
               [this](Configuration::RoutingDocument document) { this->routingReceived(std::move(document)); } })
@@ -215,8 +216,7 @@
 
 void SchedulingEntry::membersReceived(const std::vector<Messages::Member>& members)
 {
-    const std::vector<Messages::Member> sidecars
-        = linkedSidecars(members, this->settings.instanceId, this->settings.links);
+    const std::vector<Messages::Member> sidecars = this->linkSubset.select(members);
     std::set<Core::InstanceId> linked;
     for (const Messages::Member& sidecar : sidecars)
         linked.insert(sidecar.identity.instanceId);
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -82,6 +82,7 @@
     Http::HttpServer callers;
     Http::HttpServer readiness;
     SidecarLinks links;
+    LinkSubset linkSubset;
     State::FleetWatcher watcher;
     boost::asio::steady_timer timer;
     boost::asio::steady_timer tickTimer;
--- a/celeryswitch/State/FleetWatcher.cpp
+++ b/celeryswitch/State/FleetWatcher.cpp
@@ -14,6 +14,8 @@
 constexpr Core::Duration watchTimeout = std::chrono::seconds(4);
 constexpr Core::Duration requestTimeout = std::chrono::seconds(4);
 constexpr Core::Duration failurePause = std::chrono::milliseconds(100);
+// Pause after a view with news, so that many changes in a row arrive as one.
+constexpr Core::Duration newsPause = std::chrono::milliseconds(25);
 
 StateClientSettings clientSettings(const FleetWatcherSettings& settings, std::uint64_t seed)
 {
@@ -36,6 +38,7 @@
     , memberClient(context, transport, clientSettings(this->settings, this->settings.seed + 1))
     , watchTimer(context)
     , memberTimer(context)
+    , freshness(Core::BootClock::now(), this->settings.contactAgeLimit)
 {
 }
 
@@ -90,31 +93,35 @@
 
 void FleetWatcher::watch()
 {
-    this->watchClient.request(Messages::WatchView { this->viewVersion, watchMilliseconds, this->knownRoutingVersion },
+    this->watchClient.request(Messages::WatchChanges { Messages::WatchView {
+                                  this->viewVersion, watchMilliseconds, this->knownRoutingVersion } },
         watchTimeout,
         [this, guard = std::weak_ptr<bool>(this->alive)](const Core::Result<Messages::StateReply>& reply) {
             if (guard.expired())
                 return;
-            const auto* view = reply ? std::get_if<Messages::FleetView>(&reply.value().body) : nullptr;
-            if (!view) {
+            const auto* changes = reply ? std::get_if<Messages::FleetChanges>(&reply.value().body) : nullptr;
+            if (!changes) {
                 this->log.write(LogLevel::Warning, "no state replica answers",
                     { { "detail", reply ? reply.value().detail : reply.error().message() } });
                 this->later(this->watchTimer, failurePause, &FleetWatcher::watch);
                 return;
             }
-            this->viewReceived(*view);
-            this->watch();
+            if (this->changesReceived(*changes))
+                this->watch();
+            else
+                this->later(this->watchTimer, newsPause, &FleetWatcher::watch);
         });
 }
 
-void FleetWatcher::viewReceived(const Messages::FleetView& view)
+bool FleetWatcher::changesReceived(const Messages::FleetChanges& changes)
 {
+    const Messages::FleetView& view = changes.view;
     if (!view.replicas.empty() && view.replicas != this->learned) {
         this->learned = view.replicas;
         this->useReplicas();
     }
-    const bool wasFresh = std::exchange(
-        this->isFresh, std::chrono::milliseconds(view.contactAgeMilliseconds) <= this->settings.contactAgeLimit);
+    const std::chrono::milliseconds contactAge { view.contactAgeMilliseconds };
+    const bool wasFresh = std::exchange(this->isFresh, this->freshness.isFresh(contactAge));
     if (!this->isFresh) {
         if (wasFresh)
             this->log.write(LogLevel::Warning, "state replica without a leader",
@@ -123,29 +130,48 @@
     }
     // A replica that is behind must not take this process back.
     if (view.isUnchanged || view.viewVersion <= this->viewVersion)
-        return;
+        return this->isFresh;
+    if (!this->freshness.isUsable(Core::BootClock::now(), contactAge, this->viewVersion == 0))
+        return false;
     this->viewVersion = view.viewVersion;
     // Members come first: requests that wait for the document need them.
-    std::vector<Messages::Member> members;
-    for (const Messages::Member& member : view.members) {
+    this->membersReceived(changes);
+    this->routingReceived(view);
+    return false;
+}
+
+void FleetWatcher::membersReceived(const Messages::FleetChanges& changes)
+{
+    if (changes.isWhole)
+        this->members.clear();
+    for (const Messages::Member& member : changes.view.members) {
         if (member.removedAt == 0)
-            members.push_back(member);
+            this->members[member.identity.instanceId] = member;
+        else
+            this->members.erase(member.identity.instanceId);
     }
-    if (this->handlers.onMembers)
-        this->handlers.onMembers(members);
-    if (view.routingVersion > this->knownRoutingVersion && !view.routing.empty()) {
-        Core::Result<Configuration::RoutingDocument> document
-            = Network::decodeMessage<Configuration::RoutingDocument>(view.routing);
-        if (document) {
-            this->knownRoutingVersion = view.routingVersion;
-            this->log.write(LogLevel::Info, "routing document in force", { { "version", view.routingVersion } });
-            if (this->handlers.onRouting)
-                this->handlers.onRouting(std::move(document).value());
-        } else {
-            this->log.write(LogLevel::Error, "routing document can't be read",
-                { { "version", view.routingVersion }, { "detail", document.error().message() } });
-        }
+    std::vector<Messages::Member> all;
+    for (const auto& [instanceId, member] : this->members)
+        all.push_back(member);
+    if (this->handlers.onMembers && (changes.isWhole || !changes.view.members.empty()))
+        this->handlers.onMembers(all);
+}
+
+void FleetWatcher::routingReceived(const Messages::FleetView& view)
+{
+    if (view.routingVersion <= this->knownRoutingVersion || view.routing.empty())
+        return;
+    Core::Result<Configuration::RoutingDocument> document
+        = Network::decodeMessage<Configuration::RoutingDocument>(view.routing);
+    if (!document) {
+        this->log.write(LogLevel::Error, "routing document can't be read",
+            { { "version", view.routingVersion }, { "detail", document.error().message() } });
+        return;
     }
+    this->knownRoutingVersion = view.routingVersion;
+    this->log.write(LogLevel::Info, "routing document in force", { { "version", view.routingVersion } });
+    if (this->handlers.onRouting)
+        this->handlers.onRouting(std::move(document).value());
 }
 
 void FleetWatcher::registerMember()
--- a/celeryswitch/State/FleetWatcher.h
+++ b/celeryswitch/State/FleetWatcher.h
@@ -3,8 +3,10 @@
 #include "celeryswitch/Configuration/RoutingDocument.h"
 #include "celeryswitch/Logging/StructuredLog.h"
 #include "celeryswitch/State/StateClient.h"
+#include "celeryswitch/State/ViewFreshness.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -56,7 +58,10 @@
 
 private:
     void watch();
-    void viewReceived(const Messages::FleetView& view);
+    // Returns whether another view may be asked for at once.
+    bool changesReceived(const Messages::FleetChanges& changes);
+    void membersReceived(const Messages::FleetChanges& changes);
+    void routingReceived(const Messages::FleetView& view);
     void registerMember();
     void renew();
     void later(boost::asio::steady_timer& timer, Core::Duration span, void (FleetWatcher::*next)());
@@ -71,6 +76,8 @@
     boost::asio::steady_timer watchTimer;
     boost::asio::steady_timer memberTimer;
     std::vector<std::string> learned;
+    ViewFreshness freshness;
+    std::map<Core::InstanceId, Messages::Member> members;
     std::uint64_t viewVersion = 0;
     std::uint64_t knownRoutingVersion = 0;
     bool isFresh = true;
--- a/celeryswitch/State/StateClient.cpp
+++ b/celeryswitch/State/StateClient.cpp
@@ -139,6 +139,8 @@
         Duration time = this->settings.attemptTimeout;
         if (const auto* watch = std::get_if<Messages::WatchView>(&body))
             time += std::chrono::milliseconds(watch->waitMilliseconds);
+        else if (const auto* changes = std::get_if<Messages::WatchChanges>(&body))
+            time += std::chrono::milliseconds(changes->watch.waitMilliseconds);
         // A replacement is answered once the new replica has caught up.
         if (std::holds_alternative<Messages::ReplaceReplica>(body))
             time += std::chrono::seconds(10);
--- a/celeryswitch/State/StateCore.cpp
+++ b/celeryswitch/State/StateCore.cpp
@@ -112,7 +112,7 @@
     std::erase_if(this->watchers, [&](const Watcher& watcher) { return watcher.connection == input.connection; });
 }
 
-void StateCore::request(std::uint64_t token, const Messages::WatchView& body)
+void StateCore::addWatcher(std::uint64_t token, const Messages::WatchView& body, bool isOfChanges)
 {
     const Waiting& entry = this->waiting.at(token);
     if (this->watchers.size() >= this->settings.watcherLimit) {
@@ -121,7 +121,7 @@
     }
     const std::uint32_t wait = std::min(body.waitMilliseconds, maximumWaitMilliseconds);
     this->watchers.push_back({ entry.connection, entry.request.requestId, body.knownVersion, body.knownRoutingVersion,
-        this->now + std::chrono::milliseconds(wait) });
+        this->now + std::chrono::milliseconds(wait), isOfChanges });
     // A new watcher may know less than the version that was compared last.
     this->announcedVersion = 0;
     this->waiting.erase(token);
@@ -284,23 +284,43 @@
     this->answer(token, std::move(reply));
 }
 
-Messages::FleetView StateCore::viewFor(const Watcher& watcher) const
+StateReply StateCore::viewFor(const Watcher& watcher) const
 {
+    StateReply reply;
+    reply.requestId = watcher.requestId;
     Messages::FleetView view;
     if (watcher.knownVersion != 0 && watcher.knownVersion == this->stateMachine.viewVersion()) {
         view.isUnchanged = true;
         view.viewVersion = watcher.knownVersion;
         view.configurationVersion = this->stateMachine.configuration().version;
         view.routingVersion = this->stateMachine.routing().version;
+    } else if (watcher.isOfChanges) {
+        Messages::FleetChanges changes = this->stateMachine.changes(watcher.knownVersion, watcher.knownRoutingVersion);
+        this->describeGroup(changes.view);
+        reply.body = std::move(changes);
+        return reply;
     } else {
         view = this->stateMachine.view(watcher.knownRoutingVersion);
     }
+    this->describeGroup(view);
+    if (watcher.isOfChanges)
+        reply.body = Messages::FleetChanges { std::move(view), false };
+    else
+        reply.body = std::move(view);
+    return reply;
+}
+
+void StateCore::describeGroup(Messages::FleetView& view) const
+{
     for (const Messages::ReplicaInfo& replica : this->consensus.log().group().voters)
         view.replicas.push_back(replica.address);
-    view.contactAgeMilliseconds = static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(this->now - this->consensus.lastContactTime()).count(), 0,
-        UINT32_MAX));
-    return view;
+    // A replica that has heard no leader since its start may lack what was committed before.
+    view.contactAgeMilliseconds = !this->consensus.hasHadLeader()
+        ? UINT32_MAX
+        : static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(this->now - this->consensus.lastContactTime())
+                .count(),
+            0, UINT32_MAX));
 }
 
 void StateCore::answerWatchers()
@@ -311,10 +331,7 @@
     std::erase_if(this->watchers, [&](const Watcher& watcher) {
         if (!(hasNews && version > watcher.knownVersion) && this->now < watcher.due)
             return false;
-        StateReply reply;
-        reply.requestId = watcher.requestId;
-        reply.body = this->viewFor(watcher);
-        this->output.replies.push_back({ watcher.connection, std::move(reply) });
+        this->output.replies.push_back({ watcher.connection, this->viewFor(watcher) });
         return true;
     });
 }
--- a/celeryswitch/State/StateCore.h
+++ b/celeryswitch/State/StateCore.h
@@ -88,6 +88,8 @@
         std::uint64_t knownVersion = 0;
         std::uint64_t knownRoutingVersion = 0;
         Core::SteadyTime due;
+        /// Whether the watcher gets what changed instead of the whole view.
+        bool isOfChanges = false;
     };
     /// A proposal in the log.
     struct Proposed {
@@ -103,7 +105,9 @@
     void handle(Messages::ReplicaAnnouncement& input);
     template <typename Event> void handle(Event& event) { this->stepReplica(std::move(event)); }
 
-    void request(std::uint64_t token, const Messages::WatchView& body);
+    void request(std::uint64_t token, const Messages::WatchView& body) { this->addWatcher(token, body, false); }
+    void request(std::uint64_t token, const Messages::WatchChanges& body) { this->addWatcher(token, body.watch, true); }
+    void addWatcher(std::uint64_t token, const Messages::WatchView& watch, bool isOfChanges);
     void request(std::uint64_t token, const Messages::AcquirePartitions& body);
     void request(std::uint64_t token, const Messages::ReplaceReplica& body);
     void request(std::uint64_t token, const Messages::QueryReplicaStatus& body);
@@ -135,7 +139,9 @@
     void takeSnapshotIfDue();
     // Ends or begins what only a leader does.
     void followRole();
-    Messages::FleetView viewFor(const Watcher& watcher) const;
+    Messages::StateReply viewFor(const Watcher& watcher) const;
+    // Adds to a view what does not come from the applied state.
+    void describeGroup(Messages::FleetView& view) const;
     void answerWatchers();
     void answer(std::uint64_t token, Messages::StateReply reply);
     void refuse(std::uint64_t token, Messages::StateRefusal refusal, std::string detail = {});
--- a/celeryswitch/State/StateMachine.cpp
+++ b/celeryswitch/State/StateMachine.cpp
@@ -79,6 +79,7 @@
         }
     }
     *this = std::move(restored);
+    this->memberChangesSince = this->changedIndex;
     return Core::success();
 }
 
@@ -92,10 +93,33 @@
     return view;
 }
 
+Messages::FleetChanges StateMachine::changes(std::uint64_t knownVersion, std::uint64_t knownRoutingVersion) const
+{
+    Messages::FleetChanges changes;
+    changes.view.viewVersion = this->changedIndex;
+    changes.view.configurationVersion = this->document.version;
+    changes.isWhole = knownVersion == 0 || knownVersion < this->memberChangesSince;
+    for (Messages::Member& member : this->memberTable.all()) {
+        const auto change = this->memberChanges.find(member.identity.instanceId);
+        if (changes.isWhole || (change != this->memberChanges.end() && change->second > knownVersion))
+            changes.view.members.push_back(std::move(member));
+    }
+    changes.view.routingVersion = this->routingDocument.version;
+    if (this->routingDocument.version != knownRoutingVersion)
+        changes.view.routing = Network::encodeMessage(this->routingDocument);
+    return changes;
+}
+
+void StateMachine::recordMemberChange(const Core::InstanceId& instanceId)
+{
+    this->changedIndex = this->currentIndex;
+    this->memberChanges[instanceId] = this->currentIndex;
+}
+
 StateReply StateMachine::applyBody(const Messages::RegisterMember& command)
 {
     if (this->memberTable.registerMember(this->time, command.member))
-        this->changedIndex = this->currentIndex;
+        this->recordMemberChange(command.member.identity.instanceId);
     return answer(Messages::Done {});
 }
 
@@ -103,7 +127,7 @@
 {
     if (!this->memberTable.removeMember(this->time, command))
         return refuse(StateRefusal::UnknownMember, command.instanceId);
-    this->changedIndex = this->currentIndex;
+    this->recordMemberChange(command.instanceId);
     return answer(Messages::Done {});
 }
 
--- a/celeryswitch/State/StateMachine.h
+++ b/celeryswitch/State/StateMachine.h
@@ -34,6 +34,9 @@
 
     /// What every process needs to know of the fleet; the routing document only if the asker has another version.
     Messages::FleetView view(std::uint64_t knownRoutingVersion = 0) const;
+    /// The same with the members that changed after `knownVersion` only, if this replica knows them, and without the
+    /// configuration and the partitions.
+    Messages::FleetChanges changes(std::uint64_t knownVersion, std::uint64_t knownRoutingVersion) const;
     /// Index of the last entry that changed the view.
     std::uint64_t viewVersion() const { return this->changedIndex; }
     /// The fleet's configuration.
@@ -68,6 +71,7 @@
             this->memberTable, this->partitionTable, this->reportTable, this->routingDocument, this->routingText);
     }
     friend struct StateMachineImage;
+    void recordMemberChange(const Core::InstanceId& instanceId);
 
     StateMachineSettings settings;
     std::uint64_t changedIndex = 0;
@@ -81,6 +85,9 @@
     Configuration::AuditTrail auditTrail;
     ChangeMemory changeMemory;
     Membership::MemberTable memberTable;
+    /// Index of the last entry that changed each member, for entries after `memberChangesSince`. Not part of snapshots.
+    std::map<Core::InstanceId, std::uint64_t> memberChanges;
+    std::uint64_t memberChangesSince = 0;
     Membership::PartitionTable partitionTable;
     ReportTable reportTable;
     Configuration::RoutingDocument routingDocument;
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/State/StateProcess.h"
 
+#include "celeryswitch/Core/EventLoop.h"
 #include "celeryswitch/State/ControlGateway.h"
 #include "celeryswitch/State/GroupFormation.h"
 #include "celeryswitch/State/PeerLinks.h"
