--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/State/StateProcess.h"
 
+#include "celeryswitch/Core/EventLoop.h"
 #include "celeryswitch/State/ControlGateway.h"
 #include "celeryswitch/State/GroupFormation.h"
 #include "celeryswitch/State/PeerLinks.h"
@@ -74,7 +75,12 @@
                 Messages::ReplicaInfo { this->folder.replicaId(), this->boundAddress }, this->settings.initialReplicas);
             BOOST_OUTCOME_TRY(this->follow(this->formation->start()));
         }
-        this->peerThread = std::thread([this] { this->context.run(); });
+        this->peerThread = std::thread([this] {
+            Core::runEventLoop(this->context, [this](const std::string& detail) {
+                if (this->log)
+                    this->log("unexpected error: " + detail);
+            });
+        });
         this->decisionThread = std::thread([this] { this->decide(); });
         return Core::success();
     }
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/Workers/WorkerSidecar.h"
 
+#include "celeryswitch/Core/EventLoop.h"
 #include "celeryswitch/Network/MessageCodec.h"
 
 namespace celeryswitch::Workers {
@@ -152,9 +153,11 @@
     if (std::exchange(this->isStepping, true))
         return;
     const Core::SteadyTime now = this->clock.steadyNow();
-    for (SupervisorAction& action : this->supervisor.poll(now))
-        this->perform(action);
-    this->isStepping = false;
+    {
+        const Core::ScopeExit endOfStep([this] { this->isStepping = false; });
+        for (SupervisorAction& action : this->supervisor.poll(now))
+            this->perform(action);
+    }
     this->registerWorker();
     this->finishDraining();
     const Core::Duration delay = std::clamp<Core::Duration>(
@@ -185,6 +188,10 @@
         const auto found = this->connections.find(send->connection);
         if (found != this->connections.end())
             found->second.connection->send(Network::encodeMessage(Messages::WorkMessage(std::move(send->update))));
+    } else if (const auto* offer = std::get_if<SendOffer>(&action)) {
+        const auto found = this->connections.find(offer->connection);
+        if (found != this->connections.end())
+            found->second.connection->send(Network::encodeMessage(Messages::WorkMessage(offer->offer)));
     } else if (const auto* drop = std::get_if<DisconnectEntry>(&action)) {
         const auto found = this->connections.find(drop->connection);
         if (found != this->connections.end()) {
