--- a/celeryswitch/State/FleetWatcher.cpp
+++ b/celeryswitch/State/FleetWatcher.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::uint32_t watchMilliseconds = 500;
+// The same before the first view: a replica that has just started has no news until it finds a leader.
+constexpr std::uint32_t firstWatchMilliseconds = 60;
 constexpr Core::Duration watchTimeout = std::chrono::seconds(4);
 constexpr Core::Duration requestTimeout = std::chrono::seconds(4);
 constexpr Core::Duration failurePause = std::chrono::milliseconds(100);
@@ -93,8 +95,9 @@
 
 void FleetWatcher::watch()
 {
-    this->watchClient.request(Messages::WatchChanges { Messages::WatchView {
-                                  this->viewVersion, watchMilliseconds, this->knownRoutingVersion } },
+    const std::uint32_t wait = this->viewVersion == 0 ? firstWatchMilliseconds : watchMilliseconds;
+    this->watchClient.request(
+        Messages::WatchChanges { Messages::WatchView { this->viewVersion, wait, this->knownRoutingVersion } },
         watchTimeout,
         [this, guard = std::weak_ptr<bool>(this->alive)](const Core::Result<Messages::StateReply>& reply) {
             if (guard.expired())
