Repeat a split vote soon

Cause: right after a loss of power two state replicas stood for election 1 ms apart and split the votes; the next election came only after a whole election timeout.

Change: a candidate waits 50 to 250 ms for its first election, doubled with each further one up to the usual timeout, so that votes that take long (slow disks) still arrive.

--- a/UnitTests/Consensus/ReplicaTest.cpp
+++ b/UnitTests/Consensus/ReplicaTest.cpp
@@ -10,14 +10,14 @@
 
 /// Three replicas with instant message delivery and instant storage syncs.
 struct ThreeReplicaCluster {
-    explicit ThreeReplicaCluster(ReplicaSettings common = {})
+    explicit ThreeReplicaCluster(ReplicaSettings common = {}, std::uint64_t seed = 0)
     {
         for (const char* id : { "a", "b", "c" })
             this->group.voters.push_back({ id, std::string(id) + "-address" });
         for (const Messages::ReplicaInfo& info : this->group.voters) {
             common.id = info.id;
             common.address = info.address;
-            common.seed = static_cast<std::uint64_t>(info.id[0]);
+            common.seed = seed * 256 + static_cast<std::uint64_t>(info.id[0]);
             this->replicas.emplace(info.id, Replica(common, { 0, "", nullptr, this->group, {} }, this->now));
         }
     }
@@ -28,13 +28,19 @@
         if (!actions.storage.empty() && id != this->unsynced)
             this->step(id, StorageSynced { actions.storageSequence });
         for (const OutgoingMessage& outgoing : actions.messages) {
-            if (id != this->isolated && outgoing.to.id != this->isolated)
+            if (id == this->isolated || outgoing.to.id == this->isolated)
+                continue;
+            if (this->areMessagesDelayed)
+                this->inTransit.emplace_back(outgoing.to.id, outgoing.message);
+            else
                 this->step(outgoing.to.id, MessageReceived { outgoing.message });
         }
     }
     void run(Core::Duration span)
     {
         for (const Core::SteadyTime end = this->now + span; this->now < end; this->now += 10ms) {
+            for (auto& [id, message] : std::exchange(this->inTransit, {}))
+                this->step(id, MessageReceived { std::move(message) });
             for (auto& [id, replica] : this->replicas)
                 this->step(id, Tick {});
         }
@@ -52,6 +58,9 @@
     std::map<ReplicaId, Replica> replicas;
     ReplicaId isolated;
     ReplicaId unsynced;
+    // Whether messages arrive with the next tick instead of at once.
+    bool areMessagesDelayed = false;
+    std::vector<std::pair<ReplicaId, Messages::ConsensusMessage>> inTransit;
     std::size_t confirmed = 0;
     Core::SteadyTime now { 1000s };
 };
@@ -185,3 +194,25 @@
     cluster.run(3s);
     REQUIRE(cluster.replicas.at("c").hasHadLeader());
 }
+
+// Guards against a group that stays without a leader for an election timeout after a loss of power, because two of its
+// replicas stood for election at the same moment and split the votes.
+TEST_CASE("a split vote right after a start is repeated soon", "[Consensus]")
+{
+    Core::Duration longest {};
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        ReplicaSettings settings;
+        settings.firstElectionTimeoutMinimum = 100ms;
+        settings.firstElectionTimeoutMaximum = 100ms;
+        ThreeReplicaCluster cluster(settings, seed);
+        // Two of three must agree, and both stand at once: neither sees the other's request before its own.
+        cluster.isolated = "c";
+        cluster.areMessagesDelayed = true;
+        const Core::SteadyTime start = cluster.now;
+        while (cluster.leader().empty() && cluster.now < start + 5s)
+            cluster.run(10ms);
+        longest = std::max<Core::Duration>(longest, cluster.now - start);
+    }
+    INFO("longest " << std::chrono::duration<double>(longest).count() << " s");
+    CHECK(longest < 1s);
+}
--- a/celeryswitch/Consensus/Replica.h
+++ b/celeryswitch/Consensus/Replica.h
@@ -120,6 +120,8 @@
     Core::SteadyTime electionDeadline;
     Core::SteadyTime nextHeartbeat;
     Core::SteadyTime leaderContactTime;
+    /// Elections that this replica has begun since it last followed or was a leader.
+    std::uint32_t electionsInARow = 0;
     /// Whether the log has reached what a leader had committed, at least once since the start.
     bool hasCaughtUp = false;
     /// Replicas that granted the current vote or pre-vote.
--- a/celeryswitch/Consensus/ReplicaElection.cpp
+++ b/celeryswitch/Consensus/ReplicaElection.cpp
@@ -1,6 +1,8 @@
 // Elections in Replica, as candidate and as voter.
 #include "celeryswitch/Consensus/Replica.h"
 
+#include <algorithm>
+
 namespace celeryswitch::Consensus {
 
 using Messages::VoteReply;
@@ -25,6 +27,10 @@
     ++this->currentTerm;
     this->votedFor = this->settings.id;
     this->messagesAwaitingSync.clear();
+    const std::uint32_t factor = 1U << std::min<std::uint32_t>(this->electionsInARow++, 4);
+    this->restartElectionTimer(
+        std::min(this->settings.candidateTimeoutMinimum * factor, this->settings.electionTimeoutMinimum),
+        std::min(this->settings.candidateTimeoutMaximum * factor, this->settings.electionTimeoutMaximum));
     this->write(SaveTerm { this->currentTerm, this->votedFor });
     const VoteRequest request { this->settings.id, this->currentTerm, this->replicaLog.lastIndex(),
         this->replicaLog.lastTerm(), false };
--- a/celeryswitch/Consensus/ReplicaFollower.cpp
+++ b/celeryswitch/Consensus/ReplicaFollower.cpp
@@ -15,6 +15,7 @@
     this->fire(RoleEvent::LeaderSeen);
     this->currentLeaderAddress = address;
     this->leaderContactTime = this->now;
+    this->electionsInARow = 0;
 }
 
 void Replica::receive(AppendRequest& request)
--- a/celeryswitch/Consensus/ReplicaLeader.cpp
+++ b/celeryswitch/Consensus/ReplicaLeader.cpp
@@ -14,6 +14,7 @@
 
 void Replica::beginLeadership()
 {
+    this->electionsInARow = 0;
     this->currentLeaderAddress = this->settings.address;
     this->leaderState.emplace(this->settings.id, this->replicaLog.lastIndex() + 1);
     this->leaderState->updateGroup(this->now, this->replicaLog.group(), this->replicaLog.lastIndex() + 1);
--- a/celeryswitch/Consensus/ReplicaTypes.h
+++ b/celeryswitch/Consensus/ReplicaTypes.h
@@ -21,6 +21,11 @@
     /// have failed; the pre-vote keeps a single restarted replica from disrupting an existing leader.
     Core::Duration firstElectionTimeoutMinimum = std::chrono::milliseconds(30);
     Core::Duration firstElectionTimeoutMaximum = std::chrono::milliseconds(200);
+    /// Bounds of a candidate's election timeout after its first election. A split vote is repeated soon, as no leader
+    /// can be disturbed; the bounds double with each further election, up to those above, so that votes that take long,
+    /// as with slow disks, still arrive in time.
+    Core::Duration candidateTimeoutMinimum = std::chrono::milliseconds(50);
+    Core::Duration candidateTimeoutMaximum = std::chrono::milliseconds(250);
     /// Maximum bytes of log entries or of a snapshot in one message.
     std::size_t messageBytes = 512 * 1024;
     /// Maximum entries sent to a replica beyond the last it has acknowledged.
