Keep reservations within a step's limit, and off workers on probation

Change: tasks of the step at a worker and units reserved there count; a worker on probation drops reservations; offers are declined unless the worker is usable.

--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -605,3 +605,42 @@
     }
     REQUIRE(delays.size() >= 6);
 }
+
+// Guards against more tasks of a step on one worker than allowed, when some wait for room that others have found
+// already.
+TEST_CASE("tasks per worker hold for tasks that are placed one after the other", "[Scheduling]")
+{
+    SchedulerFixture fixture(4);
+    fixture.fillWorkers(4, 600'000);
+    fixture.update("side-1", { 3000, 65'536, 0 });
+    SubmitJob submission = fixture.makeJob(100, 2);
+    submission.job.steps[0].tasksPerWorker = 1;
+    fixture.submit(1, submission);
+    REQUIRE(fixture.orderOf(100, 0).first == "side-1");
+    REQUIRE(!fixture.reserves.empty());
+    for (const auto& [sidecar, reserve] : fixture.reserves)
+        REQUIRE(sidecar != "side-1");
+    // Room on the worker that has a task of the step already.
+    fixture.update("side-1", { 32'000, 65'536, 0 });
+    REQUIRE(fixture.starts.size() == 1);
+    fixture.offer(fixture.reserves[0]);
+    REQUIRE(fixture.reservedTasks(100) == 1);
+}
+
+// Guards against new work on a sidecar that is no longer linked, and against state for one that was removed.
+TEST_CASE("offers of sidecars that are no longer linked are declined", "[Scheduling]")
+{
+    SchedulerFixture fixture(3);
+    fixture.fillWorkers(3, 300'000);
+    fixture.submit(1, fixture.makeJob(100));
+    const auto reserve = fixture.reserves[0];
+    std::set<Core::InstanceId> linked { "side-1", "side-2", "side-3" };
+    linked.erase(reserve.first);
+    fixture.scheduler.setLinkedSidecars(fixture.now(), linked);
+    fixture.offer(reserve);
+    REQUIRE(fixture.reservedStarts.empty());
+    REQUIRE(fixture.isReleased(reserve));
+    fixture.scheduler.removeSidecar(reserve.first);
+    fixture.offer(reserve);
+    REQUIRE(fixture.scheduler.workers().count(reserve.first) == 0);
+}
--- a/UnitTests/Workers/RoomReservationsTest.cpp
+++ b/UnitTests/Workers/RoomReservationsTest.cpp
@@ -137,3 +137,18 @@
     fixture.advance(2ms);
     REQUIRE(fixture.offers.empty());
 }
+
+// Guards against a worker that stays on probation because a reservation, which is no probe, is first in its queue.
+TEST_CASE("a reservation holds up no probe of a worker on probation", "[Workers]")
+{
+    TwoEntries fixture;
+    fixture.plan.isFailing = true;
+    fixture.startTasks(1, 1, 4);
+    fixture.advance(210ms);
+    REQUIRE(fixture.load.isOnProbation);
+    fixture.reserve(2, 7, 1, 3000, 50, 5s);
+    fixture.startTasks(1, 2, 1, 3000, 1, 2s);
+    fixture.advance(400ms);
+    REQUIRE(fixture.offers.empty());
+    REQUIRE(!fixture.historyOf(2).empty());
+}
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -140,6 +140,8 @@
         std::uint64_t number = 0;
         Core::InstanceId sidecar;
         std::uint32_t step = 0;
+        /// Tasks that were not started in it yet.
+        std::uint32_t units = 0;
         /// Time at which the sidecar drops it.
         Core::SteadyTime until;
         float rank = 0;
@@ -195,6 +197,7 @@
     Core::SteadyTime goalTime(const Job& job, double chainSeconds, double factor) const;
     void placeWaitingJobs(Core::SteadyTime now);
     bool placeStep(Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex);
+    std::map<Core::InstanceId, std::uint32_t> tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const;
     PlacementRequest placementRequest(Core::SteadyTime now, const Job& job, std::uint32_t stepIndex);
     void orderRuns(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
         const PlacementRequest& request);
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -53,6 +53,20 @@
     }
 }
 
+std::map<Core::InstanceId, std::uint32_t> JobScheduler::tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const
+{
+    std::map<Core::InstanceId, std::uint32_t> tasks;
+    for (const Task& task : job.steps[stepIndex].tasks) {
+        if (task.phase != TaskPhase::Waiting)
+            ++tasks[task.sidecar];
+    }
+    for (const Reservation& reservation : job.reservations) {
+        if (reservation.step == stepIndex)
+            tasks[reservation.sidecar] += reservation.units;
+    }
+    return tasks;
+}
+
 PlacementRequest JobScheduler::placementRequest(SteadyTime now, const Job& job, std::uint32_t stepIndex)
 {
     const Step& step = job.steps[stepIndex];
@@ -64,6 +78,8 @@
     request.requiredLabel = specification.requiredLabel;
     request.dataRack = specification.dataRack;
     request.tasksPerWorker = specification.tasksPerWorker;
+    if (specification.tasksPerWorker > 0)
+        request.tasksAtSidecar = this->tasksAtSidecar(job, stepIndex);
     request.dataCentre = this->settings.dataCentre;
     request.time = this->modelOf(now, job.queue).stepTime(specification.declaredMilliseconds / 1000.0);
     // The remaining tasks carry the value of the whole job.
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -27,7 +27,7 @@
     expectedUse.memoryMegabytes /= reserve.alternatives;
     worker.uncountedOrders.push_back({ reserve.sequence, expectedUse, now });
     this->lastSentAt[placement.sidecar] = now;
-    job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex,
+    job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex, placement.count,
         addSeconds(now, request.maximumWaitSeconds), request.rank });
     this->reservationJobs[reserve.reservation] = job.specification.id;
     job.trace.add(now, "room reserved",
@@ -51,17 +51,22 @@
 
 void JobScheduler::answerOffer(SteadyTime now, const Core::InstanceId& sidecar, std::uint64_t number)
 {
-    WorkerView& worker = this->workerTable[sidecar];
+    const auto known = this->workerTable.find(sidecar);
+    if (known == this->workerTable.end())
+        return;
+    WorkerView& worker = known->second;
     const auto owner = this->reservationJobs.find(number);
     Job* job = owner != this->reservationJobs.end() ? &this->jobs.at(owner->second) : nullptr;
     const auto reservation = job ? std::find_if(job->reservations.begin(), job->reservations.end(),
                                  [&](const Reservation& each) { return each.number == number; })
                                  : std::vector<Reservation>::iterator {};
-    if (!job || now >= reservation->until || job->steps[reservation->step].waiting == 0) {
+    if (!job || reservation->units == 0 || now >= reservation->until || !worker.isUsable()
+        || job->steps[reservation->step].waiting == 0) {
         this->actions.push_back(SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockSample, { number } } });
         return;
     }
     const std::uint32_t stepIndex = reservation->step;
+    --reservation->units;
     Messages::StartReserved reserved { number, this->startOrder(now, *job, stepIndex, worker, 1) };
     reserved.start.rank = reservation->rank;
     this->recordOrder(now, *job, worker, reserved.start, 0);
--- a/celeryswitch/Scheduling/WorkerTable.cpp
+++ b/celeryswitch/Scheduling/WorkerTable.cpp
@@ -108,8 +108,10 @@
     candidate.worker = &worker;
     candidate.room = worker.roomFor(request.rank);
     candidate.maximumTasks = request.tasksPerWorker > 0 ? request.tasksPerWorker : UINT32_MAX;
+    if (const auto there = request.tasksAtSidecar.find(worker.sidecar); there != request.tasksAtSidecar.end())
+        candidate.maximumTasks -= std::min(candidate.maximumTasks, there->second);
     if (worker.load.isOnProbation)
-        candidate.maximumTasks = 1;
+        candidate.maximumTasks = std::min(candidate.maximumTasks, 1U);
     candidate.speed = std::max(0.01, worker.speed() / referenceSpeed);
     const bool isAvoidedSidecar
         = std::find(request.avoidedSidecars.begin(), request.avoidedSidecars.end(), worker.sidecar)
--- a/celeryswitch/Scheduling/WorkerTable.h
+++ b/celeryswitch/Scheduling/WorkerTable.h
@@ -75,6 +75,8 @@
     std::string dataRack;
     /// 0 means no limit.
     std::uint32_t tasksPerWorker = 0;
+    /// With a limit: tasks of the step that are at a sidecar's worker or have room reserved there.
+    std::map<Core::InstanceId, std::uint32_t> tasksAtSidecar;
     /// Data centre of the entry.
     std::string dataCentre;
     /// Sidecars whose workers are only used when no other worker can be.
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -118,12 +118,13 @@
 {
     const RoomReservation& reservation = this->reservations.first();
     const auto entry = this->entries.find(reservation.entry);
-    if (entry == this->entries.end() || entry->second.connection == 0 || now >= entry->second.aliveUntil) {
+    // A worker on probation gets single runs as probes, which a reservation must not hold up.
+    if (entry == this->entries.end() || entry->second.connection == 0 || now >= entry->second.aliveUntil
+        || this->health.isOnProbation()) {
         this->reservations.dropFirst();
         return true;
     }
-    if (!this->isReady() || this->health.isOnProbation() || !reservation.need.fits(this->freeRoom())
-        || !this->isLeaseAvailable(now, reservation.entry))
+    if (!this->isReady() || !reservation.need.fits(this->freeRoom()) || !this->isLeaseAvailable(now, reservation.entry))
         return false;
     const RoomReservation offered = this->reservations.offerFirst(now + this->settings.offerPeriod);
     this->actions.push_back(SendOffer { entry->second.connection, { offered.number } });
