--- /dev/null
+++ b/UnitTests/Scheduling/SchedulerFixture.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "celeryswitch/Scheduling/JobScheduler.h"
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace celeryswitch::Scheduling {
+
+using Messages::RunEnd;
+using Messages::RunRefusal;
+using Messages::RunState;
+
+/// A scheduler whose sidecars and callers are played by the test.
+class SchedulerFixture {
+public:
+    explicit SchedulerFixture(std::size_t workers = 2)
+        : log(logSettings(), this->clock)
+        , scheduler(settings(), this->log, this->registry)
+    {
+        this->queue.name = "checkout";
+        this->queue.service = "loans";
+        this->queue.timeoutMilliseconds = 1500;
+        this->queue.targetMilliseconds = 60;
+        this->queue.stretch = 1.6;
+        this->queue.maximumAttempts = 2;
+        std::set<Core::InstanceId> linked;
+        for (std::size_t index = 1; index <= workers; ++index)
+            linked.insert("side-" + std::to_string(index));
+        this->scheduler.setLinkedSidecars(this->now(), linked);
+        for (std::size_t index = 1; index <= workers; ++index)
+            this->connect("side-" + std::to_string(index));
+        this->clock.advance(std::chrono::seconds(5));
+        for (std::size_t index = 1; index <= workers; ++index)
+            this->update("side-" + std::to_string(index), { 32'000, 65'536, 0 });
+    }
+
+    Core::SteadyTime now() const { return this->clock.steadyNow(); }
+    void connect(const std::string& sidecar, Messages::Room free = { 32'000, 65'536, 0 })
+    {
+        Messages::Member member;
+        member.identity.instanceId = sidecar;
+        member.identity.dataCentre = "a";
+        this->scheduler.sidecarConnected(this->now(), member);
+        this->update(sidecar, free);
+    }
+    // Delivers a sidecar's update with this free room of its worker.
+    void update(const std::string& sidecar, Messages::Room free, std::vector<Messages::RunReport> reports = {})
+    {
+        Messages::WorkerUpdate update;
+        update.incarnation = 1;
+        update.clockSample = 1;
+        update.handledSequence = 1'000'000;
+        update.profile = { { "w-" + sidecar, 1, "loans", { 32'000, 65'536, 0 }, { "a", "rack-" + sidecar } } };
+        update.load = this->load;
+        update.load.free = free;
+        update.load.isReady = true;
+        update.reports = std::move(reports);
+        this->scheduler.updateReceived(this->now(), sidecar, std::move(update));
+        this->pollScheduler();
+    }
+    void report(const std::string& sidecar, std::uint64_t job, std::uint32_t index, RunEnd end,
+        RunRefusal refusal = RunRefusal::None, std::uint32_t run = 0)
+    {
+        this->update(sidecar, { 32'000, 65'536, 0 },
+            { { { job, 0, 0, index }, run ? run : this->runOf(job, index), RunState::Ended, end, refusal, 60'000,
+                0 } });
+    }
+    SubmitJob makeJob(std::uint64_t id, std::uint32_t tasks = 1, std::int64_t milliCores = 3000) const
+    {
+        SubmitJob submission;
+        submission.job.id = id;
+        submission.job.content = "content";
+        submission.job.isBestEffort = true;
+        submission.callerTimeout = std::chrono::seconds(2);
+        submission.job.steps.resize(1);
+        submission.job.steps[0].count = tasks;
+        submission.job.steps[0].need = { milliCores, 64, 0 };
+        submission.job.steps[0].declaredMilliseconds = 60;
+        return submission;
+    }
+    // Offers the room of a reservation.
+    void offer(const std::pair<std::string, Messages::ReserveRoom>& reserve)
+    {
+        this->scheduler.roomOffered(reserve.first, { reserve.second.reservation });
+        this->pollScheduler();
+    }
+    // Number of tasks of a job that were ordered in reserved room.
+    std::size_t reservedTasks(std::uint64_t job) const
+    {
+        std::size_t tasks = 0;
+        for (const auto& [sidecar, reserved] : this->reservedStarts)
+            tasks += reserved.start.job == job ? reserved.start.tasks.size() : 0;
+        return tasks;
+    }
+    // Whether a reservation was released at its sidecar.
+    bool isReleased(const std::pair<std::string, Messages::ReserveRoom>& reserve) const
+    {
+        return std::any_of(this->releases.begin(), this->releases.end(), [&](const auto& release) {
+            const auto& numbers = release.second.reservations;
+            return release.first == reserve.first
+                && std::find(numbers.begin(), numbers.end(), reserve.second.reservation) != numbers.end();
+        });
+    }
+    // All workers are full and release room at this rate each.
+    void fillWorkers(std::size_t workers, std::int64_t freedMilliCoresPerSecond)
+    {
+        this->load.freedMilliCoresPerSecond = freedMilliCoresPerSecond;
+        for (std::size_t index = 1; index <= workers; ++index)
+            this->update("side-" + std::to_string(index), { 0, 65'536, 0 });
+    }
+    void submit(RequestNumber request, SubmitJob submission)
+    {
+        this->scheduler.submit(this->now(), this->now(), request, this->queue, std::move(submission));
+        this->pollScheduler();
+    }
+    void advance(Core::Duration span)
+    {
+        this->clock.advance(span);
+        this->pollScheduler();
+    }
+    void pollScheduler()
+    {
+        for (SchedulerAction& action : this->scheduler.poll(this->now())) {
+            if (auto* send = std::get_if<SendToSidecar>(&action)) {
+                if (auto* start = std::get_if<Messages::StartRuns>(&send->message))
+                    this->starts.emplace_back(send->sidecar, *start);
+                else if (auto* reserved = std::get_if<Messages::StartReserved>(&send->message))
+                    this->reservedStarts.emplace_back(send->sidecar, *reserved);
+                else if (auto* reserve = std::get_if<Messages::ReserveRoom>(&send->message))
+                    this->reserves.emplace_back(send->sidecar, *reserve);
+                else if (auto* release = std::get_if<Messages::ReleaseRoom>(&send->message))
+                    this->releases.emplace_back(send->sidecar, *release);
+                else if (auto* stop = std::get_if<Messages::StopRuns>(&send->message))
+                    this->stops.emplace_back(send->sidecar, *stop);
+                else if (auto* claim = std::get_if<Messages::ClaimRuns>(&send->message))
+                    this->claims.emplace_back(send->sidecar, *claim);
+            } else {
+                const auto& answer = std::get<AnswerRequest>(action);
+                REQUIRE(this->answers.count(answer.request) == 0);
+                this->answers[answer.request] = answer.answer;
+            }
+        }
+    }
+    // Sidecar and run number of the latest start order for a task.
+    std::pair<std::string, std::uint32_t> orderOf(std::uint64_t job, std::uint32_t index) const
+    {
+        for (auto order = this->starts.rbegin(); order != this->starts.rend(); ++order) {
+            for (const auto& [taskIndex, run] : order->second.tasks) {
+                if (order->second.job == job && taskIndex == index)
+                    return { order->first, run };
+            }
+        }
+        return { "", 0 };
+    }
+    std::uint32_t runOf(std::uint64_t job, std::uint32_t index) const { return this->orderOf(job, index).second; }
+
+    Core::ManualClock clock;
+    Logging::StructuredLog log;
+    Metrics::MetricRegistry registry;
+    JobScheduler scheduler;
+    Configuration::Queue queue;
+    Messages::WorkerLoad load;
+    std::vector<std::pair<std::string, Messages::StartRuns>> starts;
+    std::vector<std::pair<std::string, Messages::StartReserved>> reservedStarts;
+    std::vector<std::pair<std::string, Messages::ReserveRoom>> reserves;
+    std::vector<std::pair<std::string, Messages::ReleaseRoom>> releases;
+    std::vector<std::pair<std::string, Messages::StopRuns>> stops;
+    std::vector<std::pair<std::string, Messages::ClaimRuns>> claims;
+    std::map<RequestNumber, CallerAnswer> answers;
+
+private:
+    static Logging::LogSettings logSettings()
+    {
+        Logging::LogSettings settings;
+        settings.output = [](const std::string&) {};
+        return settings;
+    }
+    static SchedulerSettings settings()
+    {
+        SchedulerSettings settings;
+        settings.dataCentre = "a";
+        return settings;
+    }
+};
+
+}
