Drop the start window of predicted waits, which nothing uses any more

Cause, found when the whole change was read again: since tasks that have to wait reserve room, orders are given for free room only, so that their predicted wait is always 0 and the window of twice the wait came out as its minimum of 30 ms each time.

Change: the window is that constant; the factor and the second condition that led there are gone.

Measured: 1046 assertions in 44 cases of Scheduling pass, floods and faults of the model fleet among them; lint and layers clean.

--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -16,9 +16,8 @@
 constexpr double orderRoundTripSeconds = 0.005;
 // Maximum share of the remaining time up to which a predicted wait for room is trusted.
 constexpr double maximumWaitConfidence = 0.7;
-// Time that a run may wait at its sidecar: a multiple of the predicted wait, plus a minimum.
-constexpr double waitToleranceFactor = 2;
-constexpr double minimumStartWindowSeconds = 0.03;
+// Time that a run whose room was free may wait at its sidecar.
+constexpr double startWindowSeconds = 0.03;
 // Factor for the rank of jobs of which a run has started: their partial work would be lost.
 constexpr float startedJobWeight = 8;
 
@@ -133,7 +132,7 @@
     request.reservationsPerTask = this->hasReservations(job, stepIndex) ? 0 : this->settings.reservationsPerTask;
     const std::vector<Placement> placements = choosePlacements(this->workerTable, referenceSpeed, request);
     for (const Placement& placement : placements) {
-        if (placement.waitSeconds > 0 && this->settings.reservationsPerTask > 0)
+        if (placement.waitSeconds > 0)
             this->reserveRoom(now, job, stepIndex, placement, request);
         else
             this->orderRuns(now, job, stepIndex, placement, request);
@@ -157,7 +156,8 @@
     start.need = specification.need;
     start.expectedMilliseconds = static_cast<std::uint32_t>(
         this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000);
-    start.startWithinMicroseconds = static_cast<std::int64_t>(minimumStartWindowSeconds * 1e6);
+    // An order whose room was taken meanwhile is returned by the sidecar and placed again.
+    start.startWithinMicroseconds = static_cast<std::int64_t>(startWindowSeconds * 1e6);
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.expiresAt) * 1e6));
     for (std::uint32_t index = 0; index < step.tasks.size() && start.tasks.size() < count; ++index) {
@@ -197,13 +197,9 @@
     WorkerView& worker = this->workerTable.at(placement.sidecar);
     Messages::StartRuns start = this->startOrder(now, job, stepIndex, worker, placement.count);
     start.rank = request.rank;
-    // An order that waits much longer than predicted is returned by the sidecar and placed again.
-    const double startWithin
-        = std::min(request.maximumWaitSeconds, placement.waitSeconds * waitToleranceFactor + minimumStartWindowSeconds);
-    start.startWithinMicroseconds = static_cast<std::int64_t>(std::max(startWithin, minimumStartWindowSeconds) * 1e6);
     worker.uncountedOrders.push_back(
         { start.sequence, start.need * static_cast<std::int64_t>(start.tasks.size()), now });
-    this->recordOrder(now, job, worker, start, placement.waitSeconds);
+    this->recordOrder(now, job, worker, start, 0);
     this->actions.push_back(SendToSidecar { placement.sidecar, std::move(start) });
 }
 
