Let reports, stops and claims name the order that they are about

Cause: a report named a task and a run number, and run numbers begin at 1 whenever a job is admitted. A job whose caller left and came back 1.3 s later could be ordered at the same sidecar again as run 1 while the end of its first admission was still open (stops that go unanswered are concluded about 1.25 s after the caller left). The late end was then taken for that of the new order: the task was ordered elsewhere as run 2 while the sidecar started the order that it had. Callers saw nothing but a second run of their task. The same identity let a claim take over a run of an earlier order, or of another entry with the same run number, let a stop by task alone end a later order's run, and let a stop of one entry end the run of another one with an equal incarnation number. Class: an identity that is not unique over time.

Change: each start order has a number that is unique within its entry's incarnation. Reports, claims, stops and refusals that wait for another run's end carry it, and both sides match by it. Runs that a restarted sidecar finds on its worker have no order until an entry claims them. Refusals and claims of an entry's earlier incarnation are dropped. Records of runs name the order; a report of another order is logged as "report of another order ignored".

Tests that built reports, claims and stops by hand now name the order of the fixture's latest start; their expectations are as before.

--- a/UnitTests/Scheduling/JobSchedulerOverloadTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerOverloadTest.cpp
@@ -28,7 +28,7 @@
     fixture.offer(fixture.reserves[1]);
     REQUIRE(fixture.reservedStarts.size() == 1);
     fixture.update(first.first, { 0, 65'536, 0 },
-        { { { 100, 0, 0, 0 }, 1, RunState::Ended, RunEnd::Done, RunRefusal::None, 60'000, 0 } });
+        { { fixture.orderedTask(100, 0), 1, RunState::Ended, RunEnd::Done, RunRefusal::None, 60'000, 0 } });
     REQUIRE(fixture.answers.at(1).state == JobState::Completed);
 }
 
--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -57,8 +57,8 @@
     fixture.submit(1, fixture.makeJob(100, 2));
     fixture.load.isOnProbation = true;
     fixture.update("side-1", { 0, 0, 0 },
-        { { { 100, 0, 0, 0 }, 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::NoRoom, 0, 0 },
-            { { 100, 0, 0, 1 }, 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::NoRoom, 0, 0 } });
+        { { fixture.orderedTask(100, 0), 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::NoRoom, 0, 0 },
+            { fixture.orderedTask(100, 1), 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::NoRoom, 0, 0 } });
     fixture.advance(200ms);
     REQUIRE(fixture.answers.at(1).kind == AnswerKind::NotRun);
     REQUIRE(fixture.answers.at(1).retryAfter > 0s);
@@ -68,8 +68,8 @@
     fixture.submit(2, fixture.makeJob(200, 2));
     fixture.load.isOnProbation = true;
     fixture.update("side-1", { 0, 0, 0 },
-        { { { 200, 0, 0, 0 }, 1, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0, 0 },
-            { { 200, 0, 0, 1 }, 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::NoRoom, 0, 0 } });
+        { { fixture.orderedTask(200, 0), 1, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0, 0 },
+            { fixture.orderedTask(200, 1), 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::NoRoom, 0, 0 } });
     fixture.advance(5s);
     REQUIRE(fixture.answers.at(2).kind == AnswerKind::GivenUp);
 }
@@ -84,12 +84,12 @@
     fixture.advance(60ms);
     REQUIRE(fixture.answers.empty());
     fixture.update(first, { 0, 0, 0 },
-        { { { 100, 0, 0, 0 }, 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::Unanswered, 0, 0 } });
+        { { fixture.orderedTask(100, 0), 1, RunState::Ended, RunEnd::NotStarted, RunRefusal::Unanswered, 0, 0 } });
     REQUIRE(fixture.answers.empty());
     REQUIRE(fixture.orderOf(100, 0).first != first);
     // Without room the job is refused at once.
     fixture.update(fixture.orderOf(100, 0).first, { 0, 0, 0 },
-        { { { 100, 0, 0, 0 }, 2, RunState::Ended, RunEnd::NotStarted, RunRefusal::Unanswered, 0, 0 } });
+        { { fixture.orderedTask(100, 0), 2, RunState::Ended, RunEnd::NotStarted, RunRefusal::Unanswered, 0, 0 } });
     REQUIRE(fixture.answers.at(1).kind == AnswerKind::NotRun);
 }
 
@@ -164,11 +164,11 @@
     fixture.scheduler.callerDisconnected(fixture.now(), 1);
     fixture.pollScheduler();
     fixture.stops.clear();
-    fixture.update(
-        sidecar, { 32'000, 65'536, 0 }, { { { 100, 0, 0, 0 }, 1, RunState::Running, RunEnd::NotStarted, {}, 0, 10 } });
+    fixture.update(sidecar, { 32'000, 65'536, 0 },
+        { { fixture.orderedTask(100, 0), 1, RunState::Running, RunEnd::NotStarted, {}, 0, 10 } });
     REQUIRE(fixture.stops.size() == 1);
     REQUIRE(fixture.stops[0].first == sidecar);
-    REQUIRE(fixture.stops[0].second.tasks == std::vector<Messages::TaskId> { { 100, 0, 0, 0 } });
+    REQUIRE(fixture.stops[0].second.tasks == std::vector<Messages::OrderedTask> { fixture.orderedTask(100, 0) });
 }
 
 // Guards against a step that starts before the steps it depends on are done.
@@ -229,8 +229,8 @@
     fixture.submit(1, submission);
     const auto progress = [&](std::int64_t milliseconds, std::uint8_t percent) {
         fixture.update(fixture.orderOf(100, 0).first, { 32'000, 65'536, 0 },
-            { { { 100, 0, 0, 0 }, 1, RunState::Running, RunEnd::NotStarted, RunRefusal::None, milliseconds * 1000,
-                percent } });
+            { { fixture.orderedTask(100, 0), 1, RunState::Running, RunEnd::NotStarted, RunRefusal::None,
+                milliseconds * 1000, percent } });
     };
     fixture.advance(200ms);
     progress(200, 12);
@@ -251,7 +251,7 @@
     const std::string stalled = fixture.orderOf(100, 0).first;
     fixture.advance(250ms);
     fixture.update(stalled, { 32'000, 65'536, 0 },
-        { { { 100, 0, 0, 0 }, 1, RunState::Running, RunEnd::NotStarted, RunRefusal::None, 250'000, 0 } });
+        { { fixture.orderedTask(100, 0), 1, RunState::Running, RunEnd::NotStarted, RunRefusal::None, 250'000, 0 } });
     REQUIRE(fixture.stops.size() == 1);
     REQUIRE(fixture.starts.size() == 1);
     fixture.report(stalled, 100, 0, RunEnd::Stopped);
--- a/UnitTests/Scheduling/SchedulerFixture.h
+++ b/UnitTests/Scheduling/SchedulerFixture.h
@@ -62,8 +62,8 @@
         RunRefusal refusal = RunRefusal::None, std::uint32_t run = 0)
     {
         this->update(sidecar, { 32'000, 65'536, 0 },
-            { { { job, 0, 0, index }, run ? run : this->runOf(job, index), RunState::Ended, end, refusal, 60'000,
-                0 } });
+            { { this->orderedTask(job, index), run ? run : this->runOf(job, index), RunState::Ended, end, refusal,
+                60'000, 0 } });
     }
     SubmitJob makeJob(std::uint64_t id, std::uint32_t tasks = 1, std::int64_t milliCores = 3000) const
     {
@@ -152,6 +152,21 @@
         }
         return { "", 0 };
     }
+    // A task with the number of its latest start order.
+    Messages::OrderedTask orderedTask(std::uint64_t job, std::uint32_t index) const
+    {
+        Messages::OrderedTask ordered { { job, 0, 0, index }, 0 };
+        const auto add = [&](const Messages::StartRuns& start) {
+            const auto isIndex = [index](const auto& task) { return task.first == index; };
+            if (start.job == job && std::any_of(start.tasks.begin(), start.tasks.end(), isIndex))
+                ordered.order = std::max(ordered.order, start.order);
+        };
+        for (const auto& [sidecar, start] : this->starts)
+            add(start);
+        for (const auto& [sidecar, reserved] : this->reservedStarts)
+            add(reserved.start);
+        return ordered;
+    }
     std::uint32_t runOf(std::uint64_t job, std::uint32_t index) const { return this->orderOf(job, index).second; }
 
     Core::ManualClock clock;
--- /dev/null
+++ b/UnitTests/Workers/RunSupervisorOrdersTest.cpp
@@ -0,0 +1,114 @@
+// Stops, claims and refusals name the order that they are about: an entry may order the same task more than once.
+#include "UnitTests/Workers/SupervisorFixture.h"
+#include <catch2/catch.hpp>
+
+using namespace celeryswitch;
+using namespace celeryswitch::Workers;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A supervisor with an announced worker and one live entry on connection 1.
+struct ReadySupervisor : SupervisorFixture {
+    ReadySupervisor()
+    {
+        this->connect(1, "entry-1");
+        this->liveConnections = { 1 };
+        this->announceWorker();
+        this->plan.time = 5s;
+    }
+};
+
+}
+
+// Guards against a stop of a job's earlier admission that arrives after the job was ordered again.
+TEST_CASE("a stop of an earlier order leaves the run of the later one", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.startTasks(1, 1);
+    const Messages::OrderedTask first = fixture.orderedTask(1);
+    fixture.advance(50ms);
+    fixture.stop(1, first);
+    fixture.advance(100ms);
+    REQUIRE(fixture.isReportedEnded(1));
+    fixture.startTasks(1, 1);
+    fixture.advance(20ms);
+    fixture.stop(1, first);
+    fixture.advance(100ms);
+    REQUIRE(fixture.isRunning(1));
+    fixture.stop(1, fixture.orderedTask(1));
+    fixture.advance(100ms);
+    REQUIRE_FALSE(fixture.isRunning(1));
+}
+
+// Guards against a run of a job's earlier admission that a claim of the later order takes over: the stop was lost with
+// the connection.
+TEST_CASE("a claim of a later order does not take over the run of an earlier one", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.startTasks(1, 1);
+    fixture.advance(50ms);
+    const Messages::OrderedTask first = fixture.orderedTask(1);
+    fixture.supervisor->entryDisconnected(fixture.now(), 1);
+    fixture.connect(2, "entry-1");
+    fixture.liveConnections = { 2 };
+    Messages::OrderedTask second = first;
+    ++second.order;
+    fixture.supervisor->messageReceived(fixture.now(), 2, Messages::ClaimRuns { { { second, 1, { 3000, 64, 0 } } } });
+    fixture.advance(100ms);
+    REQUIRE_FALSE(fixture.isRunning(1));
+    const std::vector<Messages::RunReport> reports = fixture.reportsOf(1);
+    REQUIRE(reports.back().ordered == second);
+    REQUIRE(reports.back().refusal == Messages::RunRefusal::TaskBusy);
+    REQUIRE(std::none_of(reports.begin(), reports.end(), [&](const Messages::RunReport& report) {
+        return report.ordered == second && report.state == Messages::RunState::Running;
+    }));
+}
+
+// Guards against a run that changes hands because another entry claims the same run number of its task.
+TEST_CASE("a claim does not take over a run that another entry owns", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.startTasks(1, 1);
+    fixture.advance(50ms);
+    fixture.connect(2, "entry-2");
+    fixture.liveConnections = { 1, 2 };
+    fixture.claim(2, { 1 });
+    fixture.advance(100ms);
+    REQUIRE_FALSE(fixture.isRunning(1));
+    REQUIRE(fixture.reportsOf(1).back().refusal == Messages::RunRefusal::TaskBusy);
+}
+
+// Guards against a stop of one entry that ends the run of another one with the same incarnation number.
+TEST_CASE("an entry can't stop the run of another entry", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.startTasks(1, 1);
+    fixture.connect(2, "entry-2");
+    fixture.liveConnections = { 1, 2 };
+    fixture.advance(50ms);
+    fixture.stop(2, fixture.orderedTask(1));
+    fixture.advance(100ms);
+    REQUIRE(fixture.isRunning(1));
+}
+
+// Guards against an order of a restarted entry that is refused in the name of its predecessor's with the same number.
+TEST_CASE("a restarted entry gets no refusals of its predecessor's orders", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.startTasks(1, 1);
+    fixture.connect(2, "entry-2");
+    fixture.liveConnections = { 1, 2 };
+    fixture.advance(50ms);
+    fixture.areStopsLost = true;
+    fixture.startTasks(2, 1);
+    const Messages::OrderedTask refused = fixture.orderedTask(1);
+    fixture.advance(50ms);
+    fixture.connect(3, "entry-2", 2);
+    fixture.liveConnections = { 1, 3 };
+    fixture.areStopsLost = false;
+    fixture.advance(1500ms);
+    REQUIRE_FALSE(fixture.isRunning(1));
+    for (const Messages::RunReport& report : fixture.reportsOf(1))
+        REQUIRE_FALSE(report.ordered == refused);
+}
--- a/UnitTests/Workers/RunSupervisorProofTest.cpp
+++ b/UnitTests/Workers/RunSupervisorProofTest.cpp
@@ -91,8 +91,7 @@
     fixture.restart(6);
     fixture.connect(3, "entry-1");
     fixture.liveConnections = { 3 };
-    fixture.supervisor->messageReceived(
-        fixture.now(), 3, Messages::ClaimRuns { { { { 1, 0, 0, 0 }, 1, { 3000, 64, 0 } } } });
+    fixture.claim(3, { 1 });
     fixture.advance(50ms);
     REQUIRE(fixture.isReportedEnded(1));
     fixture.executeLate(fixture.lostCalls.front(), sentAt);
@@ -225,8 +224,7 @@
     fixture.supervisor->entryDisconnected(fixture.now(), 1);
     fixture.connect(2, "entry-1");
     fixture.liveConnections = { 2 };
-    fixture.supervisor->messageReceived(
-        fixture.now(), 2, Messages::ClaimRuns { { { { 2, 0, 0, 0 }, 1, { 3000, 64, 0 } } } });
+    fixture.claim(2, { 2 });
     fixture.advance(100ms);
     REQUIRE_FALSE(fixture.isRunning(1));
     REQUIRE(fixture.isRunning(2));
@@ -243,11 +241,9 @@
     fixture.isWorkerReachable = false;
     fixture.connect(3, "entry-1");
     fixture.liveConnections = { 3 };
-    fixture.supervisor->messageReceived(
-        fixture.now(), 3, Messages::ClaimRuns { { { { 1, 0, 0, 0 }, 1, { 3000, 64, 0 } } } });
+    fixture.claim(3, { 1 });
     fixture.advance(50ms);
-    fixture.supervisor->messageReceived(
-        fixture.now(), 3, Messages::StopRuns { Core::toClockSample(fixture.now()), { { 1, 0, 0, 0 } } });
+    fixture.stop(3, fixture.orderedTask(1));
     fixture.isWorkerReachable = true;
     fixture.advance(500ms);
     REQUIRE_FALSE(fixture.isRunning(1));
@@ -340,8 +336,7 @@
     fixture.reports.clear();
     fixture.connect(3, "entry-1");
     fixture.liveConnections = { 3 };
-    fixture.supervisor->messageReceived(
-        fixture.now(), 3, Messages::ClaimRuns { { { { 1, 0, 0, 0 }, 1, { 3000, 64, 0 } } } });
+    fixture.claim(3, { 1 });
     fixture.advance(100ms);
     REQUIRE(fixture.isRunning(1));
     REQUIRE_FALSE(fixture.isReportedEnded(1));
@@ -377,8 +372,7 @@
     fixture.startTasks(1, 1);
     fixture.advance(50ms);
     // The response with the end of the first run is lost, and the second one is started before the sidecar fails.
-    fixture.supervisor->messageReceived(
-        fixture.now(), 1, Messages::StopRuns { Core::toClockSample(fixture.now()), { { 1, 0, 0, 0 } } });
+    fixture.stop(1, fixture.orderedTask(1));
     fixture.advance(1ms);
     StartCall second = std::get<StartCall>(*std::find_if(fixture.calls.begin(), fixture.calls.end(),
         [](const WorkerCall& call) { return std::holds_alternative<StartCall>(call); }));
@@ -389,8 +383,7 @@
     fixture.reports.clear();
     fixture.connect(3, "entry-1");
     fixture.liveConnections = { 3 };
-    fixture.supervisor->messageReceived(
-        fixture.now(), 3, Messages::ClaimRuns { { { { 1, 0, 0, 0 }, 2, { 3000, 64, 0 } } } });
+    fixture.claim(3, { 1 }, 2);
     fixture.advance(100ms);
     REQUIRE(fixture.isRunning(1));
     REQUIRE_FALSE(fixture.isReportedEnded(1));
@@ -433,8 +426,7 @@
     fixture.liveConnections = {};
     fixture.announceWorker();
     fixture.connect(3, "entry-1");
-    fixture.supervisor->messageReceived(
-        fixture.now(), 3, Messages::ClaimRuns { { { { 1, 0, 0, 0 }, 1, { 3000, 64, 0 } } } });
+    fixture.claim(3, { 1 });
     fixture.advance(2ms);
     fixture.liveConnections = { 3 };
     fixture.advance(1s);
@@ -475,8 +467,7 @@
         fixture.restart(settings);
         fixture.connect(3, "entry-1");
         fixture.liveConnections = { 3 };
-        fixture.supervisor->messageReceived(
-            fixture.now(), 3, Messages::ClaimRuns { { { { 1, 0, 0, 0 }, 1, { 3000, 64, 0 } } } });
+        fixture.claim(3, { 1 });
         fixture.advance(300ms);
         REQUIRE(fixture.isReportedEnded(1));
         fixture.executeLate(fixture.lostCalls.front(), sentAt);
--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -181,9 +181,7 @@
     fixture.reports.clear();
     fixture.connect(3, "entry-1");
     fixture.liveConnections = { 3 };
-    const Messages::Room need { 3000, 64, 0 };
-    fixture.supervisor->messageReceived(
-        fixture.now(), 3, Messages::ClaimRuns { { { { 1, 0, 0, 0 }, 1, need }, { { 2, 0, 0, 0 }, 1, need } } });
+    fixture.claim(3, { 1, 2 });
     fixture.supervisor->messageReceived(
         fixture.now(), 3, Messages::KnownWorker { { "w1", 77, "loans", { 32'000, 65'536, 0 }, {} }, false });
     fixture.advance(20ms);
@@ -221,8 +219,7 @@
     fixture.calls.clear();
     fixture.connect(3, "entry-1");
     fixture.liveConnections = { 3 };
-    fixture.supervisor->messageReceived(
-        fixture.now(), 3, Messages::ClaimRuns { { { { 1, 0, 0, 0 }, 1, { 3000, 64, 0 } } } });
+    fixture.claim(3, { 1 });
     fixture.announceWorker();
     fixture.startTasks(3, 2);
     fixture.advance(20ms);
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -52,6 +52,7 @@
     {
         Messages::StartRuns start;
         start.sequence = ++this->sequence;
+        start.order = this->nextOrder(job);
         start.clockEcho = Core::toClockSample(this->now());
         start.job = job;
         start.content = "content";
@@ -64,6 +65,22 @@
             start.tasks.emplace_back(index, 1);
         this->supervisor->messageReceived(this->now(), connection, start);
     }
+    /// The first task of a job with the number of its latest start order.
+    Messages::OrderedTask orderedTask(std::uint64_t job) const { return { { job, 0, 0, 0 }, this->orders.at(job) }; }
+    /// Claims a run of the first task of each job for its latest order.
+    void claim(std::uint64_t connection, const std::vector<std::uint64_t>& jobs, std::uint32_t run = 1)
+    {
+        Messages::ClaimRuns claims;
+        for (const std::uint64_t job : jobs)
+            claims.runs.push_back({ this->orderedTask(job), run, { 3000, 64, 0 } });
+        this->supervisor->messageReceived(this->now(), connection, std::move(claims));
+    }
+    /// Stops the run of the first task of a job.
+    void stop(std::uint64_t connection, const Messages::OrderedTask& ordered)
+    {
+        this->supervisor->messageReceived(
+            this->now(), connection, Messages::StopRuns { Core::toClockSample(this->now()), { ordered } });
+    }
     /// Reserves room for units of the size of `startTasks`.
     void reserve(std::uint64_t connection, std::uint64_t reservation, std::uint32_t units = 1,
         std::int64_t milliCores = 3000, float rank = 1, Core::Duration startWithin = std::chrono::milliseconds(500))
@@ -78,6 +95,7 @@
     {
         Messages::StartRuns start;
         start.sequence = ++this->sequence;
+        start.order = this->nextOrder(job);
         start.clockEcho = Core::toClockSample(this->now());
         start.job = job;
         start.need = { 3000, 64, 0 };
@@ -132,7 +150,7 @@
     {
         std::vector<Messages::RunReport> found;
         for (const Messages::RunReport& report : this->reports) {
-            if (report.task.job == job)
+            if (report.ordered.task.job == job)
                 found.push_back(report);
         }
         return found;
@@ -195,6 +213,7 @@
     std::vector<WorkerCall> calls;
 
 private:
+    std::uint64_t nextOrder(std::uint64_t job) { return this->orders[job] = ++this->lastOrder; }
     static Logging::LogSettings logSettings()
     {
         Logging::LogSettings settings;
@@ -257,6 +276,9 @@
     }
 
     std::uint64_t sequence = 0;
+    std::uint64_t lastOrder = 0;
+    /// Latest start order of each job.
+    std::map<std::uint64_t, std::uint64_t> orders;
     std::vector<std::pair<std::uint64_t, SteadyTime>> timeouts;
 };
 
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -87,10 +87,26 @@
     Ended,
 };
 
+/// A task as one start order names it. Run numbers begin anew whenever a job is admitted; order numbers don't.
+struct OrderedTask {
+    TaskId task;
+    /// Number of the start order, see StartRuns.
+    std::uint64_t order = 0;
+
+    friend bool operator==(const OrderedTask&, const OrderedTask&) = default;
+    friend bool operator<(const OrderedTask& left, const OrderedTask& right)
+    {
+        return std::tie(left.task, left.order) < std::tie(right.task, right.order);
+    }
+    template <typename Archive> void serialize(Archive& archive) { archive(this->task, this->order); }
+};
+
 /// Entry to sidecar: start runs of tasks of one step.
 struct StartRuns {
     /// Counts the orders of this entry on this connection, from 1.
     std::uint64_t sequence = 0;
+    /// Number of this order, from 1; unique within the entry's incarnation, also across connections and admissions.
+    std::uint64_t order = 0;
     /// Newest clock sample received from this sidecar incarnation.
     std::int64_t clockEcho = 0;
     std::uint64_t job = 0;
@@ -113,16 +129,16 @@
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->sequence, this->clockEcho, this->job, this->occurrence, this->step, this->content, this->need,
-            this->expectedMilliseconds, this->rank, this->startWithinMicroseconds, this->deadlineMicroseconds,
-            this->tasks);
+        archive(this->sequence, this->order, this->clockEcho, this->job, this->occurrence, this->step, this->content,
+            this->need, this->expectedMilliseconds, this->rank, this->startWithinMicroseconds,
+            this->deadlineMicroseconds, this->tasks);
     }
 };
 
-/// Entry to sidecar: stop whatever runs of these tasks.
+/// Entry to sidecar: stop what runs for these orders.
 struct StopRuns {
     std::int64_t clockEcho = 0;
-    std::vector<TaskId> tasks;
+    std::vector<OrderedTask> tasks;
 
     template <typename Archive> void serialize(Archive& archive) { archive(this->clockEcho, this->tasks); }
 };
@@ -136,11 +152,12 @@
 
 /// A run that an entry had ordered before its connection was lost.
 struct ClaimedRun {
-    TaskId task;
+    OrderedTask ordered;
+    /// Run number that the entry last knew; the sidecar may have raised it.
     std::uint32_t run = 0;
     Room need;
 
-    template <typename Archive> void serialize(Archive& archive) { archive(this->task, this->run, this->need); }
+    template <typename Archive> void serialize(Archive& archive) { archive(this->ordered, this->run, this->need); }
 };
 
 /// Entry to sidecar, first on each connection after Hello: runs that it believes are there; each is answered by a
@@ -162,7 +179,8 @@
 
 /// What became of a run.
 struct RunReport {
-    TaskId task;
+    /// Task and the order that the run was started for.
+    OrderedTask ordered;
     std::uint32_t run = 0;
     RunState state = RunState::Ended;
     RunEnd end = RunEnd::NotStarted;
@@ -174,7 +192,7 @@
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->task, this->run, this->state, this->end, this->refusal, this->runMicroseconds, this->percent);
+        archive(this->ordered, this->run, this->state, this->end, this->refusal, this->runMicroseconds, this->percent);
     }
 };
 
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -351,7 +351,7 @@
         for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
             const Task& task = job.steps[step].tasks[index];
             if (task.phase == TaskPhase::Ordered)
-                stops[task.sidecar].tasks.push_back({ id, 0, step, index });
+                stops[task.sidecar].tasks.push_back({ { id, 0, step, index }, task.order });
         }
     }
     for (auto& [sidecar, stop] : stops) {
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -118,6 +118,8 @@
         TaskPhase phase = TaskPhase::Waiting;
         /// Number of the task's current run, or of its next one while it waits.
         std::uint32_t run = 1;
+        /// Number of the start order that the task waits for; valid while it is ordered.
+        std::uint64_t order = 0;
         std::uint32_t failures = 0;
         Core::InstanceId sidecar;
         /// Whether the run was told to stop so that the task can run on another worker.
@@ -218,8 +220,8 @@
     void forgetReservations(Job& job, const std::function<bool(const Reservation&)>& isDropped);
     void forgetExpiredReservations(Core::SteadyTime now);
     void forgetReservationsAt(const Core::InstanceId& sidecar);
-    // Whether a task is ordered at a sidecar and its end is not known.
-    bool isOrderedAt(const Core::InstanceId& sidecar, const TaskId& id) const;
+    // The task that a sidecar reports on, if its order is open there; nullptr otherwise.
+    Task* findOrdered(const Core::InstanceId& sidecar, const Messages::OrderedTask& ordered);
     // Stops a run that a sidecar reports although its job has ended or its task was ordered elsewhere.
     void stopUnwantedRun(const Core::InstanceId& sidecar, const Messages::RunReport& report);
     void handleReport(Core::SteadyTime now, const Core::InstanceId& sidecar, const Messages::RunReport& report);
@@ -260,6 +262,7 @@
     /// Statistics of each queue, by queue name.
     std::map<std::string, QueueModel> models;
     Jobs jobs;
+    std::uint64_t lastOrder = 0;
     std::uint64_t lastReservation = 0;
     /// Sidecars and reservations of offers that have not been answered.
     std::vector<std::pair<Core::InstanceId, std::uint64_t>> offers;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -149,6 +149,7 @@
     const StepSpecification& specification = job.specification.steps[stepIndex];
     Messages::StartRuns start;
     start.sequence = ++worker.lastSequence;
+    start.order = ++this->lastOrder;
     start.clockEcho = worker.clockSample;
     start.job = job.specification.id;
     start.step = stepIndex;
@@ -166,6 +167,7 @@
             continue;
         task.phase = TaskPhase::Ordered;
         task.sidecar = worker.sidecar;
+        task.order = start.order;
         --step.waiting;
         start.tasks.emplace_back(index, task.run);
     }
@@ -183,7 +185,7 @@
     this->metrics.runsOrdered(start.tasks.size());
     job.trace.add(now, "tasks placed",
         { { "job", Messages::jobText(job.specification.id) }, { "sidecar", worker.sidecar },
-            { "worker", worker.profile.workerId }, { "order", start.sequence },
+            { "worker", worker.profile.workerId }, { "order", start.order },
             { "first_task", start.tasks.front().first }, { "run", start.tasks.front().second },
             { "tasks", static_cast<std::uint64_t>(start.tasks.size()) },
             { "free_millicores", worker.load.free.milliCores },
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -51,7 +51,8 @@
             for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
                 const Task& task = job.steps[step].tasks[index];
                 if (task.phase == TaskPhase::Ordered && task.sidecar == sidecar)
-                    claims.runs.push_back({ { id, 0, step, index }, task.run, job.specification.steps[step].need });
+                    claims.runs.push_back(
+                        { { { id, 0, step, index }, task.order }, task.run, job.specification.steps[step].need });
             }
         }
     }
@@ -88,7 +89,7 @@
         this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockSample } });
     }
     for (const Messages::RunReport& report : update.reports) {
-        if (report.state == RunState::Running && !this->isOrderedAt(sidecar, report.task))
+        if (report.state == RunState::Running && !this->findOrdered(sidecar, report.ordered))
             this->stopUnwantedRun(sidecar, report);
         else
             this->handleReport(now, sidecar, report);
@@ -96,36 +97,42 @@
     this->isPlacementDue = true;
 }
 
-bool JobScheduler::isOrderedAt(const Core::InstanceId& sidecar, const TaskId& id) const
+JobScheduler::Task* JobScheduler::findOrdered(const Core::InstanceId& sidecar, const Messages::OrderedTask& ordered)
 {
+    const TaskId& id = ordered.task;
     const auto found = this->jobs.find(id.job);
     if (found == this->jobs.end() || id.step >= found->second.steps.size()
         || id.index >= found->second.steps[id.step].tasks.size())
-        return false;
-    const Task& task = found->second.steps[id.step].tasks[id.index];
-    return task.phase == TaskPhase::Ordered && task.sidecar == sidecar;
+        return nullptr;
+    Task& task = found->second.steps[id.step].tasks[id.index];
+    return task.phase == TaskPhase::Ordered && task.sidecar == sidecar && task.order == ordered.order ? &task : nullptr;
 }
 
 void JobScheduler::stopUnwantedRun(const Core::InstanceId& sidecar, const Messages::RunReport& report)
 {
     this->log.write(Logging::LogLevel::Info, "unwanted run reported",
-        { { "job", Messages::jobText(report.task.job) }, { "task", report.task.index }, { "run", report.run },
-            { "sidecar", sidecar } });
-    this->actions.push_back(
-        SendToSidecar { sidecar, Messages::StopRuns { this->workerTable.at(sidecar).clockSample, { report.task } } });
+        { { "job", Messages::jobText(report.ordered.task.job) }, { "task", report.ordered.task.index },
+            { "run", report.run }, { "order", report.ordered.order }, { "sidecar", sidecar } });
+    this->actions.push_back(SendToSidecar {
+        sidecar, Messages::StopRuns { this->workerTable.at(sidecar).clockSample, { report.ordered } } });
 }
 
 void JobScheduler::handleReport(SteadyTime now, const Core::InstanceId& sidecar, const Messages::RunReport& report)
 {
-    const auto found = this->jobs.find(report.task.job);
-    if (found == this->jobs.end() || report.task.step >= found->second.steps.size()
-        || report.task.index >= found->second.steps[report.task.step].tasks.size())
+    Task* const ordered = this->findOrdered(sidecar, report.ordered);
+    if (!ordered) {
+        if (this->jobs.count(report.ordered.task.job) > 0)
+            this->log.write(Logging::LogLevel::Info, "report of another order ignored",
+                { { "job", Messages::jobText(report.ordered.task.job) }, { "task", report.ordered.task.index },
+                    { "run", report.run }, { "order", report.ordered.order }, { "sidecar", sidecar },
+                    { "end", std::string(Core::enumName(report.end)) } });
         return;
+    }
+    Task& task = *ordered;
+    const TaskId& id = report.ordered.task;
+    const auto found = this->jobs.find(id.job);
     Job& job = found->second;
-    Task& task = job.steps[report.task.step].tasks[report.task.index];
-    if (task.phase != TaskPhase::Ordered || task.sidecar != sidecar || report.run < task.run)
-        return;
-    task.run = report.run;
+    task.run = std::max(task.run, report.run);
     job.hasRun = job.hasRun || report.state == RunState::Running || report.end != RunEnd::NotStarted;
     if (report.state == RunState::Running) {
         this->handleProgress(now, found, report);
@@ -139,8 +146,9 @@
         return;
     }
     job.trace.add(now, "run ended without success",
-        { { "job", Messages::jobText(report.task.job) }, { "task", report.task.index }, { "run", report.run },
-            { "sidecar", sidecar }, { "end", std::string(Core::enumName(report.end)) },
+        { { "job", Messages::jobText(id.job) }, { "task", id.index }, { "run", report.run },
+            { "order", report.ordered.order }, { "sidecar", sidecar },
+            { "end", std::string(Core::enumName(report.end)) },
             { "refusal", std::string(Core::enumName(report.refusal)) }, { "ran_ms", report.runMicroseconds / 1000 } });
     if (report.end == RunEnd::Failed) {
         task.avoidedSidecars.push_back(sidecar);
@@ -149,14 +157,15 @@
             return;
         }
     }
-    this->requeueTask(job, report.task.step, task);
+    this->requeueTask(job, id.step, task);
 }
 
 void JobScheduler::completeTask(SteadyTime now, Jobs::iterator found, const Messages::RunReport& report, double speed)
 {
     Job& job = found->second;
-    Step& step = job.steps[report.task.step];
-    Task& task = step.tasks[report.task.index];
+    const TaskId& taskId = report.ordered.task;
+    Step& step = job.steps[taskId.step];
+    Task& task = step.tasks[taskId.index];
     const std::uint64_t id = found->first;
     task.phase = TaskPhase::Done;
     ++step.done;
@@ -167,7 +176,7 @@
     if (step.done < step.tasks.size())
         return;
     this->modelOf(now, job.queue)
-        .recordStep(job.specification.steps[report.task.step].declaredMilliseconds / 1000.0, step.longestSeconds,
+        .recordStep(job.specification.steps[taskId.step].declaredMilliseconds / 1000.0, step.longestSeconds,
             step.sumSeconds / static_cast<double>(step.tasks.size()));
     const bool isComplete = std::all_of(
         job.steps.begin(), job.steps.end(), [](const Step& each) { return each.done == each.tasks.size(); });
@@ -180,11 +189,12 @@
 void JobScheduler::handleProgress(SteadyTime now, Jobs::iterator found, const Messages::RunReport& report)
 {
     Job& job = found->second;
-    Task& task = job.steps[report.task.step].tasks[report.task.index];
+    const TaskId& id = report.ordered.task;
+    Task& task = job.steps[id.step].tasks[id.index];
     if (task.isRestarting)
         return;
     const double elapsed = static_cast<double>(report.runMicroseconds) / 1e6;
-    const double declared = job.specification.steps[report.task.step].declaredMilliseconds / 1000.0;
+    const double declared = job.specification.steps[id.step].declaredMilliseconds / 1000.0;
     double newRunSeconds = this->modelOf(now, job.queue).taskSeconds(declared);
     double remainingSeconds = 0;
     const bool hasProgress = report.percent >= minimumReliablePercent;
@@ -205,7 +215,7 @@
     const double errorSeconds
         = hasProgress ? (elapsed + remainingSeconds) * (extrapolationError + roundingError / (report.percent + 1)) : 0;
     const double speed
-        = fastestSpeed(this->workerTable, job.queue.service, job.specification.steps[report.task.step].need, job.rank);
+        = fastestSpeed(this->workerTable, job.queue.service, job.specification.steps[id.step].need, job.rank);
     const double restartedSeconds = std::chrono::duration<double>(this->settings.restartOverhead).count()
         + newRunSeconds * medianSpeed(this->workerTable) / std::max(0.01, speed);
     const SteadyTime goal = this->goalTime(job, newRunSeconds, 1);
@@ -214,10 +224,10 @@
     const bool isPastExpiry = remainingSeconds - errorSeconds > secondsUntil(now, expiry);
     const bool isRestartInTime = restartedSeconds < secondsUntil(now, isPastExpiry ? expiry : goal);
     if (isLate && isRestartInTime && remainingSeconds > restartedSeconds * minimumRestartGain) {
-        this->restartElsewhere(now, job, report.task, task);
+        this->restartElsewhere(now, job, id, task);
     } else if (isPastExpiry && !isRestartInTime) {
         job.trace.add(now, "job can't end in time",
-            { { "job", Messages::jobText(found->first) }, { "task", report.task.index }, { "percent", report.percent },
+            { { "job", Messages::jobText(found->first) }, { "task", id.index }, { "percent", report.percent },
                 { "ran_ms", report.runMicroseconds / 1000 },
                 { "left_ms", static_cast<std::int64_t>(remainingSeconds * 1000) },
                 { "limit_ms", toMilliseconds(expiry - now) } });
@@ -234,13 +244,14 @@
     task.isRestarting = true;
     this->metrics.runRestarted();
     task.avoidedSidecars.push_back(task.sidecar);
-    this->actions.push_back(
-        SendToSidecar { task.sidecar, Messages::StopRuns { this->workerTable[task.sidecar].clockSample, { id } } });
+    this->actions.push_back(SendToSidecar {
+        task.sidecar, Messages::StopRuns { this->workerTable[task.sidecar].clockSample, { { id, task.order } } } });
 }
 
 void JobScheduler::requeueTask(Job& job, std::uint32_t stepIndex, Task& task)
 {
     task.phase = TaskPhase::Waiting;
+    task.order = 0;
     task.sidecar.clear();
     task.isRestarting = false;
     task.expectedEnd = SteadyTime::max();
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -93,7 +93,8 @@
     // The room was held for these runs, whatever was queued meanwhile.
     for (const auto& [index, number] : request.start.tasks) {
         Run* run = this->runs.find({ request.start.job, request.start.occurrence, request.start.step, index });
-        if (held == 0 || !run || run->phase != RunPhase::Queued || run->entry != id || !this->isStartable(now, *run))
+        if (held == 0 || !run || run->phase != RunPhase::Queued
+            || !run->isOf(id, entry.incarnation, request.start.order) || !this->isStartable(now, *run))
             continue;
         --held;
         this->fire(now, *run, RunEvent::RoomGranted);
@@ -144,11 +145,12 @@
             if (refusal == RunRefusal::TaskBusy) {
                 // The entry may start the task elsewhere as soon as it is told, so that the other run has to end first.
                 Run& other = *this->runs.find(task);
-                other.refusedAtEnd.emplace_back(id, number);
+                other.refusedAtEnd.push_back({ id, entry.incarnation, request.order, number });
                 this->stopRun(now, other, "task requested again");
                 continue;
             }
-            entry.reports.push_back({ task, number, RunState::Ended, RunEnd::NotStarted, refusal, 0, 0 });
+            entry.reports.push_back(
+                { { task, request.order }, number, RunState::Ended, RunEnd::NotStarted, refusal, 0, 0 });
             entry.isUpdateDue = true;
             continue;
         }
@@ -159,6 +161,7 @@
             run.number = std::max(number, ended->number + 1);
         run.entry = id;
         run.entryIncarnation = entry.incarnation;
+        run.order = request.order;
         run.need = request.need;
         run.rank = request.rank;
         run.content = content;
@@ -203,11 +206,12 @@
 
 void RunSupervisor::handle(SteadyTime now, const Core::InstanceId& id, Entry& entry, const Messages::StopRuns& request)
 {
-    for (const TaskId& task : request.tasks) {
+    for (const Messages::OrderedTask& ordered : request.tasks) {
         // Not claimed any more: when the worker lists the run, it is stopped like other runs that no entry claims.
-        std::erase_if(this->claims, [&](const auto& claim) { return claim.first == id && claim.second.task == task; });
-        Run* run = this->runs.find(task);
-        if (run && run->entryIncarnation == entry.incarnation)
+        std::erase_if(
+            this->claims, [&](const auto& claim) { return claim.first == id && claim.second.ordered == ordered; });
+        Run* run = this->runs.find(ordered.task);
+        if (run && run->isOf(id, entry.incarnation, ordered.order))
             this->stopRun(now, *run, "ordered by the entry");
     }
 }
@@ -365,7 +369,7 @@
     run.mustEndBy = entry != this->entries.end() ? entry->second.provenAliveAt + this->settings.callerRetryDelay : now;
     this->log.write(LogLevel::Info, "run stopped",
         { { "job", Messages::jobText(run.task.job) }, { "task", run.task.index }, { "run", run.number },
-            { "entry", run.entry }, { "reason", std::string(reason) },
+            { "entry", run.entry }, { "order", run.order }, { "reason", std::string(reason) },
             { "phase", std::string(Core::enumName(run.phase)) } });
     this->fire(now, run, RunEvent::StopWanted);
 }
@@ -380,7 +384,7 @@
     };
     this->log.write(LogLevel::Info, "run ended",
         { { "job", Messages::jobText(run.task.job) }, { "task", run.task.index }, { "run", run.number },
-            { "entry", run.entry }, { "end", std::string(Core::enumName(run.end)) },
+            { "entry", run.entry }, { "order", run.order }, { "end", std::string(Core::enumName(run.end)) },
             { "refusal", std::string(Core::enumName(run.refusal)) },
             { "evidence", std::string(Core::enumName(evidence)) }, { "ran_ms", age(run.startedAt) },
             { "stopping_ms", age(run.stopWantedAt) }, { "contact_age_ms", age(this->contactAt) },
--- a/celeryswitch/Workers/RunSupervisorEntries.cpp
+++ b/celeryswitch/Workers/RunSupervisorEntries.cpp
@@ -25,6 +25,8 @@
 {
     Entry& entry = this->entries[hello.instanceId];
     this->reservations.releaseAll(hello.instanceId);
+    // It claims its runs again on this connection.
+    std::erase_if(this->claims, [&](const auto& claim) { return claim.first == hello.instanceId; });
     if (entry.connection != 0)
         this->actions.push_back(DisconnectEntry { entry.connection });
     if (entry.incarnation != hello.incarnation) {
@@ -55,8 +57,6 @@
         entry->connection = 0;
         this->reservations.releaseAll(id);
         entry->aliveUntil = std::min(entry->aliveUntil, now + this->settings.reconnectGracePeriod);
-        // It claims its runs again when it reconnects.
-        std::erase_if(this->claims, [&](const auto& claim) { return claim.first == id; });
         this->log.write(LogLevel::Info, "entry disconnected", { { "entry", id } });
     }
 }
@@ -74,11 +74,11 @@
 void RunSupervisor::stopUnclaimedRuns(SteadyTime now, const Core::InstanceId& id, const Messages::ClaimRuns& claimed)
 {
     // The entry ended these jobs while it was not connected, so that its request to stop them was lost.
-    std::set<TaskId> tasks;
+    std::set<Messages::OrderedTask> orders;
     for (const Messages::ClaimedRun& claim : claimed.runs)
-        tasks.insert(claim.task);
+        orders.insert(claim.ordered);
     for (auto& [task, run] : this->runs.all()) {
-        if (run.entry == id && tasks.count(task) == 0)
+        if (run.entry == id && orders.count({ task, run.order }) == 0)
             this->stopRun(now, run, "not claimed by the entry");
     }
 }
@@ -89,20 +89,23 @@
         return;
     for (const auto& [id, claim] : std::exchange(this->claims, {})) {
         Entry& entry = this->entries[id];
-        Run* run = this->runs.find(claim.task);
+        const TaskId& task = claim.ordered.task;
+        Run* run = this->runs.find(task);
         const bool isActive = run && run->phase != RunPhase::Ended;
-        // This process may have raised the run number that the entry ordered. A run that no entry owns is then the
-        // claimed one.
-        const bool isClaimed
-            = run && (run->number == claim.run || run->entry == id || (run->entry.empty() && run->number > claim.run));
+        // The worker's lists don't name the order of a run that a previous incarnation of this process started, and
+        // that process may have raised the run number that the entry ordered.
+        const bool isClaimed = run
+            && (run->isOf(id, entry.incarnation, claim.ordered.order)
+                || (run->entry.empty() && run->number >= claim.run));
         if (isActive && !isClaimed) {
             // The entry may start the task elsewhere as soon as it is told, so that this run has to end first.
-            run->refusedAtEnd.emplace_back(id, claim.run);
-            this->stopRun(now, *run, "task claimed by another entry");
+            run->refusedAtEnd.push_back({ id, entry.incarnation, claim.ordered.order, claim.run });
+            this->stopRun(now, *run, "task claimed for another order");
             continue;
         }
         if (!isClaimed) {
-            entry.reports.push_back({ claim.task, claim.run, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0, 0 });
+            entry.reports.push_back(
+                { claim.ordered, claim.run, RunState::Ended, RunEnd::Lost, RunRefusal::None, 0, 0 });
             entry.isUpdateDue = true;
             continue;
         }
@@ -110,10 +113,12 @@
             run->deadline = SteadyTime::max();
             this->runs.setNeed(*run, claim.need);
             this->log.write(LogLevel::Info, "run adopted",
-                { { "job", Messages::jobText(run->task.job) }, { "task", run->task.index }, { "entry", id } });
+                { { "job", Messages::jobText(run->task.job) }, { "task", run->task.index }, { "run", run->number },
+                    { "entry", id }, { "order", claim.ordered.order } });
         }
         run->entry = id;
         run->entryIncarnation = entry.incarnation;
+        run->order = claim.ordered.order;
         this->report(now, *run);
     }
 }
@@ -183,12 +188,12 @@
 
 void RunSupervisor::reportRefusedStarts(Run& run)
 {
-    for (const auto& [id, number] : std::exchange(run.refusedAtEnd, {})) {
-        const auto found = this->entries.find(id);
-        if (found == this->entries.end())
+    for (const RefusedOrder& refused : std::exchange(run.refusedAtEnd, {})) {
+        const auto found = this->entries.find(refused.entry);
+        if (found == this->entries.end() || found->second.incarnation != refused.entryIncarnation)
             continue;
-        found->second.reports.push_back(
-            { run.task, number, RunState::Ended, RunEnd::NotStarted, RunRefusal::TaskBusy, 0, 0 });
+        found->second.reports.push_back({ { run.task, refused.order }, refused.run, RunState::Ended, RunEnd::NotStarted,
+            RunRefusal::TaskBusy, 0, 0 });
         found->second.isUpdateDue = true;
     }
 }
@@ -203,8 +208,9 @@
     const std::int64_t time = run.startedAt == SteadyTime {}
         ? 0
         : std::chrono::duration_cast<std::chrono::microseconds>(until - run.startedAt).count();
-    found->second.reports.push_back({ run.task, run.number, hasEnded ? RunState::Ended : RunState::Running,
-        hasEnded ? run.end : RunEnd::NotStarted, run.refusal, time, static_cast<std::uint8_t>(run.percent) });
+    found->second.reports.push_back(
+        { { run.task, run.order }, run.number, hasEnded ? RunState::Ended : RunState::Running,
+            hasEnded ? run.end : RunEnd::NotStarted, run.refusal, time, static_cast<std::uint8_t>(run.percent) });
     found->second.isUpdateDue = true;
 }
 
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -52,6 +52,14 @@
     OrderStop,
 };
 
+/// An order for a task whose earlier run has not ended.
+struct RefusedOrder {
+    Core::InstanceId entry;
+    Core::Incarnation entryIncarnation = 0;
+    std::uint64_t order = 0;
+    std::uint32_t run = 0;
+};
+
 /// A run of a task on the worker.
 struct Run {
     TaskId task;
@@ -60,6 +68,8 @@
     /// claimed it.
     Core::InstanceId entry;
     Core::Incarnation entryIncarnation = 0;
+    /// Start order of the entry that the run was queued for; 0 while no entry owns it.
+    std::uint64_t order = 0;
     Room need;
     std::shared_ptr<const std::string> content;
     RunPhase phase = RunPhase::Queued;
@@ -100,10 +110,16 @@
     Core::SteadyTime stopRetryAt = Core::SteadyTime::max();
     /// Rising number of the run in order of arrival.
     std::uint64_t arrivalNumber = 0;
-    /// Requests to start the same task that are refused once this run has ended: entry and run number.
-    std::vector<std::pair<Core::InstanceId, std::uint32_t>> refusedAtEnd;
+    /// Orders for the same task that are refused once this run has ended.
+    std::vector<RefusedOrder> refusedAtEnd;
     /// Retries of a start that the worker refused because of an old fencing token or run number.
     std::uint32_t startRetries = 0;
+
+    /// Whether the run was queued for this order of an entry, or was adopted for it.
+    bool isOf(const Core::InstanceId& owner, Core::Incarnation ownerIncarnation, std::uint64_t ownerOrder) const
+    {
+        return this->entry == owner && this->entryIncarnation == ownerIncarnation && this->order == ownerOrder;
+    }
 };
 
 /// Position in the queue: by rank class (highest first), then latest start time, then arrival.
