Keep a task where its start is in doubt until the worker has voided the start

Cause: a start that gets no answer may be executed 2 to 12 s later with its lease counted from then, also by a worker that was started again under its id. Two parties concluded nevertheless that it was over: the sidecar, once the lease that it had requested with the start had expired on a worker out of contact ("lapsed", after about 1 s), and the entry, 1.85 s after its last contact with a sidecar. Both then let the task run elsewhere, without any caller that came back, and the late start made a second run. Neither needs a fault of the sidecar: a worker that is cut off or a sidecar that is frozen is enough. Class: an end concluded from the bound of something that has not begun.

Change: the sidecar keeps a run whose start was neither answered nor listed until the worker, in whichever incarnation, has answered a call with a higher fencing token. It reports the start of a run with its next update, and an entry places the tasks of a silent sidecar elsewhere only if their runs are known to have started, since only these are bounded by a lease. The others wait until the sidecar is back and has answered their claims, or until their job's answer has no value any more. While a worker is out of contact, a start in doubt causes no long polls and a stop every 250 ms.

Two cases changed: the one that expects a task of a silent sidecar elsewhere reports its start first, and the one that counted all reports of eight runs counts those of their ends.

--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -128,6 +128,7 @@
     longJob.job.steps[0].declaredMilliseconds = 20'000;
     fixture.submit(1, longJob);
     const std::string unreachable = fixture.orderOf(100, 0).first;
+    fixture.reportStarted(unreachable, 100, 0);
     fixture.scheduler.sidecarDisconnected(unreachable);
     const Core::SteadyTime disconnectedAt = fixture.now();
     while (fixture.starts.size() < 2 && fixture.now() - disconnectedAt < 5s)
@@ -139,6 +140,25 @@
     REQUIRE(fixture.runOf(100, 0) == 2);
 }
 
+// Guards against a second run of a task whose start is executed seconds late while its sidecar is frozen.
+TEST_CASE("a task whose start may still be executed is not ordered elsewhere", "[Scheduling]")
+{
+    SchedulerFixture fixture;
+    SubmitJob longJob = fixture.makeJob(100);
+    longJob.callerTimeout = 60s;
+    longJob.job.steps[0].declaredMilliseconds = 20'000;
+    fixture.submit(1, longJob);
+    const std::string silent = fixture.orderOf(100, 0).first;
+    fixture.scheduler.sidecarDisconnected(silent);
+    for (int second = 0; second < 12; ++second)
+        fixture.advance(1s);
+    REQUIRE(fixture.starts.size() == 1);
+    // A sidecar that is back has voided the start.
+    fixture.connect(silent);
+    fixture.report(silent, 100, 0, RunEnd::Lost);
+    REQUIRE(fixture.starts.size() == 2);
+}
+
 // Guards against runs that are given up after a brief loss of connection.
 TEST_CASE("runs are claimed again when a sidecar reconnects", "[Scheduling]")
 {
--- a/UnitTests/Scheduling/SchedulerFixture.h
+++ b/UnitTests/Scheduling/SchedulerFixture.h
@@ -65,6 +65,12 @@
             { { this->orderedTask(job, index), run ? run : this->runOf(job, index), RunState::Ended, end, refusal,
                 60'000, 0 } });
     }
+    void reportStarted(const std::string& sidecar, std::uint64_t job, std::uint32_t index)
+    {
+        this->update(sidecar, { 32'000, 65'536, 0 },
+            { { this->orderedTask(job, index), this->runOf(job, index), RunState::Running, RunEnd::NotStarted,
+                RunRefusal::None, 0, 0 } });
+    }
     SubmitJob makeJob(std::uint64_t id, std::uint32_t tasks = 1, std::int64_t milliCores = 3000) const
     {
         SubmitJob submission;
--- a/UnitTests/Workers/RunSupervisorOrdersTest.cpp
+++ b/UnitTests/Workers/RunSupervisorOrdersTest.cpp
@@ -112,3 +112,75 @@
     for (const Messages::RunReport& report : fixture.reportsOf(1))
         REQUIRE_FALSE(report.ordered == refused);
 }
+
+// Guards against a second run of a task whose start is executed seconds late on a worker out of contact: the lease that
+// was requested for it does not bound a run that has not begun.
+TEST_CASE("a start without an answer is not over when the lease has expired", "[Workers]")
+{
+    for (const bool isWorkerRestarted : { false, true }) {
+        INFO("worker restarted: " << isWorkerRestarted);
+        ReadySupervisor fixture;
+        fixture.isNextStartLost = true;
+        fixture.startTasks(1, 1);
+        fixture.isWorkerReachable = false;
+        fixture.advance(1ms);
+        REQUIRE_FALSE(fixture.lostCalls.empty());
+        const SteadyTime sentAt = fixture.now();
+        fixture.advance(2500ms);
+        REQUIRE_FALSE(fixture.isReportedEnded(1));
+        if (isWorkerRestarted)
+            fixture.restartWorker(90'000);
+        fixture.executeLate(fixture.lostCalls.front(), sentAt);
+        REQUIRE(fixture.isRunning(1));
+        fixture.isWorkerReachable = true;
+        fixture.advance(300ms);
+        REQUIRE(fixture.isRunning(1));
+        REQUIRE(fixture.reportsOf(1).back().state == Messages::RunState::Running);
+    }
+}
+
+// Guards against a task that waits for ever because nothing shows whether its start was executed.
+TEST_CASE("a start in doubt ends when the worker answers a later call", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.isNextStartLost = true;
+    fixture.startTasks(1, 1);
+    fixture.isWorkerReachable = false;
+    fixture.advance(2500ms);
+    REQUIRE_FALSE(fixture.isReportedEnded(1));
+    fixture.isWorkerReachable = true;
+    fixture.advance(300ms);
+    REQUIRE(fixture.reportsOf(1).back().end == Messages::RunEnd::NotStarted);
+    REQUIRE(fixture.historyOf(1).empty());
+}
+
+// Guards against stops and long polls that a worker out of contact is sent for as long as a start is in doubt.
+TEST_CASE("a start in doubt on a worker out of contact causes few calls besides the lists", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.isNextStartLost = true;
+    fixture.startTasks(1, 1);
+    fixture.isWorkerReachable = false;
+    fixture.advance(1s);
+    fixture.stop(1, fixture.orderedTask(1));
+    fixture.advance(1s);
+    fixture.calls.clear();
+    fixture.advance(4s);
+    REQUIRE_FALSE(fixture.isReportedEnded(1));
+    const auto isStopOrLongPoll = [](const WorkerCall& call) {
+        const auto* renewal = std::get_if<RenewLeaseCall>(&call);
+        return std::holds_alternative<StopCall>(call) || (renewal && renewal->wait > 0ms);
+    };
+    // A stop every 250 ms.
+    REQUIRE(std::count_if(fixture.calls.begin(), fixture.calls.end(), isStopOrLongPoll) <= 4 * 4);
+}
+
+// Guards against an entry that can't tell a run that has started, and is bounded by the lease, from a start in doubt.
+TEST_CASE("an entry is told at once that a run has started", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.startTasks(1, 1);
+    fixture.advance(20ms);
+    REQUIRE(fixture.reportsOf(1).size() == 1);
+    REQUIRE(fixture.reportsOf(1).front().state == Messages::RunState::Running);
+}
--- a/UnitTests/Workers/RunSupervisorProofTest.cpp
+++ b/UnitTests/Workers/RunSupervisorProofTest.cpp
@@ -351,7 +351,10 @@
     ReadySupervisor fixture;
     fixture.startTasks(1, 1, 8);
     fixture.advance(300ms);
-    REQUIRE(fixture.reportsOf(1).size() == 8);
+    const std::vector<Messages::RunReport> reports = fixture.reportsOf(1);
+    REQUIRE(std::count_if(reports.begin(), reports.end(), [](const Messages::RunReport& report) {
+        return report.state == Messages::RunState::Ended;
+    }) == 8);
     fixture.isWorkerReachable = false;
     fixture.startTasks(1, 2);
     fixture.advance(200ms);
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -120,6 +120,8 @@
         std::uint32_t run = 1;
         /// Number of the start order that the task waits for; valid while it is ordered.
         std::uint64_t order = 0;
+        /// Whether the sidecar reported that the run of the order has started.
+        bool isStarted = false;
         std::uint32_t failures = 0;
         Core::InstanceId sidecar;
         /// Whether the run was told to stop so that the task can run on another worker.
@@ -232,6 +234,7 @@
     // Makes a task wait for placement again.
     void requeueTask(Job& job, std::uint32_t stepIndex, Task& task);
     void enqueue(Job& job);
+    // Requeues the tasks whose runs at a sidecar have certainly ended.
     void declareRunsLost(Core::SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason);
     void endJob(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
     void sendAnswer(RequestNumber request, CallerAnswer answer);
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -135,6 +135,7 @@
     task.run = std::max(task.run, report.run);
     job.hasRun = job.hasRun || report.state == RunState::Running || report.end != RunEnd::NotStarted;
     if (report.state == RunState::Running) {
+        task.isStarted = true;
         this->handleProgress(now, found, report);
         return;
     }
@@ -266,11 +267,21 @@
 void JobScheduler::declareRunsLost(SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason)
 {
     std::uint64_t runs = 0;
+    std::uint64_t inDoubt = 0;
     for (auto& [id, job] : this->jobs) {
         for (std::uint32_t stepIndex = 0; stepIndex < job.steps.size(); ++stepIndex) {
             for (Task& task : job.steps[stepIndex].tasks) {
                 if (task.phase != TaskPhase::Ordered || task.sidecar != sidecar)
                     continue;
+                // Leases bound runs that have started. A start that the worker has not answered may be executed at any
+                // time until its sidecar has voided it, so that the task waits for the sidecar or for its job's end.
+                if (!task.isStarted) {
+                    ++inDoubt;
+                    job.trace.add(now, "start in doubt",
+                        { { "job", Messages::jobText(id) }, { "run", task.run }, { "order", task.order },
+                            { "sidecar", sidecar } });
+                    continue;
+                }
                 ++runs;
                 job.trace.add(now, "run lost",
                     { { "job", Messages::jobText(id) }, { "run", task.run }, { "sidecar", sidecar },
@@ -281,9 +292,9 @@
             }
         }
     }
-    if (runs > 0)
+    if (runs + inDoubt > 0)
         this->log.write(Logging::LogLevel::Warning, "runs declared lost",
-            { { "sidecar", sidecar }, { "reason", std::string(reason) }, { "runs", runs } });
+            { { "sidecar", sidecar }, { "reason", std::string(reason) }, { "runs", runs }, { "in_doubt", inDoubt } });
 }
 
 void JobScheduler::maintainSidecars(SteadyTime now)
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -339,6 +339,7 @@
             run.startedAt = now;
             run.progressReadAt = now;
             run.expectedEnd = now + run.expectedTime;
+            this->addReport(now, run);
             break;
         case RunAction::ReportEnd:
             this->logEnd(now, run, event);
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -260,10 +260,15 @@
     // Logs the end of a run that may have started and was not done, with what the end was concluded from.
     void logEnd(Core::SteadyTime now, const Run& run, RunEvent evidence) const;
     void endRun(Core::SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal = RunRefusal::None);
+    // Tells the entry of a run with the next update, and, for `report`, sends that at once.
+    void addReport(Core::SteadyTime now, const Run& run);
     void report(Core::SteadyTime now, const Run& run);
     void reportRefusedStarts(Run& run);
     void stopExpiredRuns(Core::SteadyTime now);
     void endRunsOfExpiredLease(Core::SteadyTime now);
+    // Whether the start of a run was not answered and may still be executed, at any time and by any incarnation of the
+    // worker under the same id.
+    bool isStartInDoubt(const Run& run) const;
     void renewLeaseIfDue(Core::SteadyTime now);
     void sendUpdates(Core::SteadyTime now);
     bool isListPollDue(Core::SteadyTime now) const;
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -122,7 +122,13 @@
 {
     if (now < this->backoffUntil)
         return;
-    const bool hasActiveRuns = this->runs.activeCount() > 0;
+    // Starts in doubt on an unresponsive worker may stay so for long.
+    const bool hasActiveRuns = this->unansweredCalls < unansweredCallLimit
+        ? this->runs.activeCount() > 0
+        : std::any_of(this->runs.all().begin(), this->runs.all().end(), [this](const auto& entry) {
+              const Run& run = entry.second;
+              return run.phase != RunPhase::Ended && run.phase != RunPhase::Queued && !this->isStartInDoubt(run);
+          });
     if (hasActiveRuns && !this->isLongPollPending && this->worker.clock.isKnown())
         this->sendRenewLease(now, true);
     if (this->isListPollPending || now < this->nextListPollAt)
@@ -263,6 +269,10 @@
     }
     if (result.refusal == CallRefusal::Fence)
         this->raiseRefusedToken(pending);
+    if (this->unansweredCalls >= unansweredCallLimit && this->isStartInDoubt(*run)) {
+        run->stopRetryAt = now + unreachablePollInterval;
+        return;
+    }
     this->fire(now, *run, RunEvent::StopUnanswered);
 }
 
--- a/celeryswitch/Workers/RunSupervisorEntries.cpp
+++ b/celeryswitch/Workers/RunSupervisorEntries.cpp
@@ -199,6 +199,13 @@
 }
 
 void RunSupervisor::report(SteadyTime now, const Run& run)
+{
+    this->addReport(now, run);
+    if (const auto found = this->entries.find(run.entry); found != this->entries.end())
+        found->second.isUpdateDue = true;
+}
+
+void RunSupervisor::addReport(SteadyTime now, const Run& run)
 {
     const auto found = this->entries.find(run.entry);
     if (found == this->entries.end() || found->second.incarnation != run.entryIncarnation)
@@ -211,7 +218,6 @@
     found->second.reports.push_back(
         { { run.task, run.order }, run.number, hasEnded ? RunState::Ended : RunState::Running,
             hasEnded ? run.end : RunEnd::NotStarted, run.refusal, time, static_cast<std::uint8_t>(run.percent) });
-    found->second.isUpdateDue = true;
 }
 
 }
--- a/celeryswitch/Workers/RunSupervisorLife.cpp
+++ b/celeryswitch/Workers/RunSupervisorLife.cpp
@@ -141,11 +141,17 @@
         || now < this->worker.clock.certainlyPassedAt(this->worker.leaseEnd) + this->settings.stopTimeout)
         return;
     for (auto& [task, run] : this->runs.all()) {
-        if (run.phase != RunPhase::Ended && run.phase != RunPhase::Queued)
+        if (run.phase != RunPhase::Ended && run.phase != RunPhase::Queued && !this->isStartInDoubt(run))
             this->endRun(now, run, RunEvent::Lost, RunEnd::Lapsed);
     }
 }
 
+bool RunSupervisor::isStartInDoubt(const Run& run) const
+{
+    return run.startedAt == SteadyTime {} && run.listedFrom == SteadyTime::max()
+        && run.startToken >= this->worker.seenToken;
+}
+
 std::optional<Messages::WorkerProfile> RunSupervisor::workerProfile() const
 {
     return this->worker.profile ? std::optional(this->profile()) : std::nullopt;
