Simulate more faults in the model fleet and name workers in violations

A violation names both runs with their workers, incarnations and ends, and the requests of the job. Records carry the process that wrote them, and the model logs its own faults. The files are split by callers, links, workers, checks. A run is compared with the earlier run that ended last, not only with the one that started before it.

--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -1,31 +1,16 @@
-#include "celeryswitch/Experiment/LeasedFleet.h"
-
 #include "celeryswitch/Experiment/LeasedFleetState.h"
+
 #include <algorithm>
 
 namespace celeryswitch::Experiment {
 
 using Core::Duration;
 using Core::SteadyTime;
-using Scheduling::AnswerKind;
-using Scheduling::JobState;
 
 namespace {
 
-constexpr Duration sameDataCentreDelay = std::chrono::microseconds(300);
-constexpr Duration crossDataCentreDelay = std::chrono::microseconds(1400);
-constexpr Duration resendDelay = std::chrono::milliseconds(1300);
-constexpr std::size_t maximumResubmissions = 3;
 // Delay of an entry's decisions while it reads what has arrived during a stall.
 constexpr Duration backlogPollDelay = std::chrono::milliseconds(50);
-constexpr double stretch = 1.6;
-constexpr double targetSeconds = 0.06;
-// Value of a late answer, and the multiple of the goal from which on an answer has no value.
-constexpr double lateValue = 0.2;
-constexpr double expiryFactor = 3;
-// Share of a job's value that does not depend on its work, and the largest multiple of its kind's mean value.
-constexpr double fixedValueShare = 0.3;
-constexpr double maximumRelativeWork = 4;
 
 }
 
@@ -33,88 +18,46 @@
     : options(std::move(value))
     , random(this->options.seed)
     , kindResults(this->options.kinds.size())
+{
+    this->log = this->createLog({});
+}
+
+LeasedFleet::~LeasedFleet() = default;
+
+std::unique_ptr<Logging::StructuredLog> LeasedFleet::createLog(const std::string& instance)
 {
     Logging::LogSettings settings;
     settings.level = this->options.log ? Logging::LogLevel::Debug : Logging::LogLevel::Error;
+    settings.instanceId = instance;
     settings.recordsPerSecond = 0;
     settings.output = [this](const std::string& record) {
         if (this->options.log)
             this->options.log(this->events.now(), record);
     };
-    this->log = std::make_unique<Logging::StructuredLog>(std::move(settings), this->logClock);
-}
-
-LeasedFleet::~LeasedFleet() = default;
-
-double LeasedFleet::lognormal(double mean, double logDeviation)
-{
-    return std::lognormal_distribution<double>(std::log(mean) - logDeviation * logDeviation / 2, logDeviation)(
-        this->random);
-}
-
-Duration LeasedFleet::delay(std::size_t entry, std::size_t worker) const
-{
-    return entry % 3 == worker % 3 ? sameDataCentreDelay : crossDataCentreDelay;
-}
-
-// Selects the links of all entries; another prefix of the entries' names results in other links.
-void LeasedFleet::selectLinks(const std::string& entryPrefix)
-{
-    std::vector<Messages::Member> members;
-    const auto add = [&members](Messages::Role role, std::string id) {
-        members.emplace_back();
-        members.back().identity.role = role;
-        members.back().identity.instanceId = std::move(id);
-    };
-    for (std::size_t entry = 0; entry < this->options.entries; ++entry)
-        add(Messages::Role::Entry, entryPrefix + std::to_string(entry));
-    for (std::size_t worker = 0; worker < this->options.workers; ++worker)
-        add(Messages::Role::Sidecar, std::to_string(worker));
-    this->linkedWorkers.assign(this->options.entries, {});
-    for (std::size_t entry = 0; entry < this->options.entries; ++entry) {
-        for (const Messages::Member& sidecar :
-            Scheduling::LinkSubset(entryPrefix + std::to_string(entry), this->options.links).select(members))
-            this->linkedWorkers[entry].insert(std::stoul(sidecar.identity.instanceId));
-        if (entry < this->entries.size() && this->entries[entry]->isUp)
-            this->runWhenAwake(*this->entries[entry], [this, entry] { this->applyLinks(entry); });
-    }
+    return std::make_unique<Logging::StructuredLog>(std::move(settings), this->logClock);
 }
 
-void LeasedFleet::applyLinks(std::size_t entry)
+Logging::StructuredLog& LeasedFleet::logOf(const std::string& instance)
 {
-    std::set<Core::InstanceId> sidecars;
-    for (std::size_t worker : this->linkedWorkers[entry])
-        sidecars.insert(std::to_string(worker));
-    Entry& linked = *this->entries[entry];
-    linked.scheduler->setLinkedSidecars(linked.now(this->events.now()), std::move(sidecars));
-    this->pollEntry(entry);
+    if (!this->options.log)
+        return *this->log;
+    std::unique_ptr<Logging::StructuredLog>& log = this->processLogs[instance];
+    if (!log)
+        log = this->createLog(instance);
+    return *log;
 }
 
-LeasedValue LeasedKindResult::valueOf(std::size_t firstSecond, std::size_t endSecond) const
+void LeasedFleet::note(
+    const std::string& instance, std::string_view message, std::initializer_list<Logging::LogField> fields)
 {
-    LeasedValue sum;
-    for (std::size_t second = firstSecond; second < std::min(endSecond, this->seconds.size()); ++second) {
-        sum.owed += this->seconds[second].owed;
-        sum.earned += this->seconds[second].earned;
-    }
-    return sum;
-}
-
-double LeasedFleet::arrivalRate(const LeasedJobKind& kind) const
-{
-    const Duration elapsed = this->events.now() - this->firstArrivalAt;
-    const bool isFlood = elapsed >= kind.flood.from && elapsed < kind.flood.from + kind.flood.length;
-    return kind.jobsPerSecond * (isFlood ? kind.floodFactor : 1);
+    if (this->options.log)
+        this->logOf(instance).write(Logging::LogLevel::Info, message, fields);
 }
 
-LeasedValue& LeasedFleet::valueAt(const Job& job)
+double LeasedFleet::lognormal(double mean, double logDeviation)
 {
-    std::vector<LeasedValue>& values = this->kindResults[job.kind].seconds;
-    const auto second = static_cast<std::size_t>(
-        std::chrono::duration_cast<std::chrono::seconds>(job.sentAt - this->firstArrivalAt).count());
-    if (values.size() <= second)
-        values.resize(second + 1);
-    return values[second];
+    return std::lognormal_distribution<double>(std::log(mean) - logDeviation * logDeviation / 2, logDeviation)(
+        this->random);
 }
 
 LeasedResult LeasedFleet::run()
@@ -158,107 +101,11 @@
     return result;
 }
 
-void LeasedFleet::createJob(std::size_t kind)
-{
-    const LeasedJobKind& description = this->options.kinds[kind];
-    const SteadyTime end = SteadyTime(std::chrono::seconds(1002))
-        + std::chrono::duration_cast<SteadyTime::duration>(this->options.duration);
-    if (this->events.now() < end)
-        this->events.scheduleAfter(seconds(-std::log(1 - this->uniform()) / this->arrivalRate(description)),
-            [this, kind] { this->createJob(kind); });
-    const std::uint64_t id = ++this->lastId;
-    Job& job = this->jobs[id];
-    job.kind = kind;
-    job.sentAt = this->events.now();
-    const double longest = this->lognormal(description.meanSeconds, description.logDeviation);
-    const auto tasks = static_cast<std::uint32_t>(std::clamp(this->lognormal(description.meanTasks, 0.4), 1.0, 32.0));
-    for (std::uint32_t index = 0; index < tasks; ++index)
-        job.taskSeconds.push_back(longest * (index == 0 ? 1 : 1 - 0.3 * this->uniform()));
-    job.isFailing = this->uniform() < description.failingJobShare;
-    job.callerTimeout = seconds(1.5 + 2 * (stretch * longest + targetSeconds));
-    Scheduling::StepSpecification step;
-    step.count = tasks;
-    step.need = { static_cast<std::int64_t>(this->lognormal(description.milliCores, 0.2)), 64, 0 };
-    step.declaredMilliseconds = static_cast<std::uint32_t>(std::max(1.0, this->lognormal(longest, 0.4) * 1000));
-    job.specification = { id, "content", { step }, true, 0, 0, 0 };
-    const double relativeWork = longest * tasks * static_cast<double>(step.need.milliCores)
-        / (description.meanSeconds * description.meanTasks * description.milliCores);
-    job.value
-        = description.value * std::min(maximumRelativeWork, fixedValueShare + (1 - fixedValueShare) * relativeWork);
-    this->valueAt(job).owed += job.value;
-    ++this->kindResults[kind].submitted;
-    this->submit(id);
-}
-
-void LeasedFleet::submit(std::uint64_t id)
-{
-    Job& job = this->jobs.at(id);
-    const std::size_t index = static_cast<std::size_t>(this->uniform() * static_cast<double>(this->entries.size()));
-    Entry& entry = *this->entries[index];
-    if (!entry.isUp) {
-        // Connections to a process that is down are refused; the caller retries until its timeout.
-        if (this->events.now() < job.sentAt + job.callerTimeout)
-            this->events.scheduleAfter(std::chrono::milliseconds(100), [this, id] { this->submit(id); });
-        return;
-    }
-    ++job.submissions;
-    const Scheduling::RequestNumber request = ++this->lastId;
-    job.request = request;
-    job.entry = index;
-    job.requestSentAt = this->events.now();
-    job.isHeldUp = false;
-    entry.requests[request] = id;
-    this->events.scheduleAfter(job.callerTimeout, [this, id, request] {
-        if (this->jobs.at(id).request == request)
-            this->abandonRequest(id, this->jobs.at(id).isHeldUp || this->uniform() < 0.5);
-    });
-    const Configuration::Queue queue { this->options.kinds[job.kind].name, "h", "/", "loans", 1500, 60, stretch,
-        this->options.kinds[job.kind].priority, this->options.kinds[job.kind].attempts };
-    this->runWhenAwake(entry, [this, index, id, request, queue] {
-        Entry& awake = *this->entries[index];
-        Job& submitted = this->jobs.at(id);
-        submitted.isHeldUp = submitted.request == request && this->events.now() > submitted.requestSentAt;
-        const SteadyTime now = awake.now(this->events.now());
-        // After a stall the end of the caller's connection has been read before the request is begun.
-        if (awake.stallGuard.isReadingBacklog(now) && this->options.mechanisms.isStallGuarded
-            && awake.requests.count(request) == 0)
-            return;
-        awake.scheduler->submit(now, now, request, queue, { submitted.specification, submitted.callerTimeout });
-        this->pollEntry(index);
-    });
-}
-
-void LeasedFleet::resubmit(std::uint64_t id)
-{
-    Job& job = this->jobs.at(id);
-    job.request = 0;
-    if (job.resubmissions++ < maximumResubmissions)
-        this->events.scheduleAfter(resendDelay, [this, id] { this->submit(id); });
-}
-
-void LeasedFleet::abandonRequest(std::uint64_t id, bool isNoticed)
-{
-    Job& job = this->jobs.at(id);
-    const std::size_t index = job.entry;
-    const Scheduling::RequestNumber request = job.request;
-    Entry& entry = *this->entries[index];
-    entry.requests.erase(request);
-    if (isNoticed)
-        this->runWhenAwake(entry, [this, index, request] {
-            Entry& awake = *this->entries[index];
-            awake.scheduler->callerDisconnected(awake.now(this->events.now()), request);
-            this->pollEntry(index);
-        });
-    this->resubmit(id);
-}
-
 void LeasedFleet::startEntry(std::size_t index)
 {
     Entry& entry = *this->entries[index];
-    entry.isUp = true;
-    ++entry.incarnation;
-    entry.nextPollAt = SteadyTime::max();
-    entry.frozenUntil = {};
+    entry.restart();
+    entry.closesReadAt = {};
     entry.clockLag = {};
     entry.stallGuard = {};
     Scheduling::SchedulerSettings settings;
@@ -266,7 +113,8 @@
     settings.reservationsPerTask = this->options.reservationsPerTask;
     if (!this->options.mechanisms.isUnreachableTimeoutEnabled)
         settings.unreachableRunsTimeout = std::chrono::milliseconds(1);
-    entry.scheduler = std::make_unique<Scheduling::JobScheduler>(settings, *this->log, this->registry);
+    entry.scheduler = std::make_unique<Scheduling::JobScheduler>(
+        settings, this->logOf("entry-" + std::to_string(index)), this->registry);
     this->applyLinks(index);
     for (std::size_t worker = 0; worker < this->sidecars.size(); ++worker)
         this->connect(index, worker);
@@ -286,12 +134,6 @@
     this->events.scheduleAfter(restartDelay, [this, index] { this->startEntry(index); });
 }
 
-// Time at which a message that is sent now arrives: a connection delivers what was sent during a cut afterwards.
-SteadyTime LeasedFleet::arrivalTime(const Link& link, std::size_t entry, std::size_t worker) const
-{
-    return std::max(this->events.now(), link.cutUntil) + this->delay(entry, worker);
-}
-
 void LeasedFleet::pollEntry(std::size_t index)
 {
     Entry& entry = *this->entries[index];
@@ -313,11 +155,11 @@
             }
             auto& send = std::get<Scheduling::SendToSidecar>(action);
             const std::size_t worker = std::stoul(send.sidecar);
-            const Link& link = this->links[{ index, worker }];
+            Link& link = this->links[{ index, worker }];
             if (!link.isOpen)
                 continue;
             ++this->messages;
-            this->events.scheduleAt(this->arrivalTime(link, index, worker),
+            this->events.scheduleAt(this->arrivalTime(link, index, worker, link.lastArrivalAtSidecar),
                 [this, index, worker, number = link.connectionId, message = std::move(send.message)] {
                     if (this->links[{ index, worker }].connectionId != number)
                         return;
@@ -342,33 +184,4 @@
     });
 }
 
-void LeasedFleet::handleAnswer(std::uint64_t id, const Scheduling::CallerAnswer& answer)
-{
-    Job& job = this->jobs.at(id);
-    if (answer.kind == AnswerKind::NotRun)
-        ++job.refusals;
-    if (answer.kind == AnswerKind::GivenUp) {
-        this->resubmit(id);
-        return;
-    }
-    job.request = 0;
-    if (job.isAnswered)
-        return;
-    job.isAnswered = true;
-    job.answeredAt = this->events.now();
-    LeasedKindResult& kindResult = this->kindResults[job.kind];
-    const double response = std::chrono::duration<double>(this->events.now() - job.sentAt).count();
-    const double goal = stretch * job.taskSeconds.front() + targetSeconds;
-    job.isCompleted = answer.kind == AnswerKind::State && answer.state == JobState::Completed;
-    const bool isExpectedFailure
-        = answer.kind == AnswerKind::State && answer.state == JobState::Failed && job.isFailing;
-    if (job.isCompleted || isExpectedFailure) {
-        ++(response <= goal ? kindResult.inTime : kindResult.late);
-        if (response <= goal * expiryFactor)
-            this->valueAt(job).earned += job.value * (response <= goal ? 1 : lateValue);
-    } else {
-        ++(answer.kind == AnswerKind::NotRun ? kindResult.refused : kindResult.failed);
-    }
-}
-
 }
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Experiment/EventQueue.h"
+#include "celeryswitch/Experiment/LeasedFaults.h"
 #include "celeryswitch/Experiment/LeasedWorkerModel.h"
 #include "celeryswitch/Scheduling/JobScheduler.h"
 #include "celeryswitch/Scheduling/LinkSubset.h"
@@ -49,50 +50,6 @@
     double speed = 1;
 };
 
-/// Faults at random times during a run, each as its rate per minute unless stated otherwise.
-struct LeasedFaults {
-    double entryKills = 0;
-    double sidecarKills = 0;
-    double workerCrashes = 0;
-    double linkCuts = 0;
-    double sidecarFreezes = 0;
-    double entryFreezes = 0;
-    /// Workers that fail their runs, stall or run slowly for 5 s.
-    double degradedWorkers = 0;
-    /// Shares of the starts and stops, and of the lease renewals, that are delivered 2 to 12 s late and whose answers
-    /// are lost.
-    double lateOrders = 0;
-    double lateRenewals = 0;
-    /// Whether the lease that a late renewal requests counts from its arrival.
-    bool isLateLeaseFromArrival = false;
-    /// Suspensions of machines that run an entry.
-    double entrySuspensions = 0;
-    /// Workers that start again at once, under the same id.
-    double workerRestarts = 0;
-    /// Announcements and deregistrations of other workers or of earlier incarnations that reach a sidecar.
-    double strayAnnouncements = 0;
-    /// Connections of callers that break.
-    double callerResets = 0;
-    /// Changes of the links between entries and sidecars, as when entries join and leave.
-    double linkChanges = 0;
-};
-
-/// Safety mechanisms that a test can disable to show that the checks detect it; always enabled outside of tests.
-struct LeasedMechanisms {
-    /// Sidecars end the runs of an entry that has been out of contact for too long.
-    bool isEntryTimeoutEnabled = true;
-    /// An unanswered start is revoked before its task may run elsewhere.
-    bool isUnansweredStartRevoked = true;
-    /// An entry waits until runs on an unreachable worker must have ended.
-    bool isUnreachableTimeoutEnabled = true;
-    /// Leases end before the callers of a failed entry retry.
-    bool isLeaseLimited = true;
-    /// Entries begin nothing after a stall until they have read what arrived meanwhile.
-    bool isStallGuarded = true;
-    /// The clocks of processes count the time for which their machines were suspended.
-    bool isSuspensionCounted = true;
-};
-
 /// Options of one simulation run.
 struct LeasedOptions {
     std::vector<LeasedJobKind> kinds;
@@ -171,8 +128,23 @@
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
     double lognormal(double mean, double logDeviation);
     Core::Duration delay(std::size_t entry, std::size_t worker) const;
-    Core::SteadyTime arrivalTime(const Link& link, std::size_t entry, std::size_t worker) const;
+    // Time at which a message that is sent now arrives.
+    Core::SteadyTime arrivalTime(
+        const Link& link, std::size_t entry, std::size_t worker, Core::SteadyTime& lastArrivalAt) const;
     template <typename Process, typename Action> void runWhenAwake(Process& process, Action action);
+    template <typename Process> void handleInOrder(Process& process, std::function<void()> action);
+    template <typename Process> void scheduleBacklog(Process& process);
+    void stallEntry(std::size_t index);
+    void slowDown(std::size_t index);
+    void slowLinks(std::size_t worker);
+    void slowCallerLinks(std::size_t entry);
+    // Runs an action of an entry when what a caller sends now arrives, and not before `earliest`; returns that time.
+    Core::SteadyTime receiveFromCaller(std::size_t entry, Core::SteadyTime earliest, std::function<void()> action);
+    std::unique_ptr<Logging::StructuredLog> createLog(const std::string& instance);
+    // Log of a process; its records carry the name.
+    Logging::StructuredLog& logOf(const std::string& instance);
+    // Writes a record of the model itself.
+    void note(const std::string& instance, std::string_view message, std::initializer_list<Logging::LogField> fields);
     void suspendEntry(std::size_t index);
     void breakCallerConnection();
     void deliverStrayAnnouncement(std::size_t index);
@@ -181,22 +153,35 @@
     void applyLinks(std::size_t entry);
     void createJob(std::size_t kind);
     void submit(std::uint64_t job);
+    std::size_t selectEntry(const Job& job);
+    void planEarlyLeave(std::uint64_t job);
     void resubmit(std::uint64_t job);
     // The caller ends its open request and retries later. Its entry need not notice: it ends the job by the caller's
     // deadline, unless the request was held up, which nothing but the end of the connection tells.
     void abandonRequest(std::uint64_t job, bool isNoticed);
+    void closeCallerConnection(std::size_t entry, Scheduling::RequestNumber request, Core::SteadyTime requestArrivesAt);
+    bool isReadingLate(std::size_t entry) const;
     void startEntry(std::size_t index);
     void killEntry(std::size_t index);
     void pollEntry(std::size_t index);
     void startSidecar(std::size_t index);
     void killSidecar(std::size_t index);
+    void cutPowerOfSidecar(std::size_t index);
+    void replaceSidecar(std::size_t index);
+    void finishDraining(std::size_t index);
     void pollSidecar(std::size_t index);
     void sendOffer(std::size_t index, const Workers::SendOffer& send);
     // An empty id stands for a new one.
     void startWorker(std::size_t index, const std::string& workerId);
     void crashWorker(std::size_t index);
+    void departWorker(std::size_t index);
+    void deregisterWorker(std::size_t index, bool isIncarnationStated);
     void announce(std::size_t index);
+    void sendAnnouncement(std::size_t index);
     void advanceWorker(std::size_t index);
+    // Writes a record of a call that can start a run, stop one or prolong the lease.
+    void noteCall(
+        std::size_t index, std::string_view message, const Workers::CallWorker& order, std::int64_t delayMilliseconds);
     void callWorker(std::size_t index, Workers::CallWorker order);
     void deliverCall(std::size_t index, std::uint64_t incarnation, std::uint64_t sidecarIncarnation,
         const Workers::CallWorker& order);
@@ -214,12 +199,15 @@
     void scheduleFaults();
     RunPlan planRun(std::size_t worker, const Messages::TaskId& task, std::uint32_t run);
     void checkInvariants(LeasedResult& result) const;
+    void checkRunsOfTask(std::vector<const RunRecord*> runs, LeasedResult& result) const;
 
     LeasedOptions options;
     pcg64 random;
     EventQueue events;
     Core::ManualClock logClock;
+    /// Log of all processes, and of each process if records are wanted.
     std::unique_ptr<Logging::StructuredLog> log;
+    std::map<std::string, std::unique_ptr<Logging::StructuredLog>> processLogs;
     Metrics::MetricRegistry registry;
     std::vector<std::unique_ptr<Entry>> entries;
     std::vector<std::unique_ptr<Sidecar>> sidecars;
--- a/celeryswitch/Experiment/LeasedFleetFaults.cpp
+++ b/celeryswitch/Experiment/LeasedFleetFaults.cpp
@@ -1,4 +1,4 @@
-// Links and faults of the simulated fleet, and its invariant checks.
+// Faults of the simulated fleet at random times.
 #include "celeryswitch/Experiment/LeasedFleetState.h"
 
 #include <algorithm>
@@ -10,73 +10,73 @@
 
 namespace {
 
-constexpr Duration linkCheckInterval = std::chrono::milliseconds(50);
-constexpr Duration linkTimeout = std::chrono::milliseconds(550);
+// Time after a stall within which an entry reads the ends of its callers' connections.
+constexpr double longestCloseDelaySeconds = 0.02;
 
 }
 
-void LeasedFleet::connect(std::size_t entryIndex, std::size_t worker)
+void LeasedFleet::suspendEntry(std::size_t index)
 {
-    if (entryIndex >= this->entries.size())
-        return;
-    Link& link = this->links[{ entryIndex, worker }];
-    Entry& entry = *this->entries[entryIndex];
-    Sidecar& sidecar = *this->sidecars[worker];
-    if (link.isOpen || this->linkedWorkers[entryIndex].count(worker) == 0 || !entry.isUp || !sidecar.isUp
-        || this->events.now() < link.cutUntil || this->events.now() < entry.frozenUntil
-        || this->events.now() < sidecar.frozenUntil)
-        return;
-    link.isOpen = true;
-    link.connectionId = ++this->lastId;
-    link.lastReceivedAt = this->events.now();
-    sidecar.supervisor->entryConnected(this->events.now(), link.connectionId,
-        { Messages::Role::Entry, "entry-" + std::to_string(entryIndex), entry.incarnation, "", "", "", 0 });
-    Messages::Member member;
-    member.identity.instanceId = std::to_string(worker);
-    member.identity.dataCentre = "dc-" + std::to_string(worker % 3);
-    entry.scheduler->sidecarConnected(entry.now(this->events.now()), member);
-    this->pollSidecar(worker);
-    this->pollEntry(entryIndex);
+    Entry& entry = *this->entries[index];
+    const Duration span = seconds(0.5 + 4 * this->uniform());
+    entry.freeze(this->events.now(), span);
+    if (!this->options.mechanisms.isSuspensionCounted)
+        entry.clockLag += span;
 }
 
-void LeasedFleet::disconnect(std::size_t entryIndex, std::size_t worker)
+// Connections of callers break during the stall, and the entry reads their ends after what else has arrived.
+void LeasedFleet::stallEntry(std::size_t index)
 {
-    if (entryIndex >= this->entries.size())
-        return;
-    Link& link = this->links[{ entryIndex, worker }];
-    if (!std::exchange(link.isOpen, false))
+    Entry& entry = *this->entries[index];
+    if (!entry.isUp)
         return;
-    const std::uint64_t number = std::exchange(link.connectionId, 0);
-    if (this->entries[entryIndex]->isUp)
-        this->runWhenAwake(*this->entries[entryIndex], [this, entryIndex, worker] {
-            this->entries[entryIndex]->scheduler->sidecarDisconnected(std::to_string(worker));
+    const double span = 0.1 + 0.49 * this->uniform();
+    entry.freeze(this->events.now(), seconds(span));
+    entry.closesReadAt = entry.frozenUntil
+        + std::chrono::duration_cast<SteadyTime::duration>(seconds(longestCloseDelaySeconds * this->uniform()));
+    this->note("entry-" + std::to_string(index), "model: entry stalls",
+        { { "span_ms", static_cast<std::int64_t>(span * 1000) } });
+    for (const auto& [request, id] : entry.requests) {
+        if (this->uniform() >= this->options.faults.stallResets)
+            continue;
+        this->events.scheduleAfter(seconds(span * this->uniform()), [this, id = id, request = request] {
+            if (this->jobs.at(id).request == request)
+                this->abandonRequest(id, true);
         });
-    if (!this->sidecars[worker]->isUp || this->events.now() < link.cutUntil)
-        return;
-    this->runWhenAwake(*this->sidecars[worker], [this, worker, number] {
-        this->sidecars[worker]->supervisor->entryDisconnected(this->events.now(), number);
-        this->pollSidecar(worker);
-    });
+    }
 }
 
-void LeasedFleet::suspendEntry(std::size_t index)
+void LeasedFleet::slowDown(std::size_t index)
 {
-    Entry& entry = *this->entries[index];
-    const Duration span = seconds(0.5 + 4 * this->uniform());
-    entry.freeze(this->events.now(), span);
-    if (!this->options.mechanisms.isSuspensionCounted)
-        entry.clockLag += span;
+    LeasedFleetProcess& process = index < this->entries.size() ? static_cast<LeasedFleetProcess&>(*this->entries[index])
+                                                               : *this->sidecars[index - this->entries.size()];
+    process.slowUntil
+        = this->events.now() + std::chrono::duration_cast<SteadyTime::duration>(seconds(1 + 3 * this->uniform()));
+    process.slowdown = 2 + 6 * this->uniform();
 }
 
-void LeasedFleet::breakCallerConnection()
+void LeasedFleet::slowLinks(std::size_t worker)
 {
-    std::vector<std::uint64_t> open;
-    for (const auto& entry : this->entries) {
-        for (const auto& [request, job] : entry->requests)
-            open.push_back(job);
+    const bool isSingleEntry = this->uniform() < 0.5;
+    const auto affected = static_cast<std::size_t>(this->uniform() * static_cast<double>(this->entries.size()));
+    const Duration delay = seconds(0.02 + 0.18 * this->uniform());
+    const SteadyTime until
+        = this->events.now() + std::chrono::duration_cast<SteadyTime::duration>(seconds(2 + 3 * this->uniform()));
+    for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
+        if (isSingleEntry && entry != affected)
+            continue;
+        Link& link = this->links[{ entry, worker }];
+        link.slowDelay = delay;
+        link.slowUntil = until;
     }
-    if (!open.empty())
-        this->abandonRequest(open[static_cast<std::size_t>(this->uniform() * static_cast<double>(open.size()))], true);
+}
+
+void LeasedFleet::slowCallerLinks(std::size_t index)
+{
+    Entry& entry = *this->entries[index];
+    entry.callerDelay = seconds(0.02 + 0.18 * this->uniform());
+    entry.callersSlowUntil
+        = this->events.now() + std::chrono::duration_cast<SteadyTime::duration>(seconds(2 + 3 * this->uniform()));
 }
 
 void LeasedFleet::deliverStrayAnnouncement(std::size_t index)
@@ -98,50 +98,6 @@
     });
 }
 
-void LeasedFleet::maintainLinks()
-{
-    for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
-        for (std::size_t worker = 0; worker < this->sidecars.size(); ++worker) {
-            const Link& link = this->links[{ entry, worker }];
-            if (link.isOpen && this->events.now() - link.lastReceivedAt > linkTimeout
-                && this->events.now() >= this->entries[entry]->frozenUntil)
-                this->disconnect(entry, worker);
-            else if (this->linkedWorkers[entry].count(worker) == 0)
-                this->removeUnusedLink(entry, worker);
-            else if (!link.isOpen)
-                this->connect(entry, worker);
-        }
-    }
-    this->events.scheduleAfter(linkCheckInterval, [this] { this->maintainLinks(); });
-}
-
-// Removes a link that the entry no longer needs, once none of its runs is left there.
-void LeasedFleet::removeUnusedLink(std::size_t entry, std::size_t worker)
-{
-    if (!this->entries[entry]->isUp || this->events.now() < this->entries[entry]->frozenUntil)
-        return;
-    Scheduling::JobScheduler& scheduler = *this->entries[entry]->scheduler;
-    const Core::InstanceId sidecar = std::to_string(worker);
-    if (scheduler.hasRuns(sidecar))
-        return;
-    this->disconnect(entry, worker);
-    scheduler.removeSidecar(sidecar);
-}
-
-void LeasedFleet::cutOffSidecars()
-{
-    const SteadyTime until
-        = this->events.now() + std::chrono::duration_cast<SteadyTime::duration>(this->options.cutOff.length);
-    for (std::size_t worker = 0; worker < this->sidecars.size(); ++worker) {
-        // Spread evenly, so that all classes of workers lose the same share.
-        const double share = this->options.cutOffShare;
-        if (std::floor(static_cast<double>(worker + 1) * share) <= std::floor(static_cast<double>(worker) * share))
-            continue;
-        for (std::size_t entry = 0; entry < this->entries.size(); ++entry)
-            this->links[{ entry, worker }].cutUntil = until;
-    }
-}
-
 RunPlan LeasedFleet::planRun(std::size_t worker, const Messages::TaskId& task, std::uint32_t)
 {
     const Sidecar& sidecar = *this->sidecars[worker];
@@ -210,6 +166,30 @@
     });
     schedule(faults.strayAnnouncements, [this, pick] { this->deliverStrayAnnouncement(pick(this->sidecars.size())); });
     schedule(faults.callerResets, [this] { this->breakCallerConnection(); });
+    if (faults.sidecarOutages > 0)
+        schedule(faults.sidecarOutages, [this, pick] { this->cutPowerOfSidecar(pick(this->sidecars.size())); });
+    if (faults.longSidecarFreezes > 0)
+        schedule(faults.longSidecarFreezes, [this, pick] {
+            this->sidecars[pick(this->sidecars.size())]->freeze(this->events.now(), seconds(2 + 4 * this->uniform()));
+        });
+    if (faults.sidecarReplacements > 0)
+        schedule(faults.sidecarReplacements, [this, pick] { this->replaceSidecar(pick(this->sidecars.size())); });
+    if (faults.workerDepartures > 0)
+        schedule(faults.workerDepartures, [this, pick] { this->departWorker(pick(this->sidecars.size())); });
+    if (faults.sidecarClockJumps > 0)
+        schedule(faults.sidecarClockJumps, [this, pick] {
+            this->sidecars[pick(this->sidecars.size())]->clockOffset
+                = seconds(this->options.faults.clockJumpSeconds * (2 * this->uniform() - 1));
+        });
+    if (faults.entryStalls > 0)
+        schedule(faults.entryStalls, [this, pick] { this->stallEntry(pick(this->entries.size())); });
+    if (faults.slowProcesses > 0)
+        schedule(
+            faults.slowProcesses, [this, pick] { this->slowDown(pick(this->entries.size() + this->sidecars.size())); });
+    if (faults.slowLinks > 0)
+        schedule(faults.slowLinks, [this, pick] { this->slowLinks(pick(this->sidecars.size())); });
+    if (faults.slowCallerLinks > 0)
+        schedule(faults.slowCallerLinks, [this, pick] { this->slowCallerLinks(pick(this->entries.size())); });
     schedule(faults.linkChanges, [this] { this->selectLinks("entry-" + std::to_string(++this->lastId) + "-"); });
     schedule(faults.degradedWorkers, [this, pick] {
         Sidecar& sidecar = *this->sidecars[pick(this->sidecars.size())];
@@ -220,36 +200,4 @@
     });
 }
 
-void LeasedFleet::checkInvariants(LeasedResult& result) const
-{
-    std::map<Messages::TaskId, std::vector<const RunRecord*>> byTask;
-    for (const RunRecord& run : this->runRecords)
-        byTask[run.task].push_back(&run);
-    const auto at = [](SteadyTime time) { return std::to_string(Core::toClockSample(time) / 1000) + " ms"; };
-    std::map<std::uint64_t, std::set<std::uint32_t>> done;
-    std::set<std::uint64_t> started;
-    for (auto& [task, runs] : byTask) {
-        std::sort(runs.begin(), runs.end(),
-            [](const RunRecord* left, const RunRecord* right) { return left->startedAt < right->startedAt; });
-        const std::string name = "task " + std::to_string(task.job) + "." + std::to_string(task.index);
-        for (std::size_t index = 0; index < runs.size(); ++index) {
-            started.insert(task.job);
-            if (runs[index]->end == Messages::RunEnd::Done)
-                done[task.job].insert(task.index);
-            if (index > 0 && runs[index]->startedAt < runs[index - 1]->endedAt)
-                result.violations.push_back(name + " ran twice at " + at(runs[index]->startedAt)
-                    + ", the earlier run from " + at(runs[index - 1]->startedAt) + " to "
-                    + at(runs[index - 1]->endedAt));
-        }
-    }
-    for (const auto& [id, job] : this->jobs) {
-        if (job.isCompleted && done[id].size() != job.taskSeconds.size())
-            result.violations.push_back(
-                "job " + std::to_string(id) + " was answered as completed although not all of its tasks were done");
-        if (job.submissions > 0 && job.refusals == job.submissions && started.count(id) > 0)
-            result.violations.push_back(
-                "job " + std::to_string(id) + " was answered as not run although a task of it had started");
-    }
-}
-
 }
--- a/celeryswitch/Experiment/LeasedWorkerModel.cpp
+++ b/celeryswitch/Experiment/LeasedWorkerModel.cpp
@@ -104,7 +104,13 @@
     if (this->workerSettings.hasAdmissionControl && !plan.need.fits(this->workerSettings.capacity - this->usedRoom()))
         return this->refuse(now, CallRefusal::Room);
     const bool isStalled = plan.time <= Core::Duration::zero();
-    this->runs.push_back({ call.task, call.run, now });
+    RunRecord record;
+    record.task = call.task;
+    record.run = call.run;
+    record.startedAt = now;
+    record.workerId = this->workerSettings.workerId;
+    record.bornAt = this->workerSettings.bornAt;
+    this->runs.push_back(std::move(record));
     this->running[call.task] = { this->runs.size() - 1, plan,
         isStalled ? SteadyTime::max() : now + std::chrono::duration_cast<SteadyTime::duration>(plan.time) };
     return accepted;
--- a/celeryswitch/Experiment/LeasedWorkerModel.h
+++ b/celeryswitch/Experiment/LeasedWorkerModel.h
@@ -41,6 +41,9 @@
     /// The maximum time while the run is active.
     Core::SteadyTime endedAt = Core::SteadyTime::max();
     Messages::RunEnd end = Messages::RunEnd::Lost;
+    /// Worker and its incarnation.
+    std::string workerId;
+    std::int64_t bornAt = 0;
 };
 
 /// Simulated worker that runs tasks under a lease and a fencing token, as a platform's workers do. Pure: the time is a
