--- a/UnitTests/Scheduling/LeasedFleetTest.cpp
+++ b/UnitTests/Scheduling/LeasedFleetTest.cpp
@@ -69,6 +69,63 @@
     return faults;
 }
 
+// Entries that stall below StallGuard's threshold while connections of their callers break and no stop is answered.
+LeasedFaults stallFaults()
+{
+    LeasedFaults faults;
+    faults.entryStalls = 120;
+    faults.stallResets = 1;
+    faults.lateStops = 1;
+    faults.degradedWorkers = 120;
+    return faults;
+}
+
+// The ends of callers' connections reach the entry late, and no stop is answered.
+LeasedFaults slowCallerFaults()
+{
+    LeasedFaults faults;
+    faults.slowCallerLinks = 60;
+    faults.callerResets = 300;
+    faults.lateStops = 1;
+    faults.degradedWorkers = 120;
+    return faults;
+}
+
+// Sidecars that are away for seconds after starts that are carried out late, with a lease that counts from then.
+LeasedFaults lateStartFaults()
+{
+    LeasedFaults faults;
+    faults.lateOrders = 0.6;
+    faults.isLateStartFromArrival = true;
+    faults.sidecarOutages = 120;
+    return faults;
+}
+
+// Sidecars that are replaced in an orderly way, some after their time of day has jumped, and workers that leave.
+LeasedFaults replacementFaults()
+{
+    LeasedFaults faults;
+    faults.lateOrders = 0.1;
+    faults.sidecarReplacements = 40;
+    faults.workerDepartures = 20;
+    faults.sidecarClockJumps = 60;
+    faults.linkCuts = 30;
+    return faults;
+}
+
+// Callers that leave early and come back to the same entry, processes that are slow, and slow links.
+LeasedFaults returningCallerFaults()
+{
+    LeasedFaults faults;
+    faults.earlyLeavers = 0.3;
+    faults.sameEntryRepeats = 0.7;
+    faults.lateOrders = 0.3;
+    faults.degradedWorkers = 60;
+    faults.slowProcesses = 40;
+    faults.slowLinks = 60;
+    return faults;
+}
+
 std::string joinLines(const std::vector<std::string>& lines)
 {
     std::string text;
@@ -83,6 +140,20 @@
     return value ? std::strtoull(value, nullptr, 10) : 12;
 }
 
+void requireNoViolation(const LeasedFaults& faults)
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        INFO("seed " << seed);
+        LeasedOptions options = threeKinds(seed, 0.5);
+        options.duration = std::chrono::seconds(8);
+        options.faults = faults;
+        const LeasedResult result = LeasedFleet(options).run();
+        INFO(joinLines(result.violations));
+        REQUIRE(result.violations.empty());
+        REQUIRE(result.runs > 100);
+    }
+}
+
 }
 
 // Guards against jobs that are refused, late or lost although there are no faults and there is room.
@@ -144,6 +215,37 @@
     }
 }
 
+// Guards against runs whose time to end counts from a sign of life of the entry that is newer than its reading of the
+// callers' connections.
+TEST_CASE("no task runs twice after short stalls in which callers leave", "[Scheduling][fleet]")
+{
+    requireNoViolation(stallFaults());
+}
+
+// Guards against the same where the ends of the callers' connections reach the entry late.
+TEST_CASE("no task runs twice while links to callers are slow", "[Scheduling][fleet]")
+{
+    requireNoViolation(slowCallerFaults());
+}
+
+// Guards against starts that are carried out after the sidecar that sent them lost power.
+TEST_CASE("no task runs twice after late starts of sidecars that lost power", "[Scheduling][fleet]")
+{
+    requireNoViolation(lateStartFaults());
+}
+
+// Guards against second runs after orderly replacements, departures of workers and jumps of the time of day.
+TEST_CASE("no task runs twice while sidecars are replaced and workers leave", "[Scheduling][fleet]")
+{
+    requireNoViolation(replacementFaults());
+}
+
+// Guards against ends of an earlier admission of a job that are taken for the end of the later one.
+TEST_CASE("no task runs twice when callers leave and return to the same entry", "[Scheduling][fleet]")
+{
+    requireNoViolation(returningCallerFaults());
+}
+
 // Guards against checks that detect nothing: with a mechanism off, some seed violates an invariant.
 TEST_CASE("the fleet's checks detect a disabled mechanism", "[Scheduling][fleet]")
 {
