Return clock samples only after a check of the callers' connections

Cause: a sidecar lets a run last until 1.3 s after the newest clock sample that its entry returned. An entry that was stalled read the updates of sidecars before the ends of its callers' connections, and returned samples that were younger than the moment at which a caller had left; StopRuns carried the newest one itself. The run then outlasted the return of its caller.

Change: JobScheduler returns only samples received before the last callersChecked. SchedulingEntry asks the kernel for the state of the connection of each open request (poll with POLLRDHUP) at most every 50 ms before it decides, ends the jobs of those that have left under the previous samples, and only then moves on. This depends neither on the order in which the event loop delivers events nor on its speed, and finds an end behind bytes of a pipelined request. The first sample of a connection is checked for and returned at once. Samples of earlier connections are dropped. Ticks come every 50 ms. Deferred requests of callers that have left are not begun.

The model fleet plays unread ends of connections.

--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -36,6 +36,40 @@
     CHECK(requests == 1);
 }
 
+// Guards against an end of a connection that its entry does not notice: one that lies unread behind other events, or
+// behind bytes of a next request.
+TEST_CASE("a session knows at once that its caller has closed or reset the connection", "[Http]")
+{
+    for (const bool isReset : { false, true }) {
+        for (const char* nextBytes : { "", "POST /q/2 HTTP/1.1\r\n" }) {
+            INFO((isReset ? "reset " : "closed ") << nextBytes);
+            boost::asio::io_context context;
+            Http::HttpSession::Pointer open;
+            Http::HttpServer server(context, Http::HttpLimits { 65'536, 16'384, 3s, 3s, 3s }, 8,
+                { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest&) { open = session; }, {},
+                    [](const Http::HttpSession::Pointer&) {} });
+            const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+            REQUIRE(address);
+            const auto port
+                = static_cast<std::uint16_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1)));
+            boost::asio::ip::tcp::socket caller(context);
+            caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+            const std::string bytes = std::string("POST /q/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}");
+            boost::asio::write(caller, boost::asio::buffer(bytes));
+            for (int turn = 0; turn < 100 && !open; ++turn)
+                context.run_for(10ms);
+            REQUIRE(open);
+            boost::asio::write(caller, boost::asio::buffer(std::string(nextBytes)));
+            CHECK_FALSE(open->isClosedByCaller());
+            if (isReset)
+                caller.set_option(boost::asio::socket_base::linger(true, 0));
+            caller.close();
+            // The event loop does not run in between.
+            CHECK(open->isClosedByCaller());
+        }
+    }
+}
+
 // Guards against a process that listens on a port chosen by the system, where nobody reaches it, because its settings
 // name a port out of range.
 TEST_CASE("a server refuses an address with a port out of range", "[Http]")
--- a/UnitTests/Scheduling/LeasedFleetTest.cpp
+++ b/UnitTests/Scheduling/LeasedFleetTest.cpp
@@ -179,7 +179,7 @@
     mechanisms.isSuspensionCounted = false;
     CHECK(violatesInvariant(suspensionAndStrayFaults(), mechanisms));
     mechanisms = {};
-    mechanisms.isStallGuarded = false;
+    mechanisms.areCallersChecked = false;
     CHECK(violatesInvariant(suspensionAndStrayFaults(), mechanisms));
 }
 
--- a/UnitTests/Scheduling/SchedulerFixture.h
+++ b/UnitTests/Scheduling/SchedulerFixture.h
@@ -48,7 +48,7 @@
     {
         Messages::WorkerUpdate update;
         update.incarnation = 1;
-        update.clockSample = 1;
+        update.clockSample = Core::toClockSample(this->now());
         update.handledSequence = 1'000'000;
         update.profile = { { "w-" + sidecar, 1, "loans", { 32'000, 65'536, 0 }, { "a", "rack-" + sidecar } } };
         update.load = this->load;
@@ -120,8 +120,11 @@
     }
     void pollScheduler()
     {
+        if (this->areCallersChecked && this->scheduler.isCallerCheckDue(this->now()))
+            this->scheduler.callersChecked(this->now());
         for (SchedulerAction& action : this->scheduler.poll(this->now())) {
             if (auto* send = std::get_if<SendToSidecar>(&action)) {
+                this->recordEcho(*send);
                 if (auto* start = std::get_if<Messages::StartRuns>(&send->message))
                     this->starts.emplace_back(send->sidecar, *start);
                 else if (auto* reserved = std::get_if<Messages::StartReserved>(&send->message))
@@ -166,9 +169,24 @@
     std::vector<std::pair<std::string, Messages::ReleaseRoom>> releases;
     std::vector<std::pair<std::string, Messages::StopRuns>> stops;
     std::vector<std::pair<std::string, Messages::ClaimRuns>> claims;
+    // Clock samples that messages returned, by the sidecar, in order.
+    std::map<std::string, std::vector<std::int64_t>> echoes;
+    // Whether the callers' connections are checked whenever that is due.
+    bool areCallersChecked = true;
     std::map<RequestNumber, CallerAnswer> answers;
 
 private:
+    void recordEcho(const SendToSidecar& send)
+    {
+        std::visit(
+            [&](const auto& message) {
+                if constexpr (requires { message.clockEcho; })
+                    this->echoes[send.sidecar].push_back(message.clockEcho);
+                else if constexpr (requires { message.start.clockEcho; })
+                    this->echoes[send.sidecar].push_back(message.start.clockEcho);
+            },
+            send.message);
+    }
     static Logging::LogSettings logSettings()
     {
         Logging::LogSettings settings;
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -193,6 +193,8 @@
     /// All offers so far: connection and reservation.
     std::vector<std::pair<std::uint64_t, std::uint64_t>> offers;
     std::vector<WorkerCall> calls;
+    /// Receives each update with its connection; may be empty.
+    std::function<void(std::uint64_t, const Messages::WorkerUpdate&)> onUpdate;
 
 private:
     static Logging::LogSettings logSettings()
@@ -227,6 +229,8 @@
             for (const Messages::RunReport& report : send->update.reports)
                 this->reports.push_back(report);
             this->load = send->update.load;
+            if (this->onUpdate)
+                this->onUpdate(send->connection, send->update);
         } else if (const auto* offer = std::get_if<SendOffer>(&action)) {
             this->offers.emplace_back(offer->connection, offer->offer.reservation);
         } else if (auto* call = std::get_if<CallWorker>(&action)) {
--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -16,8 +16,6 @@
 constexpr Duration crossDataCentreDelay = std::chrono::microseconds(1400);
 constexpr Duration resendDelay = std::chrono::milliseconds(1300);
 constexpr std::size_t maximumResubmissions = 3;
-// Delay of an entry's decisions while it reads what has arrived during a stall.
-constexpr Duration backlogPollDelay = std::chrono::milliseconds(50);
 constexpr double stretch = 1.6;
 constexpr double targetSeconds = 0.06;
 // Value of a late answer, and the multiple of the goal from which on an answer has no value.
@@ -219,9 +217,8 @@
         Job& submitted = this->jobs.at(id);
         submitted.isHeldUp = submitted.request == request && this->events.now() > submitted.requestSentAt;
         const SteadyTime now = awake.now(this->events.now());
-        // After a stall the end of the caller's connection has been read before the request is begun.
-        if (awake.stallGuard.isReadingBacklog(now) && this->options.mechanisms.isStallGuarded
-            && awake.requests.count(request) == 0)
+        this->observeStall(awake);
+        if (this->options.mechanisms.areCallersChecked && awake.requests.count(request) == 0)
             return;
         awake.scheduler->submit(now, now, request, queue, { submitted.specification, submitted.callerTimeout });
         this->pollEntry(index);
@@ -243,12 +240,15 @@
     const Scheduling::RequestNumber request = job.request;
     Entry& entry = *this->entries[index];
     entry.requests.erase(request);
-    if (isNoticed)
+    if (isNoticed) {
+        entry.closedRequests.insert(request);
         this->runWhenAwake(entry, [this, index, request] {
             Entry& awake = *this->entries[index];
+            awake.closedRequests.erase(request);
             awake.scheduler->callerDisconnected(awake.now(this->events.now()), request);
             this->pollEntry(index);
         });
+    }
     this->resubmit(id);
 }
 
@@ -261,6 +261,7 @@
     entry.frozenUntil = {};
     entry.clockLag = {};
     entry.stallGuard = {};
+    entry.closedRequests.clear();
     Scheduling::SchedulerSettings settings;
     settings.dataCentre = "dc-" + std::to_string(index % 3);
     settings.reservationsPerTask = this->options.reservationsPerTask;
@@ -292,18 +293,30 @@
     return std::max(this->events.now(), link.cutUntil) + this->delay(entry, worker);
 }
 
+void LeasedFleet::observeStall(Entry& entry)
+{
+    if (entry.stallGuard.isReadingBacklog(entry.now(this->events.now())) && this->options.mechanisms.isStallGuarded)
+        entry.scheduler->deferDecisions(entry.stallGuard.backlogEnd());
+}
+
+void LeasedFleet::checkCallers(Entry& entry)
+{
+    const SteadyTime now = entry.now(this->events.now());
+    if (!entry.scheduler->isCallerCheckDue(now))
+        return;
+    if (this->options.mechanisms.areCallersChecked) {
+        for (const Scheduling::RequestNumber request : entry.closedRequests)
+            entry.scheduler->callerDisconnected(now, request);
+    }
+    entry.scheduler->callersChecked(now);
+}
+
 void LeasedFleet::pollEntry(std::size_t index)
 {
     Entry& entry = *this->entries[index];
     this->runWhenAwake(entry, [this, index, &entry] {
-        if (entry.stallGuard.isReadingBacklog(entry.now(this->events.now()))
-            && this->options.mechanisms.isStallGuarded) {
-            this->events.scheduleAfter(backlogPollDelay, [this, index, incarnation = entry.incarnation] {
-                if (this->entries[index]->incarnation == incarnation)
-                    this->pollEntry(index);
-            });
-            return;
-        }
+        this->observeStall(entry);
+        this->checkCallers(entry);
         for (Scheduling::SchedulerAction& action : entry.scheduler->poll(entry.now(this->events.now()))) {
             if (auto* answer = std::get_if<Scheduling::AnswerRequest>(&action)) {
                 auto node = entry.requests.extract(answer->request);
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -87,8 +87,10 @@
     bool isUnreachableTimeoutEnabled = true;
     /// Leases end before the callers of a failed entry retry.
     bool isLeaseLimited = true;
-    /// Entries begin nothing after a stall until they have read what arrived meanwhile.
+    /// Entries decide nothing after a stall until they have read what arrived meanwhile.
     bool isStallGuarded = true;
+    /// Entries check the connections of their callers before they begin a request or tell sidecars that they are alive.
+    bool areCallersChecked = true;
     /// The clocks of processes count the time for which their machines were suspended.
     bool isSuspensionCounted = true;
 };
@@ -187,6 +189,9 @@
     void abandonRequest(std::uint64_t job, bool isNoticed);
     void startEntry(std::size_t index);
     void killEntry(std::size_t index);
+    // Recognizes a stall of an entry before it decides on an event.
+    void observeStall(Entry& entry);
+    void checkCallers(Entry& entry);
     void pollEntry(std::size_t index);
     void startSidecar(std::size_t index);
     void killSidecar(std::size_t index);
--- a/celeryswitch/Experiment/LeasedFleetSidecars.cpp
+++ b/celeryswitch/Experiment/LeasedFleetSidecars.cpp
@@ -73,6 +73,7 @@
                             this->runWhenAwake(*this->entries[entry], [this, entry, index, update] {
                                 this->links[{ entry, index }].lastReceivedAt = this->events.now();
                                 Entry& receiver = *this->entries[entry];
+                                this->observeStall(receiver);
                                 receiver.scheduler->updateReceived(
                                     receiver.now(this->events.now()), std::to_string(index), update);
                                 this->pollEntry(entry);
--- a/celeryswitch/Experiment/LeasedFleetState.h
+++ b/celeryswitch/Experiment/LeasedFleetState.h
@@ -37,6 +37,8 @@
     Scheduling::StallGuard stallGuard;
     /// Job ids by request without an answer.
     std::map<Scheduling::RequestNumber, std::uint64_t> requests;
+    /// Requests whose connection has ended, which the entry has not read yet.
+    std::set<Scheduling::RequestNumber> closedRequests;
 };
 
 struct LeasedFleet::Sidecar : LeasedFleetProcess {
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 #include <exception>
 #include <optional>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace celeryswitch::Http {
@@ -75,6 +76,13 @@
             this->stream.cancel();
     }
 
+    bool isClosedByCaller() override
+    {
+        // Unlike an attempt to read, this also finds an end behind bytes of a next request.
+        pollfd descriptor { this->stream.socket().native_handle(), POLLRDHUP, 0 };
+        return descriptor.fd < 0 || ::poll(&descriptor, 1, 0) > 0;
+    }
+
     void closeAfterResponse() override { this->isKeptAlive = false; }
 
 private:
@@ -173,21 +181,12 @@
             });
     }
 
-    // Result of a look at the next byte of the connection, as of recv.
-    ssize_t peek()
+    bool hasMoreBytes()
     {
         char byte = 0;
-        return ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
-    bool isClosedByCaller()
-    {
-        const ssize_t count = this->peek();
-        return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
-    bool hasMoreBytes() { return this->peek() > 0; }
-
     // Answers a request that can't be read, if the caller is still there, and ends the connection.
     void refuseMalformed(error_code error)
     {
--- a/celeryswitch/Http/HttpSession.h
+++ b/celeryswitch/Http/HttpSession.h
@@ -44,6 +44,8 @@
     virtual void respond(HttpResponse response) = 0;
     /// Ends the connection after the request in progress, or at once when there is none.
     virtual void finish() = 0;
+    /// Whether the caller has closed or reset the connection, as far as this machine knows at the time of the call.
+    virtual bool isClosedByCaller() = 0;
     /// Makes the response to the current request the last one of this connection.
     virtual void closeAfterResponse() = 0;
 };
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -274,12 +274,14 @@
 
 std::vector<SchedulerAction> JobScheduler::poll(SteadyTime now)
 {
-    this->endExpired(now);
-    this->forgetExpiredReservations(now);
-    this->answerOffers(now);
-    // Place before refusing: a job whose order was just returned may be due for refusal and have room again.
-    this->placeWaitingJobs(now);
-    this->refuseWaiting(now);
+    if (now >= this->decisionsFrom) {
+        this->endExpired(now);
+        this->forgetExpiredReservations(now);
+        this->answerOffers(now);
+        // Place before refusing: a job whose order was just returned may be due for refusal and have room again.
+        this->placeWaitingJobs(now);
+        this->refuseWaiting(now);
+    }
     this->maintainSidecars(now);
     while (!this->outcomesByAge.empty() && this->outcomesByAge.front().first + this->settings.outcomeRetention < now) {
         this->outcomes.erase(this->outcomesByAge.front().second);
@@ -355,7 +357,7 @@
         }
     }
     for (auto& [sidecar, stop] : stops) {
-        stop.clockEcho = this->workerTable[sidecar].clockSample;
+        stop.clockEcho = this->workerTable[sidecar].clockEcho;
         this->actions.push_back(SendToSidecar { sidecar, std::move(stop) });
     }
     this->logOutcome(now, job, answer);
@@ -449,7 +451,7 @@
         else if (!worker.isConnected && worker.lastReceivedAt != SteadyTime {})
             due = std::min(due, worker.lastReceivedAt + this->settings.unreachableRunsTimeout);
     }
-    return due;
+    return std::max(due, this->decisionsFrom);
 }
 
 }
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -29,6 +29,8 @@
     double lateAnswerValue = 0.2;
     /// Time to stop a run and to learn that it has ended.
     Core::Duration restartOverhead = std::chrono::milliseconds(60);
+    /// Maximum time between two checks of the callers' connections while events are handled.
+    Core::Duration callerCheckInterval = std::chrono::milliseconds(50);
     /// Interval of the heartbeats to each sidecar.
     Core::Duration heartbeatInterval = std::chrono::milliseconds(200);
     /// Time after the last contact with a sidecar from which no run that this entry ordered can still be running there.
@@ -78,6 +80,14 @@
     void queryQueue(RequestNumber request, const Configuration::Queue& queue);
     /// The caller of a request has disconnected: its job is cancelled without an answer.
     void callerDisconnected(Core::SteadyTime now, RequestNumber request);
+    /// Whether the connections of the callers have to be checked before the next `poll`.
+    bool isCallerCheckDue(Core::SteadyTime now) const;
+    /// Every caller of an open request whose connection had ended at `now` was passed to `callerDisconnected`. Sidecars
+    /// bound a run by the newest clock sample that its entry sent back, because callers repeat a job some time after
+    /// their connection ended: only samples that were received before such a check are sent back.
+    void callersChecked(Core::SteadyTime now);
+    /// Until then nothing is placed, refused, ended or restarted: what has arrived during a stall is not read yet.
+    void deferDecisions(Core::SteadyTime until) { this->decisionsFrom = until; }
 
     /// Sets the sidecars that the entry is linked to. The first non-empty set starts `discoveryTime`.
     void setLinkedSidecars(Core::SteadyTime now, std::set<Core::InstanceId> sidecars);
@@ -270,6 +280,10 @@
     std::unordered_map<std::uint64_t, Outcome> outcomes;
     std::deque<std::pair<Core::SteadyTime, std::uint64_t>> outcomesByAge;
     bool isPlacementDue = false;
+    Core::SteadyTime callersCheckedAt;
+    /// Whether a sidecar has sent its first sample over a connection and not got it back.
+    bool isFirstEchoDue = false;
+    Core::SteadyTime decisionsFrom;
     std::set<Core::InstanceId> linked;
     Core::SteadyTime sidecarsKnownAt = Core::SteadyTime::max();
     std::vector<SchedulerAction> actions;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -149,7 +149,7 @@
     const StepSpecification& specification = job.specification.steps[stepIndex];
     Messages::StartRuns start;
     start.sequence = ++worker.lastSequence;
-    start.clockEcho = worker.clockSample;
+    start.clockEcho = worker.clockEcho;
     start.job = job.specification.id;
     start.step = stepIndex;
     start.content = job.specification.content;
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -42,7 +42,9 @@
     worker.isLinked = this->linked.count(sidecar) > 0;
     worker.load.isReady = false;
     worker.lastSequence = 0;
-    worker.isEchoDue = true;
+    // A sample of the previous connection proves nothing if the sidecar's machine was restarted.
+    worker.clockSample = 0;
+    worker.clockEcho = 0;
     worker.uncountedOrders.clear();
     worker.lastReceivedAt = std::max(worker.lastReceivedAt, now);
     Messages::ClaimRuns claims;
@@ -83,10 +85,7 @@
         this->forgetReservationsAt(sidecar);
     while (!worker.uncountedOrders.empty() && worker.uncountedOrders.front().sequence <= update.handledSequence)
         worker.uncountedOrders.pop_front();
-    if (std::exchange(worker.isEchoDue, false)) {
-        this->lastSentAt[sidecar] = now;
-        this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockSample } });
-    }
+    this->isFirstEchoDue = this->isFirstEchoDue || worker.clockEcho == 0;
     for (const Messages::RunReport& report : update.reports) {
         if (report.state == RunState::Running && !this->isOrderedAt(sidecar, report.task))
             this->stopUnwantedRun(sidecar, report);
@@ -112,7 +111,7 @@
         { { "job", Messages::jobText(report.task.job) }, { "task", report.task.index }, { "run", report.run },
             { "sidecar", sidecar } });
     this->actions.push_back(
-        SendToSidecar { sidecar, Messages::StopRuns { this->workerTable.at(sidecar).clockSample, { report.task } } });
+        SendToSidecar { sidecar, Messages::StopRuns { this->workerTable.at(sidecar).clockEcho, { report.task } } });
 }
 
 void JobScheduler::handleReport(SteadyTime now, const Core::InstanceId& sidecar, const Messages::RunReport& report)
@@ -181,7 +180,7 @@
 {
     Job& job = found->second;
     Task& task = job.steps[report.task.step].tasks[report.task.index];
-    if (task.isRestarting)
+    if (task.isRestarting || now < this->decisionsFrom)
         return;
     const double elapsed = static_cast<double>(report.runMicroseconds) / 1e6;
     const double declared = job.specification.steps[report.task.step].declaredMilliseconds / 1000.0;
@@ -235,7 +234,7 @@
     this->metrics.runRestarted();
     task.avoidedSidecars.push_back(task.sidecar);
     this->actions.push_back(
-        SendToSidecar { task.sidecar, Messages::StopRuns { this->workerTable[task.sidecar].clockSample, { id } } });
+        SendToSidecar { task.sidecar, Messages::StopRuns { this->workerTable[task.sidecar].clockEcho, { id } } });
 }
 
 void JobScheduler::requeueTask(Job& job, std::uint32_t stepIndex, Task& task)
@@ -275,6 +274,26 @@
             { { "sidecar", sidecar }, { "reason", std::string(reason) }, { "runs", runs } });
 }
 
+bool JobScheduler::isCallerCheckDue(SteadyTime now) const
+{
+    return this->isFirstEchoDue || now >= this->callersCheckedAt + this->settings.callerCheckInterval;
+}
+
+void JobScheduler::callersChecked(SteadyTime now)
+{
+    this->callersCheckedAt = now;
+    this->isFirstEchoDue = false;
+    for (auto& [sidecar, worker] : this->workerTable) {
+        const bool isFirst = worker.clockEcho == 0 && worker.clockSample != 0;
+        worker.clockEcho = worker.clockSample;
+        if (!isFirst || !worker.isConnected)
+            continue;
+        // A new connection starts nothing before its first echo.
+        this->lastSentAt[sidecar] = now;
+        this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockEcho } });
+    }
+}
+
 void JobScheduler::maintainSidecars(SteadyTime now)
 {
     for (auto& [sidecar, worker] : this->workerTable) {
@@ -290,7 +309,7 @@
         if (now < sentAt + this->settings.heartbeatInterval)
             continue;
         sentAt = now;
-        this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockSample } });
+        this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockEcho } });
     }
 }
 
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -14,7 +14,7 @@
     WorkerView& worker = this->workerTable.at(placement.sidecar);
     Messages::ReserveRoom reserve;
     reserve.sequence = ++worker.lastSequence;
-    reserve.clockEcho = worker.clockSample;
+    reserve.clockEcho = worker.clockEcho;
     reserve.reservation = ++this->lastReservation;
     reserve.need = request.need;
     reserve.units = placement.count;
@@ -62,7 +62,7 @@
                                  : std::vector<Reservation>::iterator {};
     if (!job || reservation->units == 0 || now >= reservation->until || !worker.isUsable()
         || job->steps[reservation->step].waiting == 0) {
-        this->actions.push_back(SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockSample, { number } } });
+        this->actions.push_back(SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockEcho, { number } } });
         return;
     }
     const std::uint32_t stepIndex = reservation->step;
@@ -92,7 +92,7 @@
     }
     this->forgetReservations(job, isReleased);
     for (auto& [sidecar, release] : releases) {
-        release.clockEcho = this->workerTable[sidecar].clockSample;
+        release.clockEcho = this->workerTable[sidecar].clockEcho;
         this->actions.push_back(SendToSidecar { sidecar, std::move(release) });
     }
 }
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Core::Duration maximumSleep = std::chrono::seconds(1);
-constexpr std::chrono::milliseconds tickInterval { 100 };
+constexpr std::chrono::milliseconds tickInterval { 50 };
 constexpr std::size_t maximumReadinessConnections = 64;
 constexpr Core::Duration bodyTimeout = std::chrono::seconds(10);
 constexpr Core::Duration startupRetryDelay = std::chrono::seconds(1);
@@ -73,7 +73,7 @@
               {} })
     , links(context, this->transport, clock, log, identityOf(this->settings),
           { [this](const Messages::Member& member) {
-               this->scheduler.sidecarConnected(this->clock.steadyNow(), member);
+               this->scheduler.sidecarConnected(this->observeTime(), member);
                this->runScheduler();
            },
               [this](const Core::InstanceId& sidecar) {
@@ -81,7 +81,7 @@
                   this->runScheduler();
               },
               [this](const Core::InstanceId& sidecar, Messages::WorkerUpdate update) {
-                  this->scheduler.updateReceived(this->clock.steadyNow(), sidecar, std::move(update));
+                  this->scheduler.updateReceived(this->observeTime(), sidecar, std::move(update));
                   this->runScheduler();
               },
               [this](const Core::InstanceId& sidecar, const Messages::RoomOffer& offer) {
@@ -132,9 +132,8 @@
 {
     if (this->onDrained)
         session->closeAfterResponse();
-    const Core::SteadyTime now = this->clock.steadyNow();
-    const bool isReadingBacklog = this->stallGuard.isReadingBacklog(now);
-    if (this->routing.version > 0 && !isReadingBacklog)
+    const Core::SteadyTime now = this->observeTime();
+    if (this->routing.version > 0 && !this->stallGuard.isReadingBacklog(now))
         this->handle(session, request, now);
     else if (this->deferredRequests.size() < maximumDeferredRequests)
         this->deferredRequests.push_back({ session, std::move(request), now });
@@ -150,6 +149,8 @@
         && (isRoutingKnown || now >= this->deferredRequests.front().arrivedAt + maximumDeferral)) {
         const DeferredRequest next = std::move(this->deferredRequests.front());
         this->deferredRequests.pop_front();
+        if (next.session->isClosedByCaller())
+            continue;
         if (isRoutingKnown)
             this->handle(next.session, next.request, next.arrivedAt);
         else
@@ -197,20 +198,44 @@
             this->deferredRequests, [&](const DeferredRequest& deferred) { return deferred.session == session; });
         return;
     }
-    const RequestNumber number = found->second;
-    this->requestNumbers.erase(found);
-    this->openRequests.erase(number);
-    this->scheduler.callerDisconnected(this->clock.steadyNow(), number);
+    this->abandonRequest(this->observeTime(), found->second);
     this->runScheduler();
 }
 
+void SchedulingEntry::abandonRequest(Core::SteadyTime now, RequestNumber number)
+{
+    const auto node = this->openRequests.extract(number);
+    this->requestNumbers.erase(node.mapped().get());
+    this->scheduler.callerDisconnected(now, number);
+}
+
+void SchedulingEntry::checkCallers(Core::SteadyTime now)
+{
+    std::vector<RequestNumber> abandoned;
+    for (const auto& [number, session] : this->openRequests) {
+        if (session->isClosedByCaller())
+            abandoned.push_back(number);
+    }
+    for (const RequestNumber number : abandoned)
+        this->abandonRequest(now, number);
+    this->scheduler.callersChecked(now);
+}
+
+Core::SteadyTime SchedulingEntry::observeTime()
+{
+    const Core::SteadyTime now = this->clock.steadyNow();
+    if (this->stallGuard.isReadingBacklog(now))
+        this->scheduler.deferDecisions(this->stallGuard.backlogEnd());
+    return now;
+}
+
 void SchedulingEntry::routingReceived(Configuration::RoutingDocument document)
 {
     if (this->routing.version == 0)
         this->log.write(LogLevel::Info, "ready", { { "version", document.version } });
     this->routing = std::move(document);
     this->callers.setLimits(limitsOf(this->routing.limits));
-    if (!this->stallGuard.isReadingBacklog(this->clock.steadyNow()))
+    if (!this->stallGuard.isReadingBacklog(this->observeTime()))
         this->processDeferred(true);
 }
 
@@ -227,14 +252,14 @@
 
 void SchedulingEntry::runScheduler()
 {
-    // After a stall, what has arrived is read first: callers may have gone and repeated their jobs elsewhere.
-    if (this->stallGuard.isReadingBacklog(this->clock.steadyNow()))
-        return;
     // Closing a connection while actions are carried out may call this function again.
     if (std::exchange(this->isSchedulerRunning, true))
         return;
     const Core::ScopeExit endOfRun([this] { this->isSchedulerRunning = false; });
-    const Core::SteadyTime now = this->clock.steadyNow();
+    const Core::SteadyTime now = this->observeTime();
+    // The ends of connections may wait unread behind the updates of sidecars.
+    if (this->scheduler.isCallerCheckDue(now))
+        this->checkCallers(now);
     for (SchedulerAction& action : this->scheduler.poll(now)) {
         if (const auto* send = std::get_if<SendToSidecar>(&action)) {
             this->links.send(send->sidecar, send->message);
@@ -268,10 +293,12 @@
             if (!error && !lifetime.expired())
                 this->tick();
         });
-    // Requests that waited during a stall are begun once the ends of callers' connections are known.
-    if (!this->stallGuard.isReadingBacklog(this->clock.steadyNow()) && this->routing.version > 0)
+    // After a stall requests wait, and what sidecars have sent meanwhile may be unread.
+    const bool isReadingBacklog = this->stallGuard.isReadingBacklog(this->observeTime());
+    if (!isReadingBacklog && this->routing.version > 0)
         this->processDeferred(true);
-    this->links.closeUnresponsive();
+    if (!isReadingBacklog)
+        this->links.closeUnresponsive();
     for (const Core::InstanceId& sidecar : this->links.unassigned()) {
         // A task may only be started elsewhere once its run here has ended.
         if (this->scheduler.hasRuns(sidecar))
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -65,6 +65,11 @@
     void routingReceived(Configuration::RoutingDocument document);
     void respond(const Http::HttpSession::Pointer& session, const CallerAnswer& answer);
     void sessionClosed(const Http::HttpSession::Pointer& session);
+    void abandonRequest(Core::SteadyTime now, RequestNumber number);
+    // Ends the requests of all callers whose connections have ended.
+    void checkCallers(Core::SteadyTime now);
+    // The time now; recognizes a stall before the event at hand is decided on.
+    Core::SteadyTime observeTime();
     void membersReceived(const std::vector<Messages::Member>& members);
     bool isReady() const;
     void runScheduler();
--- a/celeryswitch/Scheduling/SidecarLinks.h
+++ b/celeryswitch/Scheduling/SidecarLinks.h
@@ -36,7 +36,7 @@
     void removeLink(const Core::InstanceId& sidecar);
     /// Sends a message; it is lost if there is no connection or the send queue is full.
     void send(const Core::InstanceId& sidecar, const Messages::WorkMessage& message);
-    /// Closes connections from which nothing was received for too long. To be called about every 100 ms.
+    /// Closes connections from which nothing was received for too long. To be called at least every 100 ms.
     void closeUnresponsive();
     /// Closes all connections; no callback follows.
     void stop();
--- a/celeryswitch/Scheduling/WorkerTable.h
+++ b/celeryswitch/Scheduling/WorkerTable.h
@@ -29,12 +29,11 @@
     bool isLinked = true;
     Messages::WorkerProfile profile;
     Messages::WorkerLoad load;
-    /// Latest clock sample received from the sidecar; sent back to it as proof that this entry is in contact.
+    /// Latest clock sample received from the sidecar over this connection, and when it was received.
     std::int64_t clockSample = 0;
-    /// Whether the next sample is sent back at once, because none of this connection was.
-    bool isEchoDue = false;
-    /// Time at which that sample was received.
     Core::SteadyTime lastReceivedAt;
+    /// Sample that is sent back to the sidecar; all callers that had gone when it was received are known. 0 if none is.
+    std::int64_t clockEcho = 0;
     /// Sequence number of the last order, and the room of those orders that `load` does not include yet.
     std::uint64_t lastSequence = 0;
     std::deque<UncountedOrder> uncountedOrders;
