--- a/celeryswitch/Experiment/LeasedFaults.h
+++ b/celeryswitch/Experiment/LeasedFaults.h
@@ -73,8 +73,10 @@
     bool isUnreachableTimeoutEnabled = true;
     /// Leases end before the callers of a failed entry retry.
     bool isLeaseLimited = true;
-    /// Entries begin nothing after a stall until they have read what arrived meanwhile.
+    /// Entries decide nothing after a stall until they have read what arrived meanwhile.
     bool isStallGuarded = true;
+    /// Entries check the connections of their callers before they begin a request or tell sidecars that they are alive.
+    bool areCallersChecked = true;
     /// The clocks of processes count the time for which their machines were suspended.
     bool isSuspensionCounted = true;
 };
--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -7,13 +7,6 @@
 using Core::Duration;
 using Core::SteadyTime;
 
-namespace {
-
-// Delay of an entry's decisions while it reads what has arrived during a stall.
-constexpr Duration backlogPollDelay = std::chrono::milliseconds(50);
-
-}
-
 LeasedFleet::LeasedFleet(LeasedOptions value)
     : options(std::move(value))
     , random(this->options.seed)
@@ -108,6 +101,7 @@
     entry.closesReadAt = {};
     entry.clockLag = {};
     entry.stallGuard = {};
+    entry.closedRequests.clear();
     Scheduling::SchedulerSettings settings;
     settings.dataCentre = "dc-" + std::to_string(index % 3);
     settings.reservationsPerTask = this->options.reservationsPerTask;
@@ -134,18 +128,30 @@
     this->events.scheduleAfter(restartDelay, [this, index] { this->startEntry(index); });
 }
 
+void LeasedFleet::observeStall(Entry& entry)
+{
+    if (entry.stallGuard.isReadingBacklog(entry.now(this->events.now())) && this->options.mechanisms.isStallGuarded)
+        entry.scheduler->deferDecisions(entry.stallGuard.backlogEnd());
+}
+
+void LeasedFleet::checkCallers(Entry& entry)
+{
+    const SteadyTime now = entry.now(this->events.now());
+    if (!entry.scheduler->isCallerCheckDue(now))
+        return;
+    if (this->options.mechanisms.areCallersChecked) {
+        for (const Scheduling::RequestNumber request : entry.closedRequests)
+            entry.scheduler->callerDisconnected(now, request);
+    }
+    entry.scheduler->callersChecked(now);
+}
+
 void LeasedFleet::pollEntry(std::size_t index)
 {
     Entry& entry = *this->entries[index];
     this->runWhenAwake(entry, [this, index, &entry] {
-        if (entry.stallGuard.isReadingBacklog(entry.now(this->events.now()))
-            && this->options.mechanisms.isStallGuarded) {
-            this->events.scheduleAfter(backlogPollDelay, [this, index, incarnation = entry.incarnation] {
-                if (this->entries[index]->incarnation == incarnation)
-                    this->pollEntry(index);
-            });
-            return;
-        }
+        this->observeStall(entry);
+        this->checkCallers(entry);
         for (Scheduling::SchedulerAction& action : entry.scheduler->poll(entry.now(this->events.now()))) {
             if (auto* answer = std::get_if<Scheduling::AnswerRequest>(&action)) {
                 auto node = entry.requests.extract(answer->request);
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -138,7 +138,9 @@
     void slowDown(std::size_t index);
     void slowLinks(std::size_t worker);
     void slowCallerLinks(std::size_t entry);
-    // Runs an action of an entry when what a caller sends now arrives, and not before `earliest`; returns that time.
+    // Time at which what a caller sends now arrives at an entry's machine, and not before `earliest`.
+    Core::SteadyTime callerArrivalTime(const Entry& entry, Core::SteadyTime earliest) const;
+    // Runs an action of an entry at that time; returns it.
     Core::SteadyTime receiveFromCaller(std::size_t entry, Core::SteadyTime earliest, std::function<void()> action);
     std::unique_ptr<Logging::StructuredLog> createLog(const std::string& instance);
     // Log of a process; its records carry the name.
@@ -163,6 +165,9 @@
     bool isReadingLate(std::size_t entry) const;
     void startEntry(std::size_t index);
     void killEntry(std::size_t index);
+    // Recognizes a stall of an entry before it decides on an event.
+    void observeStall(Entry& entry);
+    void checkCallers(Entry& entry);
     void pollEntry(std::size_t index);
     void startSidecar(std::size_t index);
     void killSidecar(std::size_t index);
--- a/celeryswitch/Experiment/LeasedFleetCallers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetCallers.cpp
@@ -141,22 +141,26 @@
         Job& submitted = this->jobs.at(id);
         submitted.isHeldUp = submitted.request == request && this->events.now() > submitted.requestSentAt;
         const SteadyTime now = awake.now(this->events.now());
-        // After a stall the end of the caller's connection has been read before the request is begun.
-        if (awake.stallGuard.isReadingBacklog(now) && this->options.mechanisms.isStallGuarded
-            && awake.requests.count(request) == 0)
+        this->observeStall(awake);
+        if (this->options.mechanisms.areCallersChecked && awake.requests.count(request) == 0)
             return;
         awake.scheduler->submit(now, now, request, queue, { submitted.specification, submitted.callerTimeout });
         this->pollEntry(index);
     });
 }
 
+SteadyTime LeasedFleet::callerArrivalTime(const Entry& entry, SteadyTime earliest) const
+{
+    const SteadyTime arrival = std::max(this->events.now(), earliest);
+    if (this->events.now() >= entry.callersSlowUntil)
+        return arrival;
+    return std::max(arrival, this->events.now() + std::chrono::duration_cast<SteadyTime::duration>(entry.callerDelay));
+}
+
 SteadyTime LeasedFleet::receiveFromCaller(std::size_t index, SteadyTime earliest, std::function<void()> action)
 {
     Entry& entry = *this->entries[index];
-    SteadyTime arrival = std::max(this->events.now(), earliest);
-    if (this->events.now() < entry.callersSlowUntil)
-        arrival = std::max(
-            arrival, this->events.now() + std::chrono::duration_cast<SteadyTime::duration>(entry.callerDelay));
+    const SteadyTime arrival = this->callerArrivalTime(entry, earliest);
     if (arrival <= this->events.now()) {
         this->runWhenAwake(entry, std::move(action));
         return arrival;
@@ -202,9 +206,19 @@
     Entry& entry = *this->entries[index];
     const auto read = [this, index, request] {
         Entry& awake = *this->entries[index];
+        awake.closedRequests.erase(request);
         awake.scheduler->callerDisconnected(awake.now(this->events.now()), request);
         this->pollEntry(index);
     };
+    // The machine knows of the end before the process reads it.
+    const SteadyTime arrival = this->callerArrivalTime(entry, requestArrivesAt);
+    if (arrival <= this->events.now())
+        entry.closedRequests.insert(request);
+    else
+        this->events.scheduleAt(arrival, [this, index, request, incarnation = entry.incarnation] {
+            if (this->entries[index]->incarnation == incarnation)
+                this->entries[index]->closedRequests.insert(request);
+        });
     if (this->events.now() >= entry.frozenUntil || this->events.now() >= entry.closesReadAt) {
         this->receiveFromCaller(index, requestArrivesAt, read);
         return;
--- a/celeryswitch/Experiment/LeasedFleetState.h
+++ b/celeryswitch/Experiment/LeasedFleetState.h
@@ -61,6 +61,8 @@
     Core::SteadyTime callersSlowUntil;
     /// Job ids by request without an answer.
     std::map<Scheduling::RequestNumber, std::uint64_t> requests;
+    /// Requests whose connection has ended, which the entry has not read yet.
+    std::set<Scheduling::RequestNumber> closedRequests;
 };
 
 struct LeasedFleet::Sidecar : LeasedFleetProcess {
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -150,7 +150,7 @@
     Messages::StartRuns start;
     start.sequence = ++worker.lastSequence;
     start.order = ++this->lastOrder;
-    start.clockEcho = worker.clockSample;
+    start.clockEcho = worker.clockEcho;
     start.job = job.specification.id;
     start.step = stepIndex;
     start.content = job.specification.content;
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -42,7 +42,9 @@
     worker.isLinked = this->linked.count(sidecar) > 0;
     worker.load.isReady = false;
     worker.lastSequence = 0;
-    worker.isEchoDue = true;
+    // A sample of the previous connection proves nothing if the sidecar's machine was restarted.
+    worker.clockSample = 0;
+    worker.clockEcho = 0;
     worker.uncountedOrders.clear();
     worker.lastReceivedAt = std::max(worker.lastReceivedAt, now);
     Messages::ClaimRuns claims;
@@ -84,10 +86,7 @@
         this->forgetReservationsAt(sidecar);
     while (!worker.uncountedOrders.empty() && worker.uncountedOrders.front().sequence <= update.handledSequence)
         worker.uncountedOrders.pop_front();
-    if (std::exchange(worker.isEchoDue, false)) {
-        this->lastSentAt[sidecar] = now;
-        this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockSample } });
-    }
+    this->isFirstEchoDue = this->isFirstEchoDue || worker.clockEcho == 0;
     for (const Messages::RunReport& report : update.reports) {
         if (report.state == RunState::Running && !this->findOrdered(sidecar, report.ordered))
             this->stopUnwantedRun(sidecar, report);
@@ -114,7 +113,7 @@
         { { "job", Messages::jobText(report.ordered.task.job) }, { "task", report.ordered.task.index },
             { "run", report.run }, { "order", report.ordered.order }, { "sidecar", sidecar } });
     this->actions.push_back(SendToSidecar {
-        sidecar, Messages::StopRuns { this->workerTable.at(sidecar).clockSample, { report.ordered } } });
+        sidecar, Messages::StopRuns { this->workerTable.at(sidecar).clockEcho, { report.ordered } } });
 }
 
 void JobScheduler::handleReport(SteadyTime now, const Core::InstanceId& sidecar, const Messages::RunReport& report)
@@ -192,7 +191,7 @@
     Job& job = found->second;
     const TaskId& id = report.ordered.task;
     Task& task = job.steps[id.step].tasks[id.index];
-    if (task.isRestarting)
+    if (task.isRestarting || now < this->decisionsFrom)
         return;
     const double elapsed = static_cast<double>(report.runMicroseconds) / 1e6;
     const double declared = job.specification.steps[id.step].declaredMilliseconds / 1000.0;
@@ -246,7 +245,7 @@
     this->metrics.runRestarted();
     task.avoidedSidecars.push_back(task.sidecar);
     this->actions.push_back(SendToSidecar {
-        task.sidecar, Messages::StopRuns { this->workerTable[task.sidecar].clockSample, { { id, task.order } } } });
+        task.sidecar, Messages::StopRuns { this->workerTable[task.sidecar].clockEcho, { { id, task.order } } } });
 }
 
 void JobScheduler::requeueTask(Job& job, std::uint32_t stepIndex, Task& task)
@@ -297,6 +296,26 @@
             { { "sidecar", sidecar }, { "reason", std::string(reason) }, { "runs", runs }, { "in_doubt", inDoubt } });
 }
 
+bool JobScheduler::isCallerCheckDue(SteadyTime now) const
+{
+    return this->isFirstEchoDue || now >= this->callersCheckedAt + this->settings.callerCheckInterval;
+}
+
+void JobScheduler::callersChecked(SteadyTime now)
+{
+    this->callersCheckedAt = now;
+    this->isFirstEchoDue = false;
+    for (auto& [sidecar, worker] : this->workerTable) {
+        const bool isFirst = worker.clockEcho == 0 && worker.clockSample != 0;
+        worker.clockEcho = worker.clockSample;
+        if (!isFirst || !worker.isConnected)
+            continue;
+        // A new connection starts nothing before its first echo.
+        this->lastSentAt[sidecar] = now;
+        this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockEcho } });
+    }
+}
+
 void JobScheduler::maintainSidecars(SteadyTime now)
 {
     for (auto& [sidecar, worker] : this->workerTable) {
@@ -312,7 +331,7 @@
         if (now < sentAt + this->settings.heartbeatInterval)
             continue;
         sentAt = now;
-        this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockSample } });
+        this->actions.push_back(SendToSidecar { sidecar, Messages::EntryAlive { worker.clockEcho } });
     }
 }
 
