Close the link to an entry whose send queue is full

The sidecar ignored the result of send: a report or an offer that met a full queue was lost while the connection lived on, and the entry never learned of the end. The connection is closed now, as entries do it, so that the claims of the next one settle it. The connections of entries have a class of their own for the test.

Without the fix "a connection that takes no more updates is closed" fails.

--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -1,7 +1,6 @@
 #include "celeryswitch/Workers/WorkerSidecar.h"
 
 #include "celeryswitch/Core/EventLoop.h"
-#include "celeryswitch/Network/MessageCodec.h"
 
 namespace celeryswitch::Workers {
 
@@ -66,6 +65,19 @@
               },
               {} })
     , watcher(context, this->transport, log, watcherSettings(this->settings), {})
+    , entries(log,
+          { [this](std::uint64_t connection, const Messages::Hello& hello) {
+               this->supervisor.entryConnected(this->clock.steadyNow(), connection, hello);
+               this->step();
+           },
+              [this](std::uint64_t connection, Messages::WorkMessage message) {
+                  this->supervisor.messageReceived(this->clock.steadyNow(), connection, std::move(message));
+                  this->step();
+              },
+              [this](std::uint64_t connection) {
+                  this->supervisor.entryDisconnected(this->clock.steadyNow(), connection);
+                  this->step();
+              } })
     , timer(context)
 {
 }
@@ -74,7 +86,7 @@
 {
     this->transport.setConnectLimit(this->settings.connectTimeout);
     BOOST_OUTCOME_TRY(this->transport.listen(this->settings.peerAddress,
-        [this](Network::PeerConnectionPointer connection) { this->connectionAccepted(std::move(connection)); }));
+        [this](Network::PeerConnectionPointer connection) { this->entries.add(std::move(connection)); }));
     BOOST_OUTCOME_TRY(this->announcements.listen(this->settings.announcementAddress));
     this->watcher.start();
     this->step();
@@ -101,52 +113,6 @@
     this->step();
 }
 
-void WorkerSidecar::connectionAccepted(Network::PeerConnectionPointer connection)
-{
-    const std::uint64_t number = ++this->lastConnection;
-    const std::weak_ptr<bool> guard = this->lifetimeToken;
-    this->connections[number].connection = connection;
-    connection->start(
-        [this, guard, number](const std::string& payload) {
-            if (!guard.expired())
-                this->frameReceived(number, payload);
-        },
-        [this, guard, number](const std::string&) {
-            if (!guard.expired())
-                this->connectionClosed(number);
-        });
-}
-
-void WorkerSidecar::frameReceived(std::uint64_t number, const std::string& payload)
-{
-    const auto found = this->connections.find(number);
-    if (found == this->connections.end())
-        return;
-    Core::Result<Messages::WorkMessage> message = Network::decodeMessage<Messages::WorkMessage>(payload);
-    const auto* hello = message ? std::get_if<Messages::Hello>(&message.value()) : nullptr;
-    if (!message || (!found->second.isIdentified && !hello)) {
-        this->log.write(LogLevel::Warning, "entry sent an unreadable frame",
-            { { "address", found->second.connection->remoteAddress() } });
-        found->second.connection->close();
-        this->connectionClosed(number);
-        return;
-    }
-    if (hello) {
-        found->second.isIdentified = true;
-        this->supervisor.entryConnected(this->clock.steadyNow(), number, *hello);
-    } else {
-        this->supervisor.messageReceived(this->clock.steadyNow(), number, std::move(message).value());
-    }
-    this->step();
-}
-
-void WorkerSidecar::connectionClosed(std::uint64_t number)
-{
-    this->connections.erase(number);
-    this->supervisor.entryDisconnected(this->clock.steadyNow(), number);
-    this->step();
-}
-
 void WorkerSidecar::step()
 {
     // An action may close a connection, whose handler calls this function again.
@@ -185,19 +151,11 @@
     if (auto* call = std::get_if<CallWorker>(&action)) {
         this->workerClient.call(std::move(*call));
     } else if (auto* send = std::get_if<SendUpdate>(&action)) {
-        const auto found = this->connections.find(send->connection);
-        if (found != this->connections.end())
-            found->second.connection->send(Network::encodeMessage(Messages::WorkMessage(std::move(send->update))));
+        this->entries.send(send->connection, std::move(send->update));
     } else if (const auto* offer = std::get_if<SendOffer>(&action)) {
-        const auto found = this->connections.find(offer->connection);
-        if (found != this->connections.end())
-            found->second.connection->send(Network::encodeMessage(Messages::WorkMessage(offer->offer)));
+        this->entries.send(offer->connection, offer->offer);
     } else if (const auto* drop = std::get_if<DisconnectEntry>(&action)) {
-        const auto found = this->connections.find(drop->connection);
-        if (found != this->connections.end()) {
-            found->second.connection->close();
-            this->connections.erase(found);
-        }
+        this->entries.close(drop->connection);
     }
 }
 
--- a/celeryswitch/Workers/WorkerSidecar.h
+++ b/celeryswitch/Workers/WorkerSidecar.h
@@ -3,9 +3,9 @@
 #include "celeryswitch/Http/HttpServer.h"
 #include "celeryswitch/Network/PeerTransport.h"
 #include "celeryswitch/State/FleetWatcher.h"
+#include "celeryswitch/Workers/EntryConnections.h"
 #include "celeryswitch/Workers/RunSupervisor.h"
 #include "celeryswitch/Workers/WorkerClient.h"
-#include <map>
 #include <optional>
 
 namespace celeryswitch::Workers {
@@ -54,9 +54,6 @@
 
 private:
     void announcementReceived(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request);
-    void connectionAccepted(Network::PeerConnectionPointer connection);
-    void frameReceived(std::uint64_t number, const std::string& payload);
-    void connectionClosed(std::uint64_t number);
     void step();
     void perform(SupervisorAction& action);
     void registerWorker();
@@ -72,14 +69,8 @@
     WorkerClient workerClient;
     Http::HttpServer announcements;
     State::FleetWatcher watcher;
+    EntryConnections entries;
     boost::asio::steady_timer timer;
-    /// A connection to an entry; identified once the entry has sent Hello.
-    struct EntryConnection {
-        Network::PeerConnectionPointer connection;
-        bool isIdentified = false;
-    };
-    std::map<std::uint64_t, EntryConnection> connections;
-    std::uint64_t lastConnection = 0;
     Messages::WorkerProfile registered;
     bool isStepping = false;
     std::function<void()> onDrained;
