Bound the bodies of answers to 4 MiB

HttpConnection took bodies of 256 MB from workers and from the platform. 4 MiB is the longest answer on the protocol's page; a longer one is the error TooLarge. Answers with the results of jobs, which the load generator, the scenarios and the command line read, keep the wider limit.

With the old limit "an answer whose body is too long is not read" fails.

--- a/Program/JobCommands.cpp
+++ b/Program/JobCommands.cpp
@@ -38,7 +38,8 @@
 {
     std::string failures;
     for (const std::string& entry : settings.entryAddresses) {
-        Core::Result<Http::HttpResponse> answer = Http::httpCall(entry, request, settings.requestTimeout);
+        Core::Result<Http::HttpResponse> answer
+            = Http::httpCall(entry, request, settings.requestTimeout, Load::longestJobAnswerBytes);
         if (answer)
             return answer;
         failures += "; " + answer.error().message();
--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -53,6 +53,47 @@
     REQUIRE(response.error().is(Http::HttpError::BadAddress));
 }
 
+// Guards against an answer that takes the memory of the process that asked.
+TEST_CASE("an answer whose body is too long is not read", "[Http]")
+{
+    boost::asio::io_context context;
+    std::size_t bodyBytes = 0;
+    Http::HttpServer server(context, Http::HttpLimits { 65'536, 16'384, 3s, 3s, 3s }, 8,
+        { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest&) {
+             session->respond({ 200, {}, std::string(bodyBytes, 'x') });
+         },
+            [](std::uint16_t status, const std::string& reason) {
+                return Http::HttpResponse { status, {}, reason };
+            },
+            {} });
+    const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+    REQUIRE(address);
+    Http::HttpConnection connection(context, address.value());
+    const auto ask = [&](Http::HttpConnection& from, std::size_t bytes) {
+        bodyBytes = bytes;
+        std::optional<Core::Result<Http::HttpResponse>> answer;
+        from.request({ "GET", "/", {}, {} }, 10s, [&](Core::Result<Http::HttpResponse> result) { answer = result; });
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (!answer && std::chrono::steady_clock::now() < limit) {
+            context.restart();
+            context.run_one_for(50ms);
+        }
+        REQUIRE(answer);
+        return *answer;
+    };
+    const auto longest = ask(connection, 4 * 1024 * 1024);
+    REQUIRE(longest);
+    CHECK(longest.value().body.size() == 4 * 1024 * 1024);
+    const auto tooLong = ask(connection, 4 * 1024 * 1024 + 1);
+    REQUIRE_FALSE(tooLong);
+    CHECK(tooLong.error().is(Http::HttpError::TooLarge));
+    CHECK(tooLong.error().message().find("exceeds 4194304 bytes") != std::string::npos);
+    // The connection can be used again, and a wider limit holds.
+    CHECK(ask(connection, 10));
+    Http::HttpConnection wide(context, address.value(), 8 * 1024 * 1024);
+    CHECK(ask(wide, 4 * 1024 * 1024 + 1));
+}
+
 // Guards against a process that ends because the handling of one request fails unexpectedly.
 TEST_CASE("an error in the handling of a request ends its connection alone", "[Http]")
 {
--- a/celeryswitch/Http/HttpConnection.cpp
+++ b/celeryswitch/Http/HttpConnection.cpp
@@ -18,16 +18,16 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-constexpr std::size_t maximumBodyBytes = 256 * 1024 * 1024;
 constexpr std::chrono::seconds connectTimeout { 2 };
 
 }
 
 class HttpConnection::Implementation : public std::enable_shared_from_this<Implementation> {
 public:
-    Implementation(asio::io_context& context, std::string address)
+    Implementation(asio::io_context& context, std::string address, std::size_t bodyBytesLimit)
         : context(context)
         , address(std::move(address))
+        , bodyBytesLimit(bodyBytesLimit)
     {
     }
 
@@ -58,6 +58,7 @@
 
     asio::io_context& context;
     const std::string address;
+    const std::size_t bodyBytesLimit;
 
 private:
     void connect()
@@ -94,7 +95,7 @@
     void read()
     {
         this->parser.emplace();
-        this->parser->body_limit(maximumBodyBytes);
+        this->parser->body_limit(this->bodyBytesLimit);
         http::async_read(*this->stream, this->buffer, *this->parser,
             [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                 if (error)
@@ -123,6 +124,9 @@
     {
         if (error == beast::error::timeout)
             return this->fail(HttpError::TimedOut, "no answer in " + std::to_string(this->timeout.count()) + " ms");
+        if (error == http::error::body_limit)
+            return this->fail(
+                HttpError::TooLarge, "the answer exceeds " + std::to_string(this->bodyBytesLimit) + " bytes");
         this->fail(HttpError::ConnectionLost, error.message());
     }
 
@@ -156,8 +160,8 @@
     return failure == std::errc {} ? seconds : 0;
 }
 
-HttpConnection::HttpConnection(asio::io_context& context, std::string address)
-    : implementation(std::make_shared<Implementation>(context, std::move(address)))
+HttpConnection::HttpConnection(asio::io_context& context, std::string address, std::size_t bodyBytesLimit)
+    : implementation(std::make_shared<Implementation>(context, std::move(address), bodyBytesLimit))
 {
 }
 
@@ -170,10 +174,11 @@
 
 const std::string& HttpConnection::address() const { return this->implementation->address; }
 
-Core::Result<HttpResponse> httpCall(const std::string& address, HttpRequest request, Core::Duration timeout)
+Core::Result<HttpResponse> httpCall(
+    const std::string& address, HttpRequest request, Core::Duration timeout, std::size_t bodyBytesLimit)
 {
     asio::io_context context;
-    HttpConnection connection(context, address);
+    HttpConnection connection(context, address, bodyBytesLimit);
     std::optional<Core::Result<HttpResponse>> result;
     connection.request(
         std::move(request), timeout, [&](Core::Result<HttpResponse> answer) { result = std::move(answer); });
--- a/celeryswitch/Load/JobApiClient.h
+++ b/celeryswitch/Load/JobApiClient.h
@@ -39,6 +39,9 @@
     std::uint32_t retryAfterSeconds = 0;
 };
 
+/// Longest answer of an entry, which holds the results of all tasks of a job.
+inline constexpr std::size_t longestJobAnswerBytes = 256 * 1024 * 1024;
+
 /// Request that submits a job and waits for its answer. An empty token sends none.
 Http::HttpRequest submitRequest(
     const Messages::Submission& submission, std::uint32_t waitMilliseconds, const std::string& token);
--- a/celeryswitch/Load/LoadWorker.cpp
+++ b/celeryswitch/Load/LoadWorker.cpp
@@ -110,7 +110,8 @@
     {
         std::vector<Connection>& free = this->idle[entry];
         if (free.empty())
-            return std::make_unique<Http::HttpConnection>(this->context, this->settings.entries[entry]);
+            return std::make_unique<Http::HttpConnection>(
+                this->context, this->settings.entries[entry], longestJobAnswerBytes);
         Connection connection = std::move(free.back());
         free.pop_back();
         return connection;
--- a/celeryswitch/Scenario/JobRunner.cpp
+++ b/celeryswitch/Scenario/JobRunner.cpp
@@ -99,8 +99,8 @@
     const Core::SteadyTime end
         = Core::BootClock::now() + std::chrono::duration_cast<Core::SteadyTime::duration>(this->patience);
     while (!this->isStopped && Core::BootClock::now() < end) {
-        const Core::Result<Http::HttpResponse> http
-            = Http::httpCall(entryAddress, Load::submitRequest(submission, waitMilliseconds, {}), requestTimeout);
+        const Core::Result<Http::HttpResponse> http = Http::httpCall(entryAddress,
+            Load::submitRequest(submission, waitMilliseconds, {}), requestTimeout, Load::longestJobAnswerBytes);
         if (!http) {
             this->note(job, http.error().message());
             std::this_thread::sleep_for(retryInterval);
