Decline offers of a sidecar that holds no such reservation

An offer was matched by its number alone, whichever sidecar sent it. A sidecar that is reached under another id could have been ordered to start a task in room that it does not hold.

Without the fix the section "another sidecar offers the reservation" fails; the other new cases pass on the old code: they cover offers across a reconnection, a second admission, a crossing order and an entry's restart.

--- a/UnitTests/Scheduling/JobSchedulerOverloadTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerOverloadTest.cpp
@@ -160,3 +160,53 @@
     fixture.offer(reserve);
     REQUIRE(fixture.scheduler.workers().count(reserve.first) == 0);
 }
+
+// Guards against offers of an earlier connection, or of an earlier admission of the job, that order a task.
+TEST_CASE("offers for reservations that have ended start nothing", "[Scheduling]")
+{
+    SchedulerFixture fixture(3);
+    fixture.fillWorkers(3, 300'000);
+    fixture.submit(1, fixture.makeJob(100));
+    REQUIRE(fixture.reserves.size() == 3);
+    const auto first = fixture.reserves[0];
+    SECTION("the sidecar reconnects before the offer is answered")
+    {
+        fixture.scheduler.roomOffered(first.first, { first.second.reservation });
+        fixture.scheduler.sidecarDisconnected(first.first);
+        fixture.connect(first.first, { 0, 65'536, 0 });
+    }
+    SECTION("the job was admitted again")
+    {
+        fixture.scheduler.callerDisconnected(fixture.now(), 1);
+        fixture.submit(2, fixture.makeJob(100));
+        REQUIRE(fixture.reserves.size() == 6);
+        fixture.offer(first);
+    }
+    SECTION("another sidecar offers the reservation") { fixture.offer({ fixture.reserves[1].first, first.second }); }
+    CHECK(fixture.reservedStarts.empty());
+    // Only the reservations of the present order one run of the task.
+    for (const auto& reserve : std::vector(fixture.reserves))
+        fixture.offer(reserve);
+    CHECK(fixture.reservedStarts.size() == 1);
+    CHECK(fixture.starts.empty());
+}
+
+// Guards against a task that is ordered in offered room while its order elsewhere is open.
+TEST_CASE("an offer that crosses an order in free room starts nothing", "[Scheduling]")
+{
+    SchedulerFixture fixture(4);
+    fixture.fillWorkers(4, 300'000);
+    fixture.submit(1, fixture.makeJob(100));
+    REQUIRE(fixture.reserves.size() == 3);
+    // Room is free elsewhere before any offer arrives.
+    fixture.update("side-4", { 32'000, 65'536, 0 });
+    fixture.update("side-1", { 32'000, 65'536, 0 });
+    REQUIRE(fixture.starts.size() == 1);
+    for (const auto& reserve : std::vector(fixture.reserves)) {
+        fixture.offer(reserve);
+        fixture.offer(reserve);
+        CHECK(fixture.isReleased(reserve));
+    }
+    CHECK(fixture.reservedStarts.empty());
+    CHECK(fixture.starts.size() == 1);
+}
--- a/UnitTests/Workers/RoomReservationsTest.cpp
+++ b/UnitTests/Workers/RoomReservationsTest.cpp
@@ -152,3 +152,43 @@
     REQUIRE(fixture.offers.empty());
     REQUIRE(!fixture.historyOf(2).empty());
 }
+
+// Guards against room of an earlier life of an entry that is offered to, or used by, a reservation of the same number.
+TEST_CASE("reservations of a restarted entry begin anew", "[Workers]")
+{
+    TwoEntries fixture;
+    fixture.startTasks(1, 1, 9);
+    fixture.reserve(2, 1);
+    fixture.reserve(2, 2, 3);
+    fixture.advance(2ms);
+    REQUIRE(fixture.offers.size() == 1);
+    fixture.connect(3, "entry-2", 2);
+    fixture.liveConnections = { 1, 3 };
+    // Of lower rank than the queued run, so that it starts first only in room held for it.
+    fixture.startTasks(1, 2, 1, 3000, 100);
+    fixture.startReserved(3, 1, 50);
+    fixture.advance(2ms);
+    CHECK(fixture.historyOf(2).size() == 1);
+    CHECK(fixture.historyOf(50).empty());
+    fixture.advance(300ms);
+    CHECK(fixture.offers.size() == 1);
+}
+
+// Guards against a second run of a task that is ordered in reserved room while its first one has not ended.
+TEST_CASE("an order in reserved room waits for no run of the same task and starts none beside it", "[Workers]")
+{
+    TwoEntries fixture;
+    fixture.plan.time = 5s;
+    fixture.startTasks(1, 50);
+    fixture.advance(10ms);
+    fixture.reserve(2, 7);
+    fixture.advance(2ms);
+    REQUIRE(fixture.offers.size() == 1);
+    fixture.startReserved(2, 7, 50);
+    fixture.advance(300ms);
+    REQUIRE(fixture.historyOf(50).size() == 1);
+    CHECK(fixture.historyOf(50).front().end == RunEnd::Stopped);
+    const auto reports = fixture.reportsOf(50);
+    CHECK(std::any_of(reports.begin(), reports.end(),
+        [](const Messages::RunReport& report) { return report.refusal == RunRefusal::TaskBusy; }));
+}
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -60,8 +60,9 @@
     const auto reservation = job ? std::find_if(job->reservations.begin(), job->reservations.end(),
                                  [&](const Reservation& each) { return each.number == number; })
                                  : std::vector<Reservation>::iterator {};
-    if (!job || reservation->units == 0 || now >= reservation->until || !worker.isUsable()
-        || job->steps[reservation->step].waiting == 0) {
+    // A sidecar that took the address of another one may be reached as both of them.
+    if (!job || reservation->sidecar != sidecar || reservation->units == 0 || now >= reservation->until
+        || !worker.isUsable() || job->steps[reservation->step].waiting == 0) {
         this->actions.push_back(SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockSample, { number } } });
         return;
     }
