Send the whole view to watchers that missed a deleted member

A removed member is deleted from the table after 630 s. A watcher that was cut off for longer got a difference that named neither the member nor its removal, and kept it for ever.

Without the fix "a watcher that has missed the removal of a deleted member gets the whole view" fails.

--- a/UnitTests/State/StateMachineTest.cpp
+++ b/UnitTests/State/StateMachineTest.cpp
@@ -142,3 +142,28 @@
     REQUIRE(known.at("side-11") == 5);
     REQUIRE(known.count("side-9") == 0);
 }
+
+// Guards against a member that has left and is used for ever by a process that was cut off until the replicas had
+// deleted it.
+TEST_CASE("a watcher that has missed the removal of a deleted member gets the whole view", "[State]")
+{
+    StateMachine machine;
+    const auto registerMember = [&](std::uint64_t index, const std::string& id, std::int64_t time) {
+        Messages::Member member;
+        member.identity.instanceId = id;
+        member.identity.incarnation = 1;
+        apply(machine, index, Messages::RegisterMember { member }, time);
+    };
+    registerMember(1, "side-1", 1);
+    registerMember(2, "side-2", 1);
+    apply(machine, 3, Messages::RemoveMember { "side-1", 1 }, 10);
+    REQUIRE_FALSE(machine.changes(2, 0).isWhole);
+    REQUIRE(machine.changes(2, 0).view.members.size() == 1);
+    registerMember(4, "side-3", 10 + Membership::memberRetentionMilliseconds + 1);
+    const Messages::FleetChanges missed = machine.changes(2, 0);
+    REQUIRE(missed.isWhole);
+    REQUIRE(missed.view.members.size() == 2);
+    // Watchers that know of the removal still get differences.
+    REQUIRE_FALSE(machine.changes(3, 0).isWhole);
+    REQUIRE(machine.changes(3, 0).view.members.size() == 1);
+}
--- a/celeryswitch/State/StateMachine.cpp
+++ b/celeryswitch/State/StateMachine.cpp
@@ -3,6 +3,7 @@
 #include "celeryswitch/Configuration/ConfigurationChange.h"
 #include "celeryswitch/Consensus/StoredCodec.h"
 #include "celeryswitch/Core/Assert.h"
+#include <algorithm>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -98,8 +99,10 @@
     Messages::FleetChanges changes;
     changes.view.viewVersion = this->changedIndex;
     changes.view.configurationVersion = this->document.version;
-    changes.isWhole = knownVersion == 0 || knownVersion < this->memberChangesSince;
-    for (Messages::Member& member : this->memberTable.all()) {
+    std::vector<Messages::Member> members = this->memberTable.all();
+    changes.isWhole
+        = knownVersion == 0 || knownVersion < this->memberChangesSince || this->hasDeletedSince(members, knownVersion);
+    for (Messages::Member& member : members) {
         const auto change = this->memberChanges.find(member.identity.instanceId);
         if (changes.isWhole || (change != this->memberChanges.end() && change->second > knownVersion))
             changes.view.members.push_back(std::move(member));
@@ -110,6 +113,19 @@
     return changes;
 }
 
+bool StateMachine::hasDeletedSince(const std::vector<Messages::Member>& members, std::uint64_t version) const
+{
+    const auto isBefore = [](const Messages::Member& member, const Core::InstanceId& instanceId) {
+        return member.identity.instanceId < instanceId;
+    };
+    return std::any_of(this->memberChanges.begin(), this->memberChanges.end(), [&](const auto& change) {
+        if (change.second <= version)
+            return false;
+        const auto found = std::lower_bound(members.begin(), members.end(), change.first, isBefore);
+        return found == members.end() || found->identity.instanceId != change.first;
+    });
+}
+
 void StateMachine::recordMemberChange(const Core::InstanceId& instanceId)
 {
     this->changedIndex = this->currentIndex;
--- a/celeryswitch/State/StateMachine.h
+++ b/celeryswitch/State/StateMachine.h
@@ -72,6 +72,9 @@
     }
     friend struct StateMachineImage;
     void recordMemberChange(const Core::InstanceId& instanceId);
+    // Whether a member that changed after a version of the view is no longer among `members`, which are in the order of
+    // their ids: a difference can't name it.
+    bool hasDeletedSince(const std::vector<Messages::Member>& members, std::uint64_t version) const;
 
     StateMachineSettings settings;
     std::uint64_t changedIndex = 0;
