Read the other rows of a worker's list with an unreadable one

One unreadable row made the whole list unreadable, so that nothing was concluded and the worker was lost while the row stayed. Readable rows hold now. A run that is missing beside an unreadable running row is not over: it is stopped, which bounds the lease, and its end is concluded from the worker's lists or when the lease is certainly over. The first list of a sidecar counts by the same rule. After an unreadable end a run counts as lost, not as never started; long polls are paced meanwhile. Two rows of one task no longer hide each other.

--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Experiment/LeasedWorkerModel.h"
 #include "celeryswitch/Workers/RunSupervisor.h"
+#include <functional>
 #include <memory>
 
 namespace celeryswitch::Workers {
@@ -185,6 +186,8 @@
     /// Whether stop calls are lost.
     bool areStopsLost = false;
     std::vector<WorkerCall> lostCalls;
+    /// Changes the worker's responses if set.
+    std::function<void(CallResult&)> alterResult;
     /// Runs of earlier incarnations of the worker.
     std::vector<Experiment::RunRecord> endedHistory;
     /// All reports, and the newest load, sent to any entry.
@@ -203,9 +206,12 @@
     }
     void processEvents()
     {
-        for (auto& [ticket, result] : this->worker.advance(this->now()))
+        for (auto& [ticket, result] : this->worker.advance(this->now())) {
+            if (this->alterResult)
+                this->alterResult(result);
             this->supervisor->callFinished(
                 this->now(), ticket, this->isWorkerResetting ? CallResult {} : std::move(result));
+        }
         // Handling a call may cause further calls.
         for (int round = 0; round < 20; ++round) {
             std::vector<SupervisorAction> actions = this->supervisor->poll(this->now());
@@ -251,6 +257,8 @@
                 this->lostCalls.push_back(call->call);
                 this->timeouts.emplace_back(call->callId, this->now() + call->timeout);
             } else if (std::optional<CallResult> result = this->worker.handle(this->now(), call->call, call->callId)) {
+                if (this->alterResult)
+                    this->alterResult(*result);
                 this->supervisor->callFinished(this->now(), call->callId, std::move(*result));
             }
         }
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -243,6 +243,9 @@
     // Whether a run of an entry may start under the lease: no call is in doubt, and the lease ends before the callers
     // of the entry retry.
     bool isLeaseAvailable(Core::SteadyTime now, const Core::InstanceId& entryId) const;
+    // Whether at `time` nothing could run on the worker any more, because neither an answered call nor one that was in
+    // doubt prolonged the lease until then.
+    bool isLeaseCertainlyOver(Core::SteadyTime time) const;
     // End of the lease to request now, on the worker's clock; std::nullopt if it must not be extended.
     std::optional<std::int64_t> extendLease(Core::SteadyTime now);
     std::uint64_t sendCall(Core::SteadyTime now, WorkerCall call, Core::Duration timeout, bool isLongPoll = false);
@@ -290,6 +293,8 @@
     /// Highest fencing token of a call that may be executed at any time, because it was not answered or was sent by an
     /// earlier process.
     std::uint64_t doubtfulToken;
+    /// When a response last voided calls that were in doubt.
+    Core::SteadyTime doubtEndedAt;
     /// Amount by which the fencing token is raised at the next refusal.
     std::uint64_t tokenStep = minimumTokenStep;
     /// Claims that wait for the worker's first lists of runs.
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -152,7 +152,10 @@
     }
     if (!this->identifyWorker(now, call, result))
         return;
+    const bool wasDoubtful = this->hasDoubtfulCalls();
     this->recordTokens(call, result);
+    if (wasDoubtful && !this->hasDoubtfulCalls())
+        this->doubtEndedAt = now;
     this->recordContact(now, result);
     this->backOffAfterFailure(now, call, result);
     if (std::holds_alternative<StartCall>(call.call))
--- a/celeryswitch/Workers/RunSupervisorLease.cpp
+++ b/celeryswitch/Workers/RunSupervisorLease.cpp
@@ -8,6 +8,13 @@
 using Core::SteadyTime;
 using Logging::LogLevel;
 
+namespace {
+
+// Lowest rate of a worker's clock.
+constexpr int slowestWorkerClockPercent = 98;
+
+}
+
 SteadyTime RunSupervisor::leaseLimit() const
 {
     SteadyTime limit = SteadyTime::max();
@@ -36,6 +43,16 @@
     return limit >= now + minimumStartLease && this->worker.clock.certainlyPassedAt(this->worker.leaseEnd) <= limit;
 }
 
+bool RunSupervisor::isLeaseCertainlyOver(SteadyTime time) const
+{
+    if (this->hasDoubtfulCalls() || this->worker.identifiedAt == SteadyTime {} || !this->worker.clock.isKnown())
+        return false;
+    // A call in doubt may have been executed just before it was voided, with its lease counted from then.
+    const SteadyTime doubtPassedAt = this->doubtEndedAt + this->settings.longestLease * 100 / slowestWorkerClockPercent;
+    return time >= std::max(this->worker.clock.certainlyPassedAt(this->worker.leaseEnd), doubtPassedAt)
+        + this->settings.stopTimeout;
+}
+
 std::optional<std::int64_t> RunSupervisor::extendLease(SteadyTime now)
 {
     const SteadyTime limit = this->leaseLimit();
--- a/celeryswitch/Workers/RunSupervisorLists.cpp
+++ b/celeryswitch/Workers/RunSupervisorLists.cpp
@@ -2,12 +2,20 @@
 #include "celeryswitch/Workers/RunSupervisor.h"
 
 #include <algorithm>
+#include <set>
 
 namespace celeryswitch::Workers {
 
 using Core::SteadyTime;
 using Logging::LogLevel;
 
+namespace {
+
+// Time between renewals of the lease while the worker lists an end that can't be read and so not be acknowledged.
+constexpr Core::Duration unreadableEndPause = std::chrono::milliseconds(10);
+
+}
+
 void RunSupervisor::renewLeaseAnswered(SteadyTime now, const PendingCall& call, const CallResult& result)
 {
     if (result.status == CallStatus::Refused && result.refusal == CallRefusal::Fence) {
@@ -19,27 +27,40 @@
         return;
     for (const EndedRunRecord& record : result.ended)
         this->handleEndedRun(now, record);
-    std::map<TaskId, std::uint32_t> listed;
+    std::set<std::pair<TaskId, std::uint32_t>> listed;
     for (const RunningRunRecord& record : result.running) {
         listed.emplace(record.task, record.run);
         this->handleRunningRun(now, call, record);
     }
+    // A row that can't be read may be any run, unless it has outlasted every lease.
+    const bool isListWhole = !result.hasUnreadableRunning || this->isLeaseCertainlyOver(call.sentAt);
     for (auto& [task, run] : this->runs.all()) {
         if (run.phase == RunPhase::Ended || run.phase == RunPhase::Queued)
             continue;
-        const auto found = listed.find(task);
-        const bool isListed = found != listed.end() && found->second == run.number;
+        run.mayHaveEnded = run.mayHaveEnded || result.hasUnreadableEnded;
         // Absence proves the end only if the run can't start any more: its start or stop was answered before, or a
         // higher fencing token voids the start.
-        if (!isListed && (call.sentAt >= run.listedFrom || call.fencingToken > run.startToken))
+        if (listed.count({ task, run.number }) > 0
+            || (call.sentAt < run.listedFrom && call.fencingToken <= run.startToken))
+            continue;
+        if (isListWhole)
             this->endRun(now, run, RunEvent::Unlisted,
-                run.startedAt != SteadyTime {} ? RunEnd::Lost : RunEnd::NotStarted, RunRefusal::Unanswered);
+                run.startedAt != SteadyTime {} || run.mayHaveEnded ? RunEnd::Lost : RunEnd::NotStarted,
+                RunRefusal::Unanswered);
+        else if (run.phase != RunPhase::Starting)
+            // A run that must end bounds the lease, so that the end is certain at the latest when the lease is over.
+            this->stopRun(now, run, "missing in a list with an unreadable row");
     }
     // A list that calls of a previous incarnation of this process could still change proves nothing about its runs.
-    if (!this->worker.isRunListKnown && !this->hasDoubtfulCalls()) {
+    if (!this->worker.isRunListKnown && !this->hasDoubtfulCalls() && isListWhole) {
         this->worker.isRunListKnown = true;
         this->answerClaims(now);
     }
+    if (result.hasUnreadableEnded) {
+        // The worker lists the row again and answers long polls at once because of it.
+        this->backoffUntil = std::max(this->backoffUntil, now + unreadableEndPause);
+        this->nextListPollAt = std::min(this->nextListPollAt, this->backoffUntil);
+    }
 }
 
 void RunSupervisor::handleRunningRun(SteadyTime now, const PendingCall& call, const RunningRunRecord& record)
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -67,6 +67,8 @@
     float rank = 0;
     /// The run is refused if it has not started by this time.
     Core::SteadyTime startBy = Core::SteadyTime::max();
+    /// Whether a list of ends had a row that could not be read and may be the end of this run.
+    bool mayHaveEnded = false;
     /// Set before the phase becomes Ended.
     RunEnd end = RunEnd::NotStarted;
     RunRefusal refusal = RunRefusal::None;
--- a/celeryswitch/Workers/WorkerTypes.h
+++ b/celeryswitch/Workers/WorkerTypes.h
@@ -123,6 +123,9 @@
     /// Runs listed in the response to RenewLeaseCall.
     std::vector<RunningRunRecord> running;
     std::vector<EndedRunRecord> ended;
+    /// Whether rows of these lists could not be read and were left out: any run may be one of them.
+    bool hasUnreadableRunning = false;
+    bool hasUnreadableEnded = false;
 };
 
 }
