--- a/UnitTests/Scheduling/CallerCheckTest.cpp
+++ b/UnitTests/Scheduling/CallerCheckTest.cpp
@@ -68,7 +68,8 @@
     fixture.submit(1, job);
     fixture.clock.advance(500ms);
     fixture.scheduler.deferDecisions(fixture.now() + 100ms);
-    fixture.update("side-1", { 32'000, 65'536, 0 }, { { fixture.orderedTask(100, 0), 1, RunState::Running, {}, {}, 300'000, 5 } });
+    fixture.update(
+        "side-1", { 32'000, 65'536, 0 }, { { fixture.orderedTask(100, 0), 1, RunState::Running, {}, {}, 300'000, 5 } });
     REQUIRE(fixture.answers.empty());
     fixture.report("side-1", 100, 0, RunEnd::Done);
     REQUIRE(fixture.answers.at(1).state == JobState::Completed);
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -112,8 +112,8 @@
     this->log.write(Logging::LogLevel::Info, "unwanted run reported",
         { { "job", Messages::jobText(report.ordered.task.job) }, { "task", report.ordered.task.index },
             { "run", report.run }, { "order", report.ordered.order }, { "sidecar", sidecar } });
-    this->actions.push_back(SendToSidecar {
-        sidecar, Messages::StopRuns { this->workerTable.at(sidecar).clockEcho, { report.ordered } } });
+    this->actions.push_back(
+        SendToSidecar { sidecar, Messages::StopRuns { this->workerTable.at(sidecar).clockEcho, { report.ordered } } });
 }
 
 void JobScheduler::handleReport(SteadyTime now, const Core::InstanceId& sidecar, const Messages::RunReport& report)
