Split the records of the scheduler and the supervisor from their decisions; share a test fixture

Change: outcome records and gauges moved to files of their own, the fixture to SupervisorFixture.h; nothing else changed.

--- a/UnitTests/Workers/RunSupervisorOrdersTest.cpp
+++ b/UnitTests/Workers/RunSupervisorOrdersTest.cpp
@@ -8,15 +8,9 @@
 
 namespace {
 
-// A supervisor with an announced worker and one live entry on connection 1.
-struct ReadySupervisor : SupervisorFixture {
-    ReadySupervisor()
-    {
-        this->connect(1, "entry-1");
-        this->liveConnections = { 1 };
-        this->announceWorker();
-        this->plan.time = 5s;
-    }
+// A supervisor whose runs last until they are stopped.
+struct LongRuns : ReadySupervisor {
+    LongRuns() { this->plan.time = 5s; }
 };
 
 }
@@ -24,7 +18,7 @@
 // Guards against a stop of a job's earlier admission that arrives after the job was ordered again.
 TEST_CASE("a stop of an earlier order leaves the run of the later one", "[Workers]")
 {
-    ReadySupervisor fixture;
+    LongRuns fixture;
     fixture.startTasks(1, 1);
     const Messages::OrderedTask first = fixture.orderedTask(1);
     fixture.advance(50ms);
@@ -45,7 +39,7 @@
 // the connection.
 TEST_CASE("a claim of a later order does not take over the run of an earlier one", "[Workers]")
 {
-    ReadySupervisor fixture;
+    LongRuns fixture;
     fixture.startTasks(1, 1);
     fixture.advance(50ms);
     const Messages::OrderedTask first = fixture.orderedTask(1);
@@ -68,7 +62,7 @@
 // Guards against a run that changes hands because another entry claims the same run number of its task.
 TEST_CASE("a claim does not take over a run that another entry owns", "[Workers]")
 {
-    ReadySupervisor fixture;
+    LongRuns fixture;
     fixture.startTasks(1, 1);
     fixture.advance(50ms);
     fixture.connect(2, "entry-2");
@@ -82,7 +76,7 @@
 // Guards against a stop of one entry that ends the run of another one with the same incarnation number.
 TEST_CASE("an entry can't stop the run of another entry", "[Workers]")
 {
-    ReadySupervisor fixture;
+    LongRuns fixture;
     fixture.startTasks(1, 1);
     fixture.connect(2, "entry-2");
     fixture.liveConnections = { 1, 2 };
@@ -95,7 +89,7 @@
 // Guards against an order of a restarted entry that is refused in the name of its predecessor's with the same number.
 TEST_CASE("a restarted entry gets no refusals of its predecessor's orders", "[Workers]")
 {
-    ReadySupervisor fixture;
+    LongRuns fixture;
     fixture.startTasks(1, 1);
     fixture.connect(2, "entry-2");
     fixture.liveConnections = { 1, 2 };
@@ -119,7 +113,7 @@
 {
     for (const bool isWorkerRestarted : { false, true }) {
         INFO("worker restarted: " << isWorkerRestarted);
-        ReadySupervisor fixture;
+        LongRuns fixture;
         fixture.isNextStartLost = true;
         fixture.startTasks(1, 1);
         fixture.isWorkerReachable = false;
@@ -142,7 +136,7 @@
 // Guards against a task that waits for ever because nothing shows whether its start was executed.
 TEST_CASE("a start in doubt ends when the worker answers a later call", "[Workers]")
 {
-    ReadySupervisor fixture;
+    LongRuns fixture;
     fixture.isNextStartLost = true;
     fixture.startTasks(1, 1);
     fixture.isWorkerReachable = false;
@@ -157,7 +151,7 @@
 // Guards against stops and long polls that a worker out of contact is sent for as long as a start is in doubt.
 TEST_CASE("a start in doubt on a worker out of contact causes few calls besides the lists", "[Workers]")
 {
-    ReadySupervisor fixture;
+    LongRuns fixture;
     fixture.isNextStartLost = true;
     fixture.startTasks(1, 1);
     fixture.isWorkerReachable = false;
@@ -178,7 +172,7 @@
 // Guards against an entry that can't tell a run that has started, and is bounded by the lease, from a start in doubt.
 TEST_CASE("an entry is told at once that a run has started", "[Workers]")
 {
-    ReadySupervisor fixture;
+    LongRuns fixture;
     fixture.startTasks(1, 1);
     fixture.advance(20ms);
     REQUIRE(fixture.reportsOf(1).size() == 1);
--- a/UnitTests/Workers/RunSupervisorProofTest.cpp
+++ b/UnitTests/Workers/RunSupervisorProofTest.cpp
@@ -11,16 +11,6 @@
 // Time after which the callers of a failed entry repeat their jobs at another one.
 constexpr Core::Duration callerRetryDelay = 1300ms;
 
-// A supervisor with an announced worker and one live entry on connection 1.
-struct ReadySupervisor : SupervisorFixture {
-    ReadySupervisor()
-    {
-        this->connect(1, "entry-1");
-        this->liveConnections = { 1 };
-        this->announceWorker();
-    }
-};
-
 }
 
 // Guards against a lease that other runs prolong while a run that must end can't be stopped.
--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -5,20 +5,6 @@
 using namespace celeryswitch::Workers;
 using namespace std::chrono_literals;
 
-namespace {
-
-// A supervisor with an announced worker and one live entry on connection 1.
-struct ReadySupervisor : SupervisorFixture {
-    ReadySupervisor()
-    {
-        this->connect(1, "entry-1");
-        this->liveConnections = { 1 };
-        this->announceWorker();
-    }
-};
-
-}
-
 // Guards against started tasks whose end is never reported.
 TEST_CASE("a requested run is started once and its end is reported once", "[Workers]")
 {
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -294,4 +294,14 @@
     std::vector<std::pair<std::uint64_t, SteadyTime>> timeouts;
 };
 
+/// A supervisor with an announced worker and one live entry on connection 1.
+struct ReadySupervisor : SupervisorFixture {
+    ReadySupervisor()
+    {
+        this->connect(1, "entry-1");
+        this->liveConnections = { 1 };
+        this->announceWorker();
+    }
+};
+
 }
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -9,7 +9,6 @@
 
 using Configuration::Queue;
 using Core::SteadyTime;
-using Logging::LogLevel;
 
 namespace {
 
@@ -35,8 +34,6 @@
     return 1 - fixedValueShare
         + fixedValueShare / std::clamp(coreSeconds / meanCoreSeconds, minimumRelativeWork, maximumRelativeWork);
 }
-// The trace of one in this many successful jobs is logged.
-constexpr std::uint64_t traceSampleInterval = 64;
 
 }
 
@@ -319,29 +316,6 @@
     }
 }
 
-void JobScheduler::traceAvailableRoom(SteadyTime now, Job& job) const
-{
-    std::uint64_t usable = 0;
-    std::uint64_t probation = 0;
-    std::int64_t free = 0;
-    std::int64_t queued = 0;
-    std::int64_t places = 0;
-    for (const auto& [sidecar, worker] : this->workerTable) {
-        if (!worker.isUsable() || worker.profile.service != job.queue.service)
-            continue;
-        ++usable;
-        probation += worker.load.isOnProbation ? 1 : 0;
-        free += worker.load.free.milliCores;
-        for (const Messages::QueuedRoom& room : worker.load.queued)
-            queued += room.milliCores;
-        places += std::max<std::int64_t>(0, job.specification.steps.front().need.countIn(worker.roomFor(job.rank)));
-    }
-    job.trace.add(now, "job finds no room",
-        { { "job", Messages::jobText(job.specification.id) }, { "workers", usable }, { "on_probation", probation },
-            { "free_millicores", free }, { "queued_millicores", queued }, { "places", places },
-            { "rank_class", Messages::rankClassOf(job.rank) } });
-}
-
 void JobScheduler::endJob(SteadyTime now, Jobs::iterator found, CallerAnswer answer)
 {
     this->releaseReservations(found->second, std::nullopt);
@@ -368,27 +342,6 @@
     this->sendAnswer(job.request, std::move(answer));
 }
 
-void JobScheduler::logOutcome(SteadyTime now, Job& job, const CallerAnswer& answer)
-{
-    this->metrics.jobEnded({ job.queue.name, answer, now - job.arrivedAt,
-        this->goalTime(job, job.longestRunSeconds, 1) - job.arrivedAt, job.orders });
-    const bool isCompleted = answer.kind == AnswerKind::State && answer.state == JobState::Completed;
-    const bool isLate = now > this->goalTime(job, job.longestRunSeconds, 1);
-    const std::uint64_t id = job.specification.id;
-    this->log.write(LogLevel::Info, "job ended",
-        { { "job", Messages::jobText(id) }, { "queue", job.queue.name },
-            { "answer", std::string(Core::enumName(answer.kind)) },
-            { "state", std::string(Core::enumName(answer.state)) }, { "reason", answer.reason },
-            { "late", isLate ? 1 : 0 }, { "response_ms", toMilliseconds(now - job.arrivedAt) },
-            { "waited_ms", job.orders > 0 ? toMilliseconds(job.firstOrderAt - job.arrivedAt) : -1 },
-            { "longest_run_ms", static_cast<std::int64_t>(job.longestRunSeconds * 1000) }, { "orders", job.orders },
-            { "tasks", static_cast<std::uint64_t>(job.steps.front().tasks.size()) },
-            { "millicores", job.specification.steps.front().need.milliCores },
-            { "declared_ms", job.specification.steps.front().declaredMilliseconds } });
-    if (!isCompleted || isLate || id % traceSampleInterval == 0)
-        job.trace.write(this->log, now);
-}
-
 void JobScheduler::endAllJobs(SteadyTime now)
 {
     while (!this->jobs.empty())
@@ -409,33 +362,6 @@
         this->actions.push_back(AnswerRequest { request, std::move(answer) });
 }
 
-void JobScheduler::collect(Metrics::MetricRegistry& registry) const
-{
-    std::size_t usable = 0;
-    std::size_t probation = 0;
-    std::int64_t free = 0;
-    std::int64_t queued = 0;
-    for (const auto& [sidecar, worker] : this->workerTable) {
-        if (!worker.isUsable())
-            continue;
-        ++usable;
-        probation += worker.load.isOnProbation ? 1 : 0;
-        free += worker.load.free.milliCores;
-        for (const Messages::QueuedRoom& room : worker.load.queued)
-            queued += room.milliCores;
-    }
-    const auto set = [&registry](const char* name, const char* help, auto value) {
-        registry.gauge(name, help).set(static_cast<double>(value));
-    };
-    set("celeryswitch_jobs_open", "Jobs without an answer.", this->jobs.size());
-    set("celeryswitch_jobs_waiting", "Jobs with tasks that wait for a place.", this->waitingJobs.size());
-    set("celeryswitch_sidecars", "Sidecars that this entry links to.", this->linked.size());
-    set("celeryswitch_workers_usable", "Workers that runs may be ordered on.", usable);
-    set("celeryswitch_workers_on_probation", "Workers that get one run at a time.", probation);
-    set("celeryswitch_free_millicores", "Room that no run uses, as last reported.", free);
-    set("celeryswitch_queued_millicores", "Room that queued runs need, as last reported.", queued);
-}
-
 SteadyTime JobScheduler::nextWakeUp() const
 {
     SteadyTime due = SteadyTime::max();
