Take a start for confirmed only by the worker's own answer to it or by its list

Cause: two ways round the doubt about unanswered starts, found by review. A claim of a run whose start was not answered was reported as running, so that the entry took it for bounded by the lease and placed its task elsewhere when the sidecar fell silent. And a stop that the worker had accepted settled the doubt for good, although the worker's next incarnation under the same id knows nothing of it; the run was reported as lapsed when contact was lost. Change: nothing is reported as running before it has started, and only the answer to the start, a listing, or a call with a higher token that was answered settles the doubt.

--- a/UnitTests/Workers/RunSupervisorOrdersTest.cpp
+++ b/UnitTests/Workers/RunSupervisorOrdersTest.cpp
@@ -148,6 +148,41 @@
     REQUIRE(fixture.historyOf(1).empty());
 }
 
+// Guards against an entry that is told of a run whose start the worker has not answered, and takes it for started.
+TEST_CASE("a claimed start in doubt is not reported as running", "[Workers]")
+{
+    LongRuns fixture;
+    fixture.isNextStartLost = true;
+    fixture.startTasks(1, 1);
+    fixture.isWorkerReachable = false;
+    fixture.advance(200ms);
+    fixture.supervisor->entryDisconnected(fixture.now(), 1);
+    fixture.connect(2, "entry-1");
+    fixture.liveConnections = { 2 };
+    fixture.claim(2, { 1 });
+    fixture.advance(100ms);
+    REQUIRE(fixture.reportsOf(1).empty());
+}
+
+// Guards against a start that is executed by the worker's next incarnation, which knows nothing of an accepted stop.
+TEST_CASE("an accepted stop does not settle a start in doubt when contact is lost", "[Workers]")
+{
+    LongRuns fixture;
+    fixture.isNextStartLost = true;
+    fixture.startTasks(1, 1);
+    fixture.advance(1ms);
+    fixture.stop(1, fixture.orderedTask(1));
+    fixture.advance(1ms);
+    fixture.isWorkerReachable = false;
+    fixture.advance(2500ms);
+    REQUIRE_FALSE(fixture.isReportedEnded(1));
+    fixture.restartWorker(90'000);
+    fixture.isWorkerReachable = true;
+    fixture.advance(300ms);
+    REQUIRE(fixture.isReportedEnded(1));
+    REQUIRE_FALSE(fixture.isRunning(1));
+}
+
 // Guards against stops and long polls that a worker out of contact is sent for as long as a start is in doubt.
 TEST_CASE("a start in doubt on a worker out of contact causes few calls besides the lists", "[Workers]")
 {
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -210,6 +210,7 @@
     const bool isOpen = run->phase == RunPhase::Starting;
     switch (result.status) {
     case CallStatus::Accepted:
+        run->isStartConfirmed = true;
         run->listedFrom = std::min(run->listedFrom, now);
         this->fire(now, *run, RunEvent::StartAccepted);
         return;
--- a/celeryswitch/Workers/RunSupervisorEntries.cpp
+++ b/celeryswitch/Workers/RunSupervisorEntries.cpp
@@ -211,6 +211,9 @@
     if (found == this->entries.end() || found->second.incarnation != run.entryIncarnation)
         return;
     const bool hasEnded = run.phase == RunPhase::Ended;
+    // An entry takes a run that is reported as running for bounded by the lease.
+    if (!hasEnded && run.startedAt == SteadyTime {})
+        return;
     const SteadyTime until = hasEnded ? run.endedAt : now;
     const std::int64_t time = run.startedAt == SteadyTime {}
         ? 0
--- a/celeryswitch/Workers/RunSupervisorLife.cpp
+++ b/celeryswitch/Workers/RunSupervisorLife.cpp
@@ -148,8 +148,7 @@
 
 bool RunSupervisor::isStartInDoubt(const Run& run) const
 {
-    return run.startedAt == SteadyTime {} && run.listedFrom == SteadyTime::max()
-        && run.startToken >= this->worker.seenToken;
+    return !run.isStartConfirmed && run.startToken >= this->worker.seenToken;
 }
 
 std::optional<Messages::WorkerProfile> RunSupervisor::workerProfile() const
--- a/celeryswitch/Workers/RunSupervisorLists.cpp
+++ b/celeryswitch/Workers/RunSupervisorLists.cpp
@@ -67,6 +67,7 @@
 {
     Run* run = this->runs.find(record.task);
     if (run && run->number == record.run && run->phase != RunPhase::Ended) {
+        run->isStartConfirmed = true;
         run->listedFrom = std::min(run->listedFrom, now);
         this->recordProgress(now, *run, record.percent);
         this->fire(now, *run, RunEvent::Listed);
@@ -88,6 +89,7 @@
     found.startedAt = now;
     found.percent = record.percent;
     found.progressReadAt = now;
+    found.isStartConfirmed = true;
     found.listedFrom = now;
     found.deadline = now + this->settings.claimPeriod;
     found.expectedEnd = SteadyTime::max();
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -87,6 +87,9 @@
     /// Lists that are requested from this time on show the run until it ends: its start or its stop was answered
     /// before. The largest time while neither was.
     Core::SteadyTime listedFrom = Core::SteadyTime::max();
+    /// Whether the worker has answered the start or listed the run. A stop that it accepted voids the start only until
+    /// the worker starts again.
+    bool isStartConfirmed = false;
     /// When the worker accepted the last stop call; the largest time while it has not.
     Core::SteadyTime stopAcceptedAt = Core::SteadyTime::max();
     /// When this sidecar received the start request.
