--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -318,9 +318,6 @@
 
 void JobScheduler::endJob(SteadyTime now, Jobs::iterator found, CallerAnswer answer)
 {
-    // The caller would repeat a job that was given up, and it would run beside the start that is executed late.
-    if (answer.kind == AnswerKind::GivenUp && found->second.request != 0 && this->hasStartInDoubt(now, found->second))
-        answer = { AnswerKind::State, JobState::Failed, 0, {}, "start in doubt" };
     this->releaseReservations(found->second, std::nullopt);
     Job job = std::move(found->second);
     this->jobs.erase(found);
@@ -345,19 +342,6 @@
     this->sendAnswer(job.request, std::move(answer));
 }
 
-bool JobScheduler::hasStartInDoubt(SteadyTime now, const Job& job) const
-{
-    const auto isInDoubt = [&](const Task& task) {
-        if (task.phase != TaskPhase::Ordered || task.isStarted)
-            return false;
-        const auto worker = this->workerTable.find(task.sidecar);
-        return now >= task.orderedAt + this->settings.startConfirmationTime || worker == this->workerTable.end()
-            || !worker->second.isConnected;
-    };
-    return std::any_of(job.steps.begin(), job.steps.end(),
-        [&](const Step& step) { return std::any_of(step.tasks.begin(), step.tasks.end(), isInDoubt); });
-}
-
 void JobScheduler::endAllJobs(SteadyTime now)
 {
     while (!this->jobs.empty())
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -31,8 +31,6 @@
     Core::Duration restartOverhead = std::chrono::milliseconds(60);
     /// Maximum time between two checks of the callers' connections while events are handled.
     Core::Duration callerCheckInterval = std::chrono::milliseconds(50);
-    /// Time after an order from which its start is in doubt unless the sidecar has reported it.
-    Core::Duration startConfirmationTime = std::chrono::milliseconds(300);
     /// Interval of the heartbeats to each sidecar.
     Core::Duration heartbeatInterval = std::chrono::milliseconds(200);
     /// Time after the last contact with a sidecar from which no run that this entry ordered can still be running there.
@@ -132,7 +130,6 @@
         std::uint32_t run = 1;
         /// Number of the start order that the task waits for; valid while it is ordered.
         std::uint64_t order = 0;
-        Core::SteadyTime orderedAt;
         /// Whether the sidecar reported that the run of the order has started.
         bool isStarted = false;
         std::uint32_t failures = 0;
@@ -250,9 +247,6 @@
     // Requeues the tasks whose runs at a sidecar have certainly ended.
     void declareRunsLost(Core::SteadyTime now, const Core::InstanceId& sidecar, std::string_view reason);
     void endJob(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
-    // Whether a start of a job may be executed after the job has ended, because its sidecar has not confirmed it in
-    // time and can't be told to stop it.
-    bool hasStartInDoubt(Core::SteadyTime now, const Job& job) const;
     void sendAnswer(RequestNumber request, CallerAnswer answer);
     // Whether no worker could ever run some step of a job.
     bool isHopeless(Core::SteadyTime now, const Job& job);
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -168,7 +168,6 @@
         task.phase = TaskPhase::Ordered;
         task.sidecar = worker.sidecar;
         task.order = start.order;
-        task.orderedAt = now;
         task.isStarted = false;
         --step.waiting;
         start.tasks.emplace_back(index, task.run);
