Put the comments of the model's sidecar state beside what they describe

Cause: a member function had been inserted between the worker's degradation and its comment, so that the comment described the clock. Change: the function moved below the members; nothing else. Measured: formatter and layers clean; 82 cases ([Workers] and the fleet cases of late starts and replaced sidecars) pass, 408 assertions.

--- a/celeryswitch/Experiment/LeasedFleetState.h
+++ b/celeryswitch/Experiment/LeasedFleetState.h
@@ -76,13 +76,14 @@
     std::set<std::uint64_t> calls;
     Core::SteadyTime nextWorkerAdvanceAt = Core::SteadyTime::max();
     /// Degradation of the worker until `degradedUntil`.
+    enum class Degradation { None, Fails, Stalls, Slow } degradation = Degradation::None;
+    Core::SteadyTime degradedUntil;
+
     /// Reading of the machine's time of day.
     Core::SteadyTime timeOfDay(Core::SteadyTime time) const
     {
         return time + std::chrono::duration_cast<Core::SteadyTime::duration>(this->clockOffset);
     }
-    enum class Degradation { None, Fails, Stalls, Slow } degradation = Degradation::None;
-    Core::SteadyTime degradedUntil;
 };
 
 struct LeasedFleet::Link {
