Place waiting jobs only where room may have appeared

Change: a job with reservations is tried again only on workers that have changed since, if one of them has room for it; a job without reservations every 20 ms; the walks over all jobs run only when a job is due.

--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -58,6 +58,8 @@
     this->linked = std::move(sidecars);
     for (auto& [sidecar, worker] : this->workerTable)
         worker.isLinked = this->linked.count(sidecar) > 0;
+    for (auto& [sidecar, worker] : this->workerTable)
+        this->noteChange(worker);
     this->isPlacementDue = true;
 }
 
@@ -203,6 +205,7 @@
             { "limit_ms", toMilliseconds(job.expiresAt - now) },
             { "refused_after_ms", toMilliseconds(job.refuseAt - now) } });
     const auto admitted = this->jobs.emplace(id, std::move(job)).first;
+    this->noteDue(admitted->second);
     if (!this->isDiscoveringWorkers(now) && this->isHopeless(now, admitted->second))
         this->endJob(now, admitted, this->refusal(now, admitted->second, "no suitable worker"));
     else
@@ -272,12 +275,16 @@
 std::vector<SchedulerAction> JobScheduler::poll(SteadyTime now)
 {
     if (now >= this->decisionsFrom) {
-        this->endExpired(now);
-        this->forgetExpiredReservations(now);
+        const bool areJobsDue = now >= this->jobsDueAt;
+        if (areJobsDue) {
+            this->endExpired(now);
+            this->forgetExpiredReservations(now);
+        }
         this->answerOffers(now);
         // Place before refusing: a job whose order was just returned may be due for refusal and have room again.
         this->placeWaitingJobs(now);
-        this->refuseWaiting(now);
+        if (areJobsDue)
+            this->refuseWaiting(now);
     }
     this->maintainSidecars(now);
     while (!this->outcomesByAge.empty() && this->outcomesByAge.front().first + this->settings.outcomeRetention < now) {
@@ -314,8 +321,23 @@
         this->traceAvailableRoom(now, job);
         this->endJob(now, found, this->refusal(now, job, "no room"));
     }
+    this->jobsDueAt = SteadyTime::max();
+    for (const auto& [id, job] : this->jobs)
+        this->noteDue(job);
+}
+
+SteadyTime JobScheduler::dueTime(const Job& job) const
+{
+    SteadyTime due = job.expiresAt;
+    if (!job.hasBegun && job.reservations.empty())
+        due = std::min(due, job.refuseAt);
+    for (const Reservation& reservation : job.reservations)
+        due = std::min(due, reservation.until);
+    return due;
 }
 
+void JobScheduler::noteDue(const Job& job) { this->jobsDueAt = std::min(this->jobsDueAt, this->dueTime(job)); }
+
 void JobScheduler::endJob(SteadyTime now, Jobs::iterator found, CallerAnswer answer)
 {
     this->releaseReservations(found->second, std::nullopt);
@@ -364,12 +386,7 @@
 
 SteadyTime JobScheduler::nextWakeUp() const
 {
-    SteadyTime due = SteadyTime::max();
-    for (const auto& [id, job] : this->jobs) {
-        due = std::min(due, job.hasBegun || !job.reservations.empty() ? job.expiresAt : job.refuseAt);
-        for (const Reservation& reservation : job.reservations)
-            due = std::min(due, reservation.until);
-    }
+    SteadyTime due = this->jobsDueAt;
     for (const auto& [sidecar, worker] : this->workerTable) {
         const auto sent = this->lastSentAt.find(sidecar);
         if (worker.isConnected && sent != this->lastSentAt.end())
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -74,6 +74,8 @@
     /// run again.
     void submit(Core::SteadyTime now, Core::SteadyTime arrivedAt, RequestNumber request,
         const Configuration::Queue& queue, SubmitJob submission);
+    /// Whether a job is open here, or its outcome is kept.
+    bool isKnown(std::uint64_t job) const { return this->jobs.count(job) > 0 || this->outcomes.count(job) > 0; }
     /// Answers the query for a job's state, the cancellation of a job and the query for a queue's length.
     void query(RequestNumber request, const QueryJob& query);
     void cancel(Core::SteadyTime now, RequestNumber request, const CancelJob& cancellation);
@@ -185,6 +187,10 @@
         /// Longest run time so far, in seconds, including extrapolated times of running tasks.
         double longestRunSeconds = 0;
         bool isQueued = false;
+        /// Rank of the latest placement, and time before which its waiting tasks are only placed on workers that have
+        /// changed since.
+        float placementRank = 0;
+        Core::SteadyTime placeInFullAt;
         /// Number of start orders of all tasks.
         std::uint32_t orders = 0;
         /// Time of the first start order.
@@ -210,6 +216,13 @@
     // Time of the response goal, multiplied by `factor`, for a job whose critical path takes `chainSeconds`.
     Core::SteadyTime goalTime(const Job& job, double chainSeconds, double factor) const;
     void placeWaitingJobs(Core::SteadyTime now);
+    // Notes that a worker may have more room than when the waiting jobs were last placed.
+    void noteChange(WorkerView& worker);
+    std::vector<const WorkerView*> takeChangedWorkers();
+    // Whether one of the workers has room for a waiting task of a job.
+    bool hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers) const;
+    // Time from which on placing a job on all workers may find more than placing it on those that change.
+    Core::SteadyTime nextFullPlacement(Core::SteadyTime now, const Job& job) const;
     bool placeStep(Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex);
     std::map<Core::InstanceId, std::uint32_t> tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const;
     PlacementRequest placementRequest(Core::SteadyTime now, const Job& job, std::uint32_t stepIndex);
@@ -254,6 +267,10 @@
     CallerAnswer refusal(Core::SteadyTime now, const Job& job, const std::string& reason);
     // Ends a job without a result: as not run if none of its runs can have started, otherwise as given up.
     void endWithoutResult(Core::SteadyTime now, Jobs::iterator found, const std::string& reason);
+    // Time at which a job may have to be refused, ended, or freed of an expired reservation.
+    Core::SteadyTime dueTime(const Job& job) const;
+    // Lowers `jobsDueAt` to the due time of a job whose due time may have become earlier.
+    void noteDue(const Job& job);
     // Ends jobs whose answers have no value any more.
     void endExpired(Core::SteadyTime now);
     // Refuses, as not run, jobs that have waited for room for too long.
@@ -286,6 +303,11 @@
     std::unordered_map<std::uint64_t, Outcome> outcomes;
     std::deque<std::pair<Core::SteadyTime, std::uint64_t>> outcomesByAge;
     bool isPlacementDue = false;
+    /// Number of the latest change of a worker, and of the latest one that waiting jobs were placed after.
+    std::uint64_t lastChange = 0;
+    std::uint64_t placedChange = 0;
+    /// Earliest due time of the jobs, or an earlier time.
+    Core::SteadyTime jobsDueAt = Core::SteadyTime::max();
     Core::SteadyTime callersCheckedAt;
     /// Whether a sidecar has sent its first sample over a connection and not got it back.
     bool isFirstEchoDue = false;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -20,6 +20,8 @@
 constexpr double startWindowSeconds = 0.03;
 // Factor for the rank of jobs of which a run has started: their partial work would be lost.
 constexpr float startedJobWeight = 8;
+// Time between two placements on all workers of a job that has no room reserved.
+constexpr Core::Duration fullPlacementInterval = std::chrono::milliseconds(20);
 
 }
 
@@ -27,6 +29,7 @@
 {
     if (!std::exchange(job.isQueued, true))
         this->waitingJobs.push_back(job.specification.id);
+    job.placeInFullAt = {};
     this->isPlacementDue = true;
 }
 
@@ -40,18 +43,62 @@
             order.emplace_back(-found->second.rank, id);
     }
     std::sort(order.begin(), order.end());
+    const std::vector<const WorkerView*> changed = this->takeChangedWorkers();
     const double referenceSpeed = medianSpeed(this->workerTable);
     for (const auto& [rank, id] : order) {
         Job& job = this->jobs.at(id);
+        if (now < job.placeInFullAt && !this->hasRoomFor(job, changed)) {
+            this->waitingJobs.push_back(id);
+            continue;
+        }
         job.isQueued = false;
         bool isPlaced = true;
         for (std::uint32_t step = 0; step < job.steps.size(); ++step)
             isPlaced = this->placeStep(now, referenceSpeed, job, step) && isPlaced;
+        job.placeInFullAt = this->nextFullPlacement(now, job);
         if (!isPlaced && !std::exchange(job.isQueued, true))
             this->waitingJobs.push_back(id);
     }
 }
 
+void JobScheduler::noteChange(WorkerView& worker) { worker.lastChange = ++this->lastChange; }
+
+std::vector<const WorkerView*> JobScheduler::takeChangedWorkers()
+{
+    std::vector<const WorkerView*> changed;
+    for (const auto& [sidecar, worker] : this->workerTable) {
+        if (worker.lastChange > this->placedChange && worker.isUsable())
+            changed.push_back(&worker);
+    }
+    this->placedChange = this->lastChange;
+    return changed;
+}
+
+bool JobScheduler::hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers) const
+{
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        // Without reservations its tasks are placed together, which takes more than the room of one worker.
+        if (job.steps[step].waiting == 0 || !this->hasReservations(job, step))
+            continue;
+        const Messages::Room& need = job.specification.steps[step].need;
+        const bool isFitting = std::any_of(workers.begin(), workers.end(), [&](const WorkerView* worker) {
+            return worker->profile.service == job.queue.service && need.fits(worker->roomFor(job.placementRank));
+        });
+        if (isFitting)
+            return true;
+    }
+    return false;
+}
+
+SteadyTime JobScheduler::nextFullPlacement(SteadyTime now, const Job& job) const
+{
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        if (job.steps[step].waiting > 0 && !this->hasReservations(job, step))
+            return now + fullPlacementInterval;
+    }
+    return SteadyTime::max();
+}
+
 std::map<Core::InstanceId, std::uint32_t> JobScheduler::tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const
 {
     std::map<Core::InstanceId, std::uint32_t> tasks;
@@ -129,6 +176,7 @@
             return true;
     }
     PlacementRequest request = this->placementRequest(now, job, stepIndex);
+    job.placementRank = std::max(job.placementRank, request.rank);
     request.reservationsPerTask = this->hasReservations(job, stepIndex) ? 0 : this->settings.reservationsPerTask;
     const std::vector<Placement> placements = choosePlacements(this->workerTable, referenceSpeed, request);
     for (const Placement& placement : placements) {
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -82,6 +82,7 @@
         worker.profile = std::move(update.profile.front());
     const bool wasUsable = worker.isUsable();
     worker.load = std::move(update.load);
+    this->noteChange(worker);
     if (wasUsable && !worker.isUsable())
         this->forgetReservationsAt(sidecar);
     while (!worker.uncountedOrders.empty() && worker.uncountedOrders.front().sequence <= update.handledSequence)
@@ -260,6 +261,7 @@
     job.hasBegun = job.hasRun || std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
         return step.waiting + step.done < step.tasks.size();
     });
+    this->noteDue(job);
     this->enqueue(job);
 }
 
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -29,6 +29,7 @@
     this->lastSentAt[placement.sidecar] = now;
     job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex, placement.count,
         addSeconds(now, request.maximumWaitSeconds), request.rank });
+    this->noteDue(job);
     this->reservationJobs[reserve.reservation] = job.specification.id;
     job.trace.add(now, "room reserved",
         { { "job", Messages::jobText(job.specification.id) }, { "sidecar", placement.sidecar },
@@ -100,12 +101,16 @@
 
 void JobScheduler::forgetReservations(Job& job, const std::function<bool(const Reservation&)>& isDropped)
 {
-    std::erase_if(job.reservations, [&](const Reservation& reservation) {
+    const std::size_t dropped = std::erase_if(job.reservations, [&](const Reservation& reservation) {
         if (!isDropped(reservation))
             return false;
         this->reservationJobs.erase(reservation.number);
         return true;
     });
+    if (dropped == 0)
+        return;
+    job.placeInFullAt = {};
+    this->noteDue(job);
 }
 
 void JobScheduler::forgetExpiredReservations(SteadyTime now)
--- a/celeryswitch/Scheduling/WorkerTable.h
+++ b/celeryswitch/Scheduling/WorkerTable.h
@@ -37,6 +37,8 @@
     /// Sequence number of the last order, and the room of those orders that `load` does not include yet.
     std::uint64_t lastSequence = 0;
     std::deque<UncountedOrder> uncountedOrders;
+    /// Number of the latest change that may have made room on the worker, see JobScheduler::noteChange.
+    std::uint64_t lastChange = 0;
 
     /// Room left for a run of a rank after the runs queued before it; negative when it would have to wait.
     Messages::Room roomFor(float rank) const;
