Decide on batches of messages and refuse surplus requests unread

Callers of an entry whose processor is used up got late answers and refusals after their wait instead of service for as many as it can handle. Cause: every message was decided on by itself, and every request was read, parsed and placed, also when the event loop was behind by more than jobs can wait.

Change: DecisionPacer spaces the runs of the scheduler so that they take at most a fifth of the time; OverloadGuard refuses a share of the requests before they are parsed while the event loop's lag stands above 20 ms, from the queues with the most requests first, with a Retry-After that grows with the share. A job that is known is never refused that way, since it may have run. New records "event loop behind" and gauges tell the lag, the share and the processor time.

--- a/celeryswitch/Scheduling/CallerProtocol.h
+++ b/celeryswitch/Scheduling/CallerProtocol.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Http/HttpMessage.h"
 #include "celeryswitch/Scheduling/JobTypes.h"
+#include <optional>
 #include <string_view>
 
 namespace celeryswitch::Scheduling {
@@ -15,6 +16,9 @@
     /// Decodes a request; `rest` is its path after the queue's prefix. A request that can't be decoded gives
     /// InvalidRequest.
     virtual CallerRequest decode(const Http::HttpRequest& request, std::string_view rest) const = 0;
+    /// Id of the job that a request submits, without reading its body; none for other requests.
+    virtual std::optional<std::uint64_t> submittedJob(
+        const Http::HttpRequest& request, std::string_view rest) const = 0;
     /// Encodes an answer as an HTTP response.
     virtual Http::HttpResponse encode(const CallerAnswer& answer) const = 0;
 };
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -1,6 +1,8 @@
 #include "celeryswitch/Scheduling/SchedulingEntry.h"
 
 #include "celeryswitch/Core/EventLoop.h"
+#include "celeryswitch/Core/ProcessorTime.h"
+#include "celeryswitch/Scheduling/SchedulerTime.h"
 
 namespace celeryswitch::Scheduling {
 
@@ -8,8 +10,12 @@
 
 namespace {
 
+constexpr Core::Duration minimumSleep = std::chrono::milliseconds(1);
 constexpr Core::Duration maximumSleep = std::chrono::seconds(1);
 constexpr std::chrono::milliseconds tickInterval { 50 };
+// Time between two records of an event loop that is behind, and the lag from which on it is recorded.
+constexpr Core::Duration loopRecordInterval = std::chrono::seconds(1);
+constexpr Core::Duration recordedLag = std::chrono::milliseconds(20);
 constexpr std::size_t maximumReadinessConnections = 64;
 constexpr Core::Duration bodyTimeout = std::chrono::seconds(10);
 constexpr Core::Duration startupRetryDelay = std::chrono::seconds(1);
@@ -116,6 +122,14 @@
         .set(static_cast<double>(this->routing.version));
     registry.gauge("celeryswitch_caller_connections", "Open connections of callers.")
         .set(static_cast<double>(this->callers.connectionCount()));
+    registry.gauge("celeryswitch_loop_lag_seconds", "Lag that the event loop had at each of its latest observations.")
+        .set(std::chrono::duration<double>(this->overloadGuard.standingLag()).count());
+    registry.gauge("celeryswitch_surplus_share", "Share of the requests refused unread at present.")
+        .set(this->overloadGuard.refusedShare());
+    registry.gauge("celeryswitch_surplus_refused", "Requests refused unread since the start.")
+        .set(static_cast<double>(this->surplusRefused));
+    registry.gauge("celeryswitch_processor_seconds", "Processor time that the process has used.")
+        .set(std::chrono::duration<double>(Core::processorTime()).count());
     registry.gauge("celeryswitch_ready", "Whether this process takes requests.").set(this->isReady() ? 1 : 0);
 }
 
@@ -164,8 +178,13 @@
     const Configuration::Queue* queue = this->routing.find(this->protocol.host(request), request.path);
     if (!queue)
         return this->respond(session, { AnswerKind::UnknownQueue, {}, 0, {}, "no such queue" });
-    CallerRequest decoded
-        = this->protocol.decode(request, std::string_view(request.path).substr(queue->pathPrefix.size()));
+    const std::string_view rest = std::string_view(request.path).substr(queue->pathPrefix.size());
+    if (this->isSurplus(request, *queue, rest)) {
+        ++this->surplusRefused;
+        return this->respond(
+            session, { AnswerKind::NotRun, {}, 0, this->overloadGuard.retryDelay(rest), "entry overloaded" });
+    }
+    CallerRequest decoded = this->protocol.decode(request, rest);
     if (const auto* unknown = std::get_if<InvalidRequest>(&decoded)) {
         this->log.write(
             LogLevel::Info, "request refused", { { "path", request.path }, { "detail", unknown->problem } });
@@ -185,6 +204,14 @@
     this->runScheduler();
 }
 
+bool SchedulingEntry::isSurplus(
+    const Http::HttpRequest& request, const Configuration::Queue& queue, std::string_view rest)
+{
+    // A job that is known may have run, so that a repeated request for it can't be refused as not run.
+    const std::optional<std::uint64_t> job = this->protocol.submittedJob(request, rest);
+    return job && !this->overloadGuard.admits(this->clock.steadyNow(), queue.name) && !this->scheduler.isKnown(*job);
+}
+
 void SchedulingEntry::respond(const Http::HttpSession::Pointer& session, const CallerAnswer& answer)
 {
     session->respond(this->protocol.encode(answer));
@@ -253,14 +280,31 @@
 void SchedulingEntry::runScheduler()
 {
     // Closing a connection while actions are carried out may call this function again.
-    if (std::exchange(this->isSchedulerRunning, true))
+    if (this->isSchedulerRunning)
         return;
-    const Core::ScopeExit endOfRun([this] { this->isSchedulerRunning = false; });
     const Core::SteadyTime now = this->observeTime();
+    if (now >= this->pacer.nextAt())
+        this->runSchedulerNow(now);
+    else
+        this->wakeAt(this->pacer.nextAt());
+}
+
+void SchedulingEntry::runSchedulerNow(Core::SteadyTime now)
+{
+    this->isSchedulerRunning = true;
+    const Core::ScopeExit endOfRun([this] { this->isSchedulerRunning = false; });
     // The ends of connections may wait unread behind the updates of sidecars.
     if (this->scheduler.isCallerCheckDue(now))
         this->checkCallers(now);
-    for (SchedulerAction& action : this->scheduler.poll(now)) {
+    this->carryOut(this->scheduler.poll(now));
+    const Core::SteadyTime end = this->clock.steadyNow();
+    this->pacer.decided(now, end);
+    this->wakeAt(std::clamp<Core::SteadyTime>(this->scheduler.nextWakeUp(), end + minimumSleep, end + maximumSleep));
+}
+
+void SchedulingEntry::carryOut(std::vector<SchedulerAction> actions)
+{
+    for (SchedulerAction& action : actions) {
         if (const auto* send = std::get_if<SendToSidecar>(&action)) {
             this->links.send(send->sidecar, send->message);
             continue;
@@ -274,18 +318,30 @@
             node.mapped()->closeAfterResponse();
         this->respond(node.mapped(), answer.answer);
     }
-    const Core::Duration sleep
-        = std::clamp<Core::Duration>(this->scheduler.nextWakeUp() - now, std::chrono::milliseconds(1), maximumSleep);
+}
+
+void SchedulingEntry::wakeAt(Core::SteadyTime time)
+{
+    if (this->timerEndsAt <= time)
+        return;
+    this->timerEndsAt = time;
+    const Core::Duration sleep = std::max(time - this->clock.steadyNow(), Core::Duration::zero());
     this->timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(sleep));
     this->timer.async_wait(
         [this, lifetime = std::weak_ptr<bool>(this->lifetimeToken)](const boost::system::error_code& error) {
-            if (!error && !lifetime.expired())
-                this->runScheduler();
+            if (error || lifetime.expired())
+                return;
+            this->timerEndsAt = Core::SteadyTime::max();
+            this->runScheduler();
         });
 }
 
 void SchedulingEntry::tick()
 {
+    const Core::SteadyTime now = this->clock.steadyNow();
+    if (this->tickDueAt != Core::SteadyTime::max())
+        this->recordLoop(now, now - this->tickDueAt);
+    this->tickDueAt = now + tickInterval;
     // Armed first, so that an unexpected error does not end the ticks.
     this->tickTimer.expires_after(tickInterval);
     this->tickTimer.async_wait(
@@ -311,6 +367,22 @@
     this->runScheduler();
 }
 
+void SchedulingEntry::recordLoop(Core::SteadyTime now, Core::Duration lag)
+{
+    this->overloadGuard.loopObserved(now, lag);
+    const bool isBehind
+        = this->overloadGuard.standingLag() >= recordedLag || this->surplusRefused > this->surplusRecorded;
+    if (!isBehind || now < this->loopRecordedAt + loopRecordInterval)
+        return;
+    this->loopRecordedAt = now;
+    this->log.write(LogLevel::Warning, "event loop behind",
+        { { "lag_ms", toMilliseconds(lag) }, { "standing_lag_ms", toMilliseconds(this->overloadGuard.standingLag()) },
+            { "refused_percent", static_cast<std::int64_t>(this->overloadGuard.refusedShare() * 100) },
+            { "refused_unread", this->surplusRefused - this->surplusRecorded },
+            { "open_requests", static_cast<std::uint64_t>(this->openRequests.size()) } });
+    this->surplusRecorded = this->surplusRefused;
+}
+
 void SchedulingEntry::drain(std::function<void()> onDone)
 {
     this->onDrained = std::move(onDone);
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -3,8 +3,10 @@
 #include "celeryswitch/Http/HttpServer.h"
 #include "celeryswitch/Network/PeerTransport.h"
 #include "celeryswitch/Scheduling/CallerProtocol.h"
+#include "celeryswitch/Scheduling/DecisionPacer.h"
 #include "celeryswitch/Scheduling/JobScheduler.h"
 #include "celeryswitch/Scheduling/LinkSubset.h"
+#include "celeryswitch/Scheduling/OverloadGuard.h"
 #include "celeryswitch/Scheduling/SidecarLinks.h"
 #include "celeryswitch/Scheduling/StallGuard.h"
 #include "celeryswitch/State/FleetWatcher.h"
@@ -72,7 +74,15 @@
     Core::SteadyTime observeTime();
     void membersReceived(const std::vector<Messages::Member>& members);
     bool isReady() const;
+    // Runs the scheduler now, or at the end of the pause after its latest run.
     void runScheduler();
+    void runSchedulerNow(Core::SteadyTime now);
+    // Sets the timer to `time`, unless it ends earlier.
+    void wakeAt(Core::SteadyTime time);
+    void carryOut(std::vector<SchedulerAction> actions);
+    // Whether a request is refused unread because the processor can't keep up.
+    bool isSurplus(const Http::HttpRequest& request, const Configuration::Queue& queue, std::string_view rest);
+    void recordLoop(Core::SteadyTime now, Core::Duration lag);
     void tick();
     void finishDraining();
 
@@ -83,6 +93,8 @@
     const CallerProtocol& protocol;
     Network::PeerTransport transport;
     StallGuard stallGuard;
+    OverloadGuard overloadGuard;
+    DecisionPacer pacer;
     JobScheduler scheduler;
     Http::HttpServer callers;
     Http::HttpServer readiness;
@@ -90,7 +102,14 @@
     LinkSubset linkSubset;
     State::FleetWatcher watcher;
     boost::asio::steady_timer timer;
+    /// End of the running timer; the maximum time while none runs.
+    Core::SteadyTime timerEndsAt = Core::SteadyTime::max();
     boost::asio::steady_timer tickTimer;
+    Core::SteadyTime tickDueAt = Core::SteadyTime::max();
+    /// Requests refused unread, and the time of the latest record of them.
+    std::uint64_t surplusRefused = 0;
+    std::uint64_t surplusRecorded = 0;
+    Core::SteadyTime loopRecordedAt;
     Configuration::RoutingDocument routing;
     /// A request received before the first routing document.
     struct DeferredRequest {
