Check all callers of an entry by one system call

An entry made one poll call for each open request every 50 ms, six a job at 250 jobs a second. HttpSession::closedByCallers asks for all sessions at once, with the same events and the same meaning of a closed descriptor; each session is asked alone when the call fails.

--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -2,6 +2,8 @@
 #include "celeryswitch/Http/HttpConnection.h"
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <map>
+#include <set>
 
 using namespace celeryswitch;
 using namespace std::chrono_literals;
@@ -61,15 +63,63 @@
             REQUIRE(open);
             boost::asio::write(caller, boost::asio::buffer(std::string(nextBytes)));
             CHECK_FALSE(open->isClosedByCaller());
+            CHECK(Http::HttpSession::closedByCallers({ open.get() }).empty());
             if (isReset)
                 caller.set_option(boost::asio::socket_base::linger(true, 0));
             caller.close();
             // The event loop does not run in between.
             CHECK(open->isClosedByCaller());
+            CHECK(Http::HttpSession::closedByCallers({ open.get() }).size() == 1);
         }
     }
 }
 
+// Guards against a check of all callers that misses one of several ended connections, or takes one for another.
+TEST_CASE("all sessions whose callers have left are found among those that wait", "[Http]")
+{
+    boost::asio::io_context context;
+    std::map<std::string, Http::HttpSession::Pointer> open;
+    Http::HttpServer server(context, Http::HttpLimits { 65'536, 16'384, 3s, 3s, 3s }, 64,
+        { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
+             open[request.path] = session;
+         },
+            {}, [](const Http::HttpSession::Pointer&) {} });
+    const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+    REQUIRE(address);
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1)));
+    constexpr int callersCount = 40;
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (int number = 0; number < callersCount; ++number) {
+        callers.emplace_back(context);
+        callers.back().connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        const std::string bytes = "GET /" + std::to_string(number) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+        boost::asio::write(callers.back(), boost::asio::buffer(bytes));
+    }
+    for (int turn = 0; turn < 1000 && open.size() < callersCount; ++turn)
+        context.run_for(10ms);
+    REQUIRE(open.size() == callersCount);
+    std::vector<Http::HttpSession*> sessions;
+    for (const auto& [path, session] : open)
+        sessions.push_back(session.get());
+    CHECK(Http::HttpSession::closedByCallers({}).empty());
+    CHECK(Http::HttpSession::closedByCallers(sessions).empty());
+    std::set<Http::HttpSession*> left;
+    for (int number = 0; number < callersCount; number += 3) {
+        if (number % 2 == 0)
+            callers[number].set_option(boost::asio::socket_base::linger(true, 0));
+        callers[number].close();
+        left.insert(open.at("/" + std::to_string(number)).get());
+    }
+    // The event loop does not run in between.
+    const std::vector<Http::HttpSession*> found = Http::HttpSession::closedByCallers(sessions);
+    CHECK(found.size() == left.size());
+    CHECK(std::set<Http::HttpSession*>(found.begin(), found.end()) == left);
+    // The sessions end; their descriptors are closed and count as gone.
+    context.restart();
+    context.run_for(50ms);
+    CHECK(Http::HttpSession::closedByCallers(sessions).size() == left.size());
+}
+
 // Guards against a process that listens on a port chosen by the system, where nobody reaches it, because its settings
 // name a port out of range.
 TEST_CASE("a server refuses an address with a port out of range", "[Http]")
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <exception>
 #include <optional>
 #include <poll.h>
@@ -20,6 +21,8 @@
 constexpr std::size_t drainBytes = 64 * 1024;
 // Status of a request whose handling failed unexpectedly.
 constexpr std::uint16_t internalErrorStatus = 500;
+// Unlike an attempt to read, this also finds the end of a connection behind bytes of a next request.
+constexpr short callerEndEvents = POLLRDHUP;
 
 /// Session over a Beast stream.
 class StreamSession final : public HttpSession, public std::enable_shared_from_this<StreamSession> {
@@ -78,13 +81,15 @@
 
     bool isClosedByCaller() override
     {
-        // Unlike an attempt to read, this also finds an end behind bytes of a next request.
-        pollfd descriptor { this->stream.socket().native_handle(), POLLRDHUP, 0 };
-        return descriptor.fd < 0 || ::poll(&descriptor, 1, 0) > 0;
+        pollfd watched { this->descriptor(), callerEndEvents, 0 };
+        return watched.fd < 0 || ::poll(&watched, 1, 0) > 0;
     }
 
     void closeAfterResponse() override { this->isKeptAlive = false; }
 
+protected:
+    int descriptor() override { return this->stream.socket().native_handle(); }
+
 private:
     void firstBytesRead(error_code error)
     {
@@ -267,4 +272,25 @@
     return session;
 }
 
+std::vector<HttpSession*> HttpSession::closedByCallers(const std::vector<HttpSession*>& sessions)
+{
+    std::vector<pollfd> watched;
+    watched.reserve(sessions.size());
+    for (HttpSession* session : sessions)
+        watched.push_back({ session->descriptor(), callerEndEvents, 0 });
+    int count = 0;
+    do {
+        count = ::poll(watched.data(), watched.size(), 0);
+    } while (count < 0 && errno == EINTR);
+    std::vector<HttpSession*> closed;
+    for (std::size_t index = 0; index < sessions.size(); ++index) {
+        // A failed call has looked at no descriptor.
+        const bool isClosed
+            = count < 0 ? sessions[index]->isClosedByCaller() : watched[index].fd < 0 || watched[index].revents != 0;
+        if (isClosed)
+            closed.push_back(sessions[index]);
+    }
+    return closed;
+}
+
 }
--- a/celeryswitch/Http/HttpSession.h
+++ b/celeryswitch/Http/HttpSession.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace celeryswitch::Http {
 
@@ -46,8 +47,14 @@
     virtual void finish() = 0;
     /// Whether the caller has closed or reset the connection, as far as this machine knows at the time of the call.
     virtual bool isClosedByCaller() = 0;
+    /// Those of `sessions` for which `isClosedByCaller` holds, found by one system call for all of them.
+    static std::vector<HttpSession*> closedByCallers(const std::vector<HttpSession*>& sessions);
     /// Makes the response to the current request the last one of this connection.
     virtual void closeAfterResponse() = 0;
+
+protected:
+    /// Descriptor of the connection; negative once it is closed.
+    virtual int descriptor() = 0;
 };
 
 }
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -211,13 +211,12 @@
 
 void SchedulingEntry::checkCallers(Core::SteadyTime now)
 {
-    std::vector<RequestNumber> abandoned;
-    for (const auto& [number, session] : this->openRequests) {
-        if (session->isClosedByCaller())
-            abandoned.push_back(number);
-    }
-    for (const RequestNumber number : abandoned)
-        this->abandonRequest(now, number);
+    std::vector<Http::HttpSession*> sessions;
+    sessions.reserve(this->requestNumbers.size());
+    for (const auto& [session, number] : this->requestNumbers)
+        sessions.push_back(session);
+    for (Http::HttpSession* session : Http::HttpSession::closedByCallers(sessions))
+        this->abandonRequest(now, this->requestNumbers.at(session));
     this->scheduler.callersChecked(now);
 }
 
