Send frames and responses without a completion each

Each asynchronous write cost an allocation and a posted handler, although the socket nearly always takes the whole. Answers to frames that were read together are written together.

--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -1,7 +1,9 @@
 #include "celeryswitch/Http/HttpServer.h"
 #include "celeryswitch/Http/HttpConnection.h"
+#include <array>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -217,3 +219,57 @@
     CHECK(statusOf("/sound") == "HTTP/1.1 200");
     CHECK(handled == 2);
 }
+
+// Guards against an answer that is cut short or mixed up when the socket takes only a part of it, and against requests
+// that are lost because they arrive together.
+TEST_CASE("long answers to requests that arrive together are whole and in order", "[Http]")
+{
+    boost::asio::io_context context;
+    std::vector<std::string> paths;
+    Http::HttpServer server(context, Http::HttpLimits { 65'536, 16'384, 10s, 10s, 10s }, 8,
+        { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
+             paths.push_back(request.path + request.body);
+             session->respond({ 200, {}, std::string(3'000'000, static_cast<char>('a' + paths.size())) });
+         },
+            {}, [](const Http::HttpSession::Pointer&) {} });
+    const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+    REQUIRE(address);
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1)));
+    boost::asio::ip::tcp::socket caller(context);
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+    std::string requests;
+    for (const char* path : { "/1", "/2", "/3" })
+        requests += std::string("POST ") + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+    boost::asio::write(caller, boost::asio::buffer(requests));
+    // Nothing is read until the socket's buffers are full.
+    context.run_for(200ms);
+    std::string received;
+    std::array<char, 65'536> bytes {};
+    std::function<void()> read = [&] {
+        caller.async_read_some(
+            boost::asio::buffer(bytes), [&](const boost::system::error_code& error, std::size_t count) {
+                received.append(bytes.data(), count);
+                if (!error)
+                    read();
+            });
+    };
+    read();
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    const auto isWhole = [&] {
+        const std::size_t head = received.find("\r\n\r\n");
+        return head != std::string::npos && received.size() >= 3 * (head + 4 + 3'000'000);
+    };
+    while (!isWhole() && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_one_for(50ms);
+    }
+    CHECK(paths == std::vector<std::string> { "/1{}", "/2{}", "/3{}" });
+    std::size_t position = 0;
+    for (const char letter : { 'b', 'c', 'd' }) {
+        REQUIRE(received.compare(position, 15, "HTTP/1.1 200 OK") == 0);
+        const std::size_t body = received.find("\r\n\r\n", position) + 4;
+        CHECK(received.substr(body, 3'000'000) == std::string(3'000'000, letter));
+        position = body + 3'000'000;
+    }
+    CHECK(position == received.size());
+}
--- a/UnitTests/Network/PeerTransportTest.cpp
+++ b/UnitTests/Network/PeerTransportTest.cpp
@@ -207,3 +207,95 @@
     REQUIRE(sound->send("b"));
     REQUIRE(pair.runUntil([&] { return received.size() == 1; }));
 }
+
+// Guards against answers to frames that were read together and that are lost because the connection is closed, or
+// fails, while these frames are handled.
+TEST_CASE("answers from the frame handler arrive before the connection ends", "[Network]")
+{
+    for (const bool isFault : { false, true }) {
+        INFO((isFault ? "failed" : "closed"));
+        Pair pair;
+        const PeerConnectionPointer client = pair.connect();
+        const PeerConnectionPointer server = pair.accepted[0];
+        std::vector<std::string> received;
+        std::string reason;
+        client->start([&](std::string payload) { received.push_back(std::move(payload)); },
+            [&](const std::string& text) { reason = text; });
+        constexpr std::size_t count = 100;
+        std::size_t handled = 0;
+        server->start(
+            [&](const std::string& payload) {
+                CHECK(server->send(payload));
+                if (++handled < count)
+                    return;
+                if (isFault)
+                    throw std::runtime_error("unexpected");
+                server->close();
+                CHECK_FALSE(server->send("late"));
+            },
+            {});
+        std::vector<std::string> sent;
+        for (std::size_t index = 0; index < count; ++index) {
+            sent.push_back(std::to_string(index));
+            REQUIRE(client->send(sent.back()));
+        }
+        REQUIRE(pair.runUntil([&] { return !reason.empty(); }));
+        CHECK(received == sent);
+    }
+}
+
+// Guards against frames lost or out of order when the socket takes only a part of what is sent, because its peer reads
+// late.
+TEST_CASE("frames of all sizes arrive in order while the peer reads slowly", "[Network]")
+{
+    Pair pair;
+    const PeerConnectionPointer client = pair.connect();
+    std::mt19937 random(5);
+    std::vector<std::string> sent;
+    std::vector<std::string> received;
+    std::size_t waiting = 0;
+    client->start([](const std::string&) {}, {});
+    // Long frames first, so that those behind them find the socket's buffer full.
+    for (int index = 0; index < 300; ++index) {
+        const std::size_t length = random() % (index < 20 ? 1'000'000 : 3000);
+        sent.emplace_back(length, static_cast<char>('a' + index % 26));
+        REQUIRE(client->send(sent.back()));
+        waiting += length;
+        // Some turns of the event loop, so that delayed and immediate writes alternate.
+        if (index % 7 == 0)
+            pair.context.poll_one();
+    }
+    REQUIRE(waiting > 5'000'000);
+    pair.accepted[0]->start([&](std::string payload) { received.push_back(std::move(payload)); }, {});
+    REQUIRE(pair.runUntil([&] { return received.size() == sent.size(); }));
+    CHECK(received == sent);
+    REQUIRE(client->send("last"));
+    REQUIRE(pair.runUntil([&] { return received.size() > sent.size(); }));
+    CHECK(received.back() == "last");
+}
+
+// Guards against a callback from inside `send`, which its caller does not expect, when the peer has reset the
+// connection.
+TEST_CASE("a failed write is reported from the event loop", "[Network]")
+{
+    Pair pair;
+    const PeerConnectionPointer client = pair.connect();
+    bool isSending = false;
+    std::string reason;
+    client->start([](const std::string&) {},
+        [&](const std::string& text) {
+            CHECK_FALSE(isSending);
+            reason = text;
+        });
+    // A malformed frame makes the listener close its socket; unread bytes make that a reset.
+    pair.accepted[0]->start([](const std::string&) { throw std::runtime_error("unexpected"); }, {});
+    REQUIRE(client->send("a"));
+    for (int turn = 0; turn < 1000 && reason.empty(); ++turn) {
+        isSending = true;
+        client->send(std::string(100'000, 'x'));
+        isSending = false;
+        pair.context.restart();
+        pair.context.run_one_for(std::chrono::milliseconds(1));
+    }
+    CHECK_FALSE(reason.empty());
+}
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -67,9 +67,18 @@
         this->response.body() = std::move(answer.body);
         this->response.prepare_payload();
         this->isAnswered = true;
+        // The socket nearly always takes the whole; an asynchronous write would cost another turn of the event loop.
+        this->serializer.emplace(this->response);
+        error_code error;
+        while (!error && !this->serializer->is_done())
+            http::write_some(this->stream.socket(), *this->serializer, error);
+        if (error != boost::asio::error::would_block && error != boost::asio::error::try_again) {
+            this->written(error);
+            return;
+        }
         this->stream.expires_after(this->limits.bodyTime);
-        http::async_write(this->stream, this->response,
-            [self = this->shared_from_this()](error_code error, std::size_t) { self->written(error); });
+        http::async_write(this->stream, *this->serializer,
+            [self = this->shared_from_this()](error_code failure, std::size_t) { self->written(failure); });
     }
 
     void finish() override
@@ -251,6 +260,7 @@
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
+    std::optional<http::response_serializer<http::string_body>> serializer;
     http::response<http::empty_body> interim;
     bool isBusy = false;
     bool isMalformed = false;
@@ -267,6 +277,8 @@
 {
     error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    // Lets `respond` send without waiting.
+    socket.non_blocking(true, ignored);
     auto session = std::make_shared<StreamSession>(std::move(socket), limits, std::move(handlers));
     session->readNext();
     return session;
--- a/celeryswitch/Network/SocketConnection.cpp
+++ b/celeryswitch/Network/SocketConnection.cpp
@@ -25,6 +25,8 @@
 {
     error_code ignored;
     this->peerAddress = toAddress(this->socket.remote_endpoint(ignored));
+    // Lets `write` send without waiting.
+    this->socket.non_blocking(true, ignored);
 }
 
 void SocketConnection::start(FrameHandler onFrame, CloseHandler onClose)
@@ -52,12 +54,25 @@
 }
 
 void SocketConnection::deliver()
+{
+    this->isDelivering = true;
+    const std::optional<std::string> failure = this->deliverFrames();
+    this->isDelivering = false;
+    if (this->inWrite.empty())
+        this->write();
+    if (failure)
+        this->fail(*failure);
+    else if (!this->isReading)
+        this->read();
+}
+
+std::optional<std::string> SocketConnection::deliverFrames()
 {
     while (!this->isClosed) {
         auto next = this->opener.next();
         if (!next) {
             this->rejected->fetch_add(1, std::memory_order_relaxed);
-            return this->fail(next.error().message());
+            return next.error().message();
         }
         if (!next.value())
             break;
@@ -65,10 +80,10 @@
         try {
             this->onFrame(std::move(*next.value()));
         } catch (const std::exception& failure) {
-            return this->fail(std::string("frame not handled: ") + failure.what());
+            return std::string("frame not handled: ") + failure.what();
         }
     }
-    this->read();
+    return {};
 }
 
 bool SocketConnection::send(std::string payload)
@@ -80,30 +95,52 @@
     this->queuedBytes += head.size() + payload.size();
     this->waiting.push_back(std::move(head));
     this->waiting.push_back(std::move(payload));
-    if (this->inWrite.empty())
+    // Answers to frames that were read together are written together.
+    if (this->inWrite.empty() && !this->isDelivering)
         this->write();
     return true;
 }
 
 void SocketConnection::write()
 {
-    std::vector<asio::const_buffer> buffers;
-    while (!this->waiting.empty() && this->inWrite.size() < buffersPerWrite) {
-        this->inWrite.push_back(std::move(this->waiting.front()));
-        this->waiting.pop_front();
+    while (!this->waiting.empty()) {
+        std::vector<asio::const_buffer> buffers;
+        std::size_t unsent = 0;
+        while (!this->waiting.empty() && this->inWrite.size() < buffersPerWrite) {
+            this->inWrite.push_back(std::move(this->waiting.front()));
+            this->waiting.pop_front();
+            unsent += this->inWrite.back().size();
+        }
+        buffers.reserve(this->inWrite.size());
+        for (const std::string& part : this->inWrite)
+            buffers.push_back(asio::buffer(part));
+        // The socket nearly always takes the whole; an asynchronous write would cost another turn of the event loop.
+        error_code error;
+        std::size_t sent = this->socket.write_some(buffers, error);
+        this->queuedBytes -= sent;
+        if (sent < unsent) {
+            for (asio::const_buffer& buffer : buffers) {
+                const std::size_t done = std::min(sent, buffer.size());
+                buffer += done;
+                sent -= done;
+            }
+            // Reports an error from the event loop, not from inside `send`.
+            return this->writeLater(buffers);
+        }
+        this->inWrite.clear();
     }
-    buffers.reserve(this->inWrite.size());
-    for (const std::string& part : this->inWrite)
-        buffers.push_back(asio::buffer(part));
+}
+
+void SocketConnection::writeLater(const std::vector<asio::const_buffer>& buffers)
+{
     asio::async_write(
         this->socket, buffers, [self = this->shared_from_this()](const error_code& error, std::size_t count) {
             self->inWrite.clear();
             self->queuedBytes -= std::min(count, self->queuedBytes);
             if (error)
                 return self->fail(error.message());
-            if (!self->waiting.empty())
-                self->write();
-            else if (self->isClosed)
+            self->write();
+            if (self->isClosed && self->inWrite.empty())
                 self->finish();
         });
 }
@@ -136,6 +173,9 @@
         if (!error)
             self->socket.close(closeError);
     });
+    // Frames that wait for the end of a delivery.
+    if (this->inWrite.empty())
+        this->write();
     if (this->inWrite.empty())
         this->finish();
 }
--- a/celeryswitch/Network/SocketConnection.h
+++ b/celeryswitch/Network/SocketConnection.h
@@ -3,9 +3,11 @@
 #include "celeryswitch/Network/FrameCodec.h"
 #include "celeryswitch/Network/PeerConnection.h"
 #include <atomic>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <optional>
 #include <vector>
 
 namespace celeryswitch::Network {
@@ -33,8 +35,12 @@
     void read();
     // Delivers each whole frame, then reads on.
     void deliver();
+    // Delivers each whole frame; returns the reason when the connection can't be continued.
+    std::optional<std::string> deliverFrames();
     // Sends what waits, several frames at once.
     void write();
+    // Sends the rest of `inWrite` once the socket takes it.
+    void writeLater(const std::vector<boost::asio::const_buffer>& buffers);
     // Ends the connection after an error of the peer or the network.
     void fail(const std::string& reason);
     // After `close`: tells the peer that nothing follows and waits for it to close as well.
@@ -56,6 +62,7 @@
     // No more frames are taken or delivered.
     bool isClosed = false;
     bool isReading = false;
+    bool isDelivering = false;
 };
 
 /// "address:port" of an endpoint.
