Format log records without streams and copies of their fields

The text is appended to one string and handed to the sink as the record's message. Text and rate limits of records are unchanged.

--- a/UnitTests/Logging/StructuredLogTest.cpp
+++ b/UnitTests/Logging/StructuredLogTest.cpp
@@ -1,6 +1,8 @@
 #include "celeryswitch/Logging/StructuredLog.h"
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
+#include <cctype>
 #include <vector>
 
 using namespace celeryswitch;
@@ -87,3 +89,35 @@
     REQUIRE(first.records.size() == 1);
     REQUIRE(second.records.empty());
 }
+
+// Guards against records that carry the time of an earlier one.
+TEST_CASE("each record carries its own time to the millisecond", "[Logging]")
+{
+    KeptLog kept(LogFormat::Logfmt, 0);
+    for (const int step : { 7, 50, 900, 43, 59'000 }) {
+        kept.clock.advance(std::chrono::milliseconds(step));
+        kept.log.write(LogLevel::Info, "tick");
+    }
+    std::vector<std::string> times;
+    for (const std::string& record : kept.records)
+        times.push_back(record.substr(0, record.find(' ')));
+    CHECK(times
+        == std::vector<std::string> { "time=2023-11-14T22:13:20.007Z", "time=2023-11-14T22:13:20.057Z",
+            "time=2023-11-14T22:13:20.957Z", "time=2023-11-14T22:13:21.000Z", "time=2023-11-14T22:14:20.000Z" });
+}
+
+// Guards against a value that is written without quotes although a reader of logfmt would split it.
+TEST_CASE("only plain characters stand without quotes", "[Logging]")
+{
+    KeptLog kept(LogFormat::Logfmt, 0);
+    for (int character = 1; character < 128; ++character) {
+        INFO(character);
+        const std::string value(1, static_cast<char>(character));
+        kept.log.write(LogLevel::Info, "value", { { "key", value }, { "next", "x" } });
+        const bool isPlain = std::isalnum(character) != 0 || std::string("-_.:/+@").find(value) != std::string::npos;
+        const std::string expected = isPlain ? value : boost::json::serialize(boost::json::string(value));
+        CHECK(kept.records.back().ends_with("message=value key=" + expected + " next=x"));
+    }
+    kept.log.write(LogLevel::Info, "value", { { "key", "" } });
+    CHECK(kept.records.back().ends_with(" key=\"\""));
+}
--- a/celeryswitch/Logging/StructuredLog.cpp
+++ b/celeryswitch/Logging/StructuredLog.cpp
@@ -1,15 +1,17 @@
 #include "celeryswitch/Logging/StructuredLog.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
 #include <boost/json/value.hpp>
+#include <boost/log/attributes/attribute_value_impl.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
-#include <boost/log/sources/record_ostream.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <cstdio>
 #include <ctime>
@@ -24,14 +26,20 @@
 
 namespace log = boost::log;
 
-// Hands each formatted record to a function.
-class FunctionBackend final : public log::sinks::basic_formatted_sink_backend<char, log::sinks::concurrent_feeding> {
+constexpr std::size_t typicalRecordBytes = 512;
+
+// Hands the text of each record to a function. Records are formatted before they reach the sink, without a stream.
+class FunctionBackend final : public log::sinks::basic_sink_backend<log::sinks::concurrent_feeding> {
 public:
     explicit FunctionBackend(std::function<void(const std::string&)> output)
         : output(std::move(output))
     {
     }
-    void consume(const log::record_view&, const std::string& record) { this->output(record); }
+    void consume(const log::record_view& record)
+    {
+        if (const auto text = record[log::expressions::smessage])
+            this->output(*text);
+    }
 
 private:
     std::function<void(const std::string&)> output;
@@ -45,45 +53,74 @@
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
-// "2026-01-31T12:00:00.123Z"
-std::string timeText(Core::WallTime time)
-{
-    const std::int64_t milliseconds = Core::toUnixMilliseconds(time);
-    const std::time_t seconds = static_cast<std::time_t>(milliseconds / 1000);
-    std::tm parts {};
-    gmtime_r(&seconds, &parts);
-    char day[32];
-    std::strftime(day, sizeof(day), "%Y-%m-%dT%H:%M:%S", &parts);
-    char text[48];
-    std::snprintf(text, sizeof(text), "%s.%03dZ", day, static_cast<int>(milliseconds % 1000));
-    return text;
-}
+// Appends "2026-01-31T12:00:00.123Z"; the part down to the second is formatted once a second.
+class TimeText {
+public:
+    void append(std::string& record, Core::WallTime time)
+    {
+        const std::int64_t milliseconds = Core::toUnixMilliseconds(time);
+        const std::time_t seconds = static_cast<std::time_t>(milliseconds / 1000);
+        if (this->day.empty() || seconds != this->second) {
+            std::tm parts {};
+            gmtime_r(&seconds, &parts);
+            char text[32];
+            std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
+            this->day = text;
+            this->second = seconds;
+        }
+        record += this->day;
+        const int fraction = static_cast<int>(milliseconds % 1000);
+        const char digits[] = { '.', static_cast<char>('0' + fraction / 100),
+            static_cast<char>('0' + fraction / 10 % 10), static_cast<char>('0' + fraction % 10), 'Z' };
+        record.append(digits, sizeof(digits));
+    }
 
-std::string quoted(const std::string& text) { return boost::json::serialize(boost::json::string(text)); }
+private:
+    std::string day;
+    std::time_t second = 0;
+};
 
-// A logfmt value: quoted when it is empty or holds anything but plain characters, so that a value can't forge a field.
-std::string logfmtValue(const LogField& field)
+std::string quoted(std::string_view text) { return boost::json::serialize(boost::json::string(text)); }
+
+// Characters that a logfmt value may hold without quotes.
+constexpr std::array<bool, 256> plainCharacters = [] {
+    std::array<bool, 256> plain {};
+    for (const char character : std::string_view("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789"
+                                                 "-_.:/+@"))
+        plain[static_cast<unsigned char>(character)] = true;
+    return plain;
+}();
+
+// Appends a logfmt value: quoted when it is empty or holds anything but plain characters, so that a value can't forge
+// a field.
+void appendLogfmtValue(std::string& record, std::string_view value)
 {
-    const bool isPlain = !field.value.empty()
-        && field.value.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@")
-            == std::string::npos;
-    return isPlain ? field.value : quoted(field.value);
+    const bool isPlain = !value.empty() && std::all_of(value.begin(), value.end(), [](char character) {
+        return plainCharacters[static_cast<unsigned char>(character)];
+    });
+    if (isPlain)
+        record += value;
+    else
+        record += quoted(value);
 }
 
-std::string formatRecord(LogFormat format, const std::vector<LogField>& fields)
+void appendField(std::string& record, LogFormat format, std::string_view name, std::string_view value, bool isNumber)
 {
-    std::string record;
-    for (const LogField& field : fields) {
-        if (format == LogFormat::Logfmt) {
-            record += record.empty() ? "" : " ";
-            record += field.name;
-            record += "=" + logfmtValue(field);
-        } else {
-            record += record.empty() ? "{" : ",";
-            record += quoted(std::string(field.name)) + ":" + (field.isNumber ? field.value : quoted(field.value));
-        }
+    if (format == LogFormat::Logfmt) {
+        if (!record.empty())
+            record += ' ';
+        record += name;
+        record += '=';
+        appendLogfmtValue(record, value);
+        return;
     }
-    return format == LogFormat::Json ? record + "}" : record;
+    record += record.empty() ? '{' : ',';
+    record += quoted(name);
+    record += ':';
+    if (isNumber)
+        record += value;
+    else
+        record += quoted(value);
 }
 
 }
@@ -140,7 +177,6 @@
         const auto owner = reinterpret_cast<std::uintptr_t>(this);
         this->logger.add_attribute("Owner", log::attributes::constant<std::uintptr_t>(owner));
         this->sink->set_filter(log::expressions::attr<std::uintptr_t>("Owner") == owner);
-        this->sink->set_formatter(log::expressions::stream << log::expressions::smessage);
         log::core::get()->add_sink(this->sink);
     }
     ~Implementation()
@@ -215,20 +251,25 @@
     void emit(
         LogLevel level, std::string_view message, const LogField* fields, std::size_t count, std::uint64_t suppressed)
     {
-        std::vector<LogField> all;
-        all.reserve(count + 6);
-        all.emplace_back("time", timeText(this->clock.wallNow()));
-        all.emplace_back("level", std::string(Core::enumName(level)));
-        all.emplace_back("role", this->settings.role);
-        all.emplace_back("instance", this->settings.instanceId);
-        all.emplace_back("message", std::string(message));
-        all.insert(all.end(), fields, fields + count);
+        const LogFormat format = this->settings.format;
+        std::string timeText;
+        this->time.append(timeText, this->clock.wallNow());
+        std::string text;
+        text.reserve(typicalRecordBytes);
+        appendField(text, format, "time", timeText, false);
+        appendField(text, format, "level", Core::enumName(level), false);
+        appendField(text, format, "role", this->settings.role, false);
+        appendField(text, format, "instance", this->settings.instanceId, false);
+        appendField(text, format, "message", message, false);
+        for (std::size_t index = 0; index < count; ++index)
+            appendField(text, format, fields[index].name, fields[index].value, fields[index].isNumber);
         if (suppressed != 0)
-            all.emplace_back("suppressed", suppressed);
+            appendField(text, format, "suppressed", std::to_string(suppressed), true);
+        if (format == LogFormat::Json)
+            text += '}';
         if (log::record record = this->logger.open_record()) {
-            log::record_ostream stream(record);
-            stream << formatRecord(this->settings.format, all);
-            stream.flush();
+            record.attribute_values().insert(
+                log::expressions::tag::smessage::get_name(), log::attributes::make_attribute_value(std::move(text)));
             this->logger.push_record(std::move(record));
         }
     }
@@ -238,6 +279,7 @@
     log::sources::logger logger;
     boost::shared_ptr<Sink> sink;
     std::mutex mutex;
+    TimeText time;
     std::map<std::string, Window, std::less<>> windows;
     Core::SteadyTime lastSweep;
 };
