Compute codes of frames without temporary strings

The fields of a head and its code were built in strings that are longer than what a string holds in place. They are arrays now; the wire format is unchanged. The gain is within the noise of samples on this machine: 5.9 % of the entry's samples before, 6.0 % of fewer samples after, nearly all in libcrypto.

--- a/celeryswitch/Network/FrameAuthenticator.cpp
+++ b/celeryswitch/Network/FrameAuthenticator.cpp
@@ -40,7 +40,7 @@
 FrameAuthenticator::FrameAuthenticator(FrameAuthenticator&&) noexcept = default;
 FrameAuthenticator& FrameAuthenticator::operator=(FrameAuthenticator&&) noexcept = default;
 
-std::string FrameAuthenticator::fullTag(std::initializer_list<std::string_view> parts)
+FrameAuthenticator::FullTag FrameAuthenticator::compute(std::initializer_list<std::string_view> parts)
 {
     EVP_MAC_CTX* context = this->implementation->context.get();
     // Without a key this starts anew with the key that the context has.
@@ -48,7 +48,7 @@
     for (std::string_view part : parts)
         isDone
             = isDone && EVP_MAC_update(context, reinterpret_cast<const unsigned char*>(part.data()), part.size()) == 1;
-    std::string code(32, '\0');
+    FullTag code {};
     std::size_t written = 0;
     isDone
         = isDone && EVP_MAC_final(context, reinterpret_cast<unsigned char*>(code.data()), &written, code.size()) == 1;
@@ -56,16 +56,26 @@
     return code;
 }
 
+std::string FrameAuthenticator::fullTag(std::initializer_list<std::string_view> parts)
+{
+    const FullTag code = this->compute(parts);
+    return std::string(code.data(), code.size());
+}
+
 std::string FrameAuthenticator::tag(std::initializer_list<std::string_view> parts)
 {
-    std::string code = this->fullTag(parts);
-    code.resize(tagBytes);
-    return code;
+    return std::string(this->compute(parts).data(), tagBytes);
+}
+
+void FrameAuthenticator::appendTag(std::string& head, std::string_view payload)
+{
+    const FullTag code = this->compute({ head, payload });
+    head.append(code.data(), tagBytes);
 }
 
 bool FrameAuthenticator::isValid(std::string_view candidate, std::initializer_list<std::string_view> parts)
 {
-    return candidate.size() == tagBytes && CRYPTO_memcmp(candidate.data(), this->tag(parts).data(), tagBytes) == 0;
+    return candidate.size() == tagBytes && CRYPTO_memcmp(candidate.data(), this->compute(parts).data(), tagBytes) == 0;
 }
 
 std::string randomBytes(std::size_t count)
--- a/celeryswitch/Network/FrameAuthenticator.h
+++ b/celeryswitch/Network/FrameAuthenticator.h
@@ -27,11 +27,17 @@
     std::string fullTag(std::initializer_list<std::string_view> parts);
     /// First `tagBytes` bytes of the code of the parts one after the other.
     std::string tag(std::initializer_list<std::string_view> parts);
+    /// Appends to `head` the truncated code of `head` and `payload`.
+    void appendTag(std::string& head, std::string_view payload);
     /// Whether `candidate` is the truncated code of the parts; takes the same time for every candidate.
     bool isValid(std::string_view candidate, std::initializer_list<std::string_view> parts);
 
 private:
+    using FullTag = std::array<char, 32>;
     class Implementation;
+
+    FullTag compute(std::initializer_list<std::string_view> parts);
+
     std::unique_ptr<Implementation> implementation;
 };
 
--- a/celeryswitch/Network/FrameCodec.cpp
+++ b/celeryswitch/Network/FrameCodec.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/Network/FrameCodec.h"
 
+#include <array>
 #include <cstring>
 
 namespace celeryswitch::Network {
@@ -8,14 +9,15 @@
 
 constexpr std::string_view frameMagic = "cf";
 
+constexpr std::size_t fieldBytes = FrameSealer::headBytes - tagBytes;
+
 // Fields before the authentication code.
-std::string frameFields(std::uint8_t keyId, std::uint32_t length, std::uint64_t sequence)
+std::array<char, fieldBytes> frameFields(std::uint8_t keyId, std::uint32_t length, std::uint64_t sequence)
 {
-    std::string fields(frameMagic);
-    fields += static_cast<char>(protocolVersion);
-    fields += static_cast<char>(keyId);
-    fields.append(reinterpret_cast<const char*>(&length), sizeof(length));
-    fields.append(reinterpret_cast<const char*>(&sequence), sizeof(sequence));
+    std::array<char, fieldBytes> fields { frameMagic[0], frameMagic[1], static_cast<char>(protocolVersion),
+        static_cast<char>(keyId) };
+    std::memcpy(fields.data() + 4, &length, sizeof(length));
+    std::memcpy(fields.data() + 8, &sequence, sizeof(sequence));
     return fields;
 }
 
@@ -29,8 +31,11 @@
 
 std::string FrameSealer::head(std::string_view payload)
 {
-    std::string head = frameFields(this->keyId, static_cast<std::uint32_t>(payload.size()), this->sequence++);
-    head += this->authenticator.tag({ head, payload });
+    const auto fields = frameFields(this->keyId, static_cast<std::uint32_t>(payload.size()), this->sequence++);
+    std::string head;
+    head.reserve(headBytes);
+    head.append(fields.data(), fields.size());
+    this->authenticator.appendTag(head, payload);
     return head;
 }
 
@@ -65,7 +70,8 @@
     std::memcpy(&length, bytes.data() + 4, sizeof(length));
     if (length > maximumFrameBytes)
         return Core::Error(CodecError::TooLarge, std::to_string(length) + " bytes");
-    const std::string fields = frameFields(this->keyId, length, this->sequence);
+    const auto expected = frameFields(this->keyId, length, this->sequence);
+    const std::string_view fields(expected.data(), expected.size());
     if (bytes.substr(0, fields.size()) != fields)
         return Core::Error(CodecError::BadAuthentication, "frame key id or sequence");
     if (bytes.size() < FrameSealer::headBytes + length)
