Read requests without a timer and a composed read each

Each read of a request armed and cancelled a timer of Beast's stream, and a body that arrived with its header took a second composed read with a turn of the event loop of its own. A session now reads plain bytes, parses what is there, and keeps one deadline, whose wait is moved only when it ends too late.

This also puts the time limit of headers in force: Beast's async_read_some does not return before the header is whole, so a slow header had the idle time (found by the new test, which failed on the version with that call).

--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -220,6 +220,62 @@
     CHECK(handled == 2);
 }
 
+// Guards against connections that stay open although their callers send nothing or never finish a request, also after
+// requests that were answered, and against a limit that ends a request while it waits for its answer.
+TEST_CASE("connections end at their time limits and not while a request waits", "[Http]")
+{
+    struct Case {
+        const char* name;
+        // Times of the header, the body and between requests; the long ones are not reached.
+        std::chrono::milliseconds header, body, idle;
+        const char* start;
+    };
+    const std::string whole = "POST /q HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+    const std::array<Case, 3> cases { { { "idle", 60s, 60s, 100ms, "" },
+        { "header", 100ms, 60s, 60s, "POST /q HTTP/1.1\r\nHo" },
+        { "body", 60s, 100ms, 60s, "POST /q HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{" } } };
+    for (const Case& limits : cases) {
+        for (const int answered : { 0, 1, 3 }) {
+            INFO(limits.name << " after " << answered << " requests");
+            boost::asio::io_context context;
+            Http::HttpSession::Pointer open;
+            Http::HttpServer server(context, { 65'536, 16'384, limits.header, limits.body, limits.idle }, 8,
+                { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest&) { open = session; }, {},
+                    [](const Http::HttpSession::Pointer&) {} });
+            const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+            REQUIRE(address);
+            const auto port
+                = static_cast<std::uint16_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1)));
+            const auto runUntil = [&](const auto& condition) {
+                const auto end = std::chrono::steady_clock::now() + 10s;
+                while (!condition() && std::chrono::steady_clock::now() < end) {
+                    context.restart();
+                    context.run_one_for(20ms);
+                }
+                return condition();
+            };
+            boost::asio::ip::tcp::socket caller(context);
+            caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+            for (int request = 0; request < answered; ++request) {
+                boost::asio::write(caller, boost::asio::buffer(whole));
+                REQUIRE(runUntil([&] { return open != nullptr; }));
+                // Longer than each short limit.
+                context.restart();
+                context.run_for(150ms);
+                CHECK_FALSE(open->isClosedByCaller());
+                open->respond({ 200, {}, "{}" });
+                open = nullptr;
+                std::array<char, 1024> bytes {};
+                REQUIRE(caller.read_some(boost::asio::buffer(bytes)) > 0);
+            }
+            boost::asio::write(caller, boost::asio::buffer(std::string(limits.start)));
+            REQUIRE(runUntil([&] { return server.connectionCount() == 1; }));
+            CHECK(runUntil([&] { return server.connectionCount() == 0; }));
+            CHECK_FALSE(open);
+        }
+    }
+}
+
 // Guards against an answer that is cut short or mixed up when the socket takes only a part of it, and against requests
 // that are lost because they arrive together.
 TEST_CASE("long answers to requests that arrive together are whole and in order", "[Http]")
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -1,5 +1,7 @@
 #include "celeryswitch/Http/HttpSession.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cerrno>
@@ -19,6 +21,8 @@
 // Time for which the rest of a refused request is read, and the bytes that are read at once.
 constexpr std::chrono::seconds drainTime { 2 };
 constexpr std::size_t drainBytes = 64 * 1024;
+// Bytes that are read at once of a new request.
+constexpr std::size_t firstReadBytes = 4096;
 // Status of a request whose handling failed unexpectedly.
 constexpr std::uint16_t internalErrorStatus = 500;
 // Unlike an attempt to read, this also finds the end of a connection behind bytes of a next request.
@@ -26,9 +30,13 @@
 
 /// Session over a Beast stream.
 class StreamSession final : public HttpSession, public std::enable_shared_from_this<StreamSession> {
+    using Timer = boost::asio::steady_timer;
+    static constexpr Timer::time_point never = Timer::time_point::max();
+
 public:
     StreamSession(boost::asio::ip::tcp::socket socket, const HttpLimits& limits, Handlers handlers)
-        : stream(std::move(socket))
+        : socket(std::move(socket))
+        , timer(this->socket.get_executor())
         , limits(limits)
         , handlers(std::move(handlers))
     {
@@ -49,9 +57,19 @@
         this->parser.emplace();
         this->parser->body_limit(this->limits.bodyBytes);
         this->parser->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
-        this->stream.expires_after(this->limits.idleTime);
-        http::async_read_some(this->stream, this->buffer, *this->parser,
-            [self = this->shared_from_this()](error_code error, std::size_t) { self->firstBytesRead(error); });
+        // Takes the body as well when it has arrived with the header.
+        this->parser->eager(true);
+        this->expireAfter(this->limits.idleTime);
+        if (this->buffer.size() > 0) {
+            boost::asio::post(
+                this->socket.get_executor(), [self = this->shared_from_this()] { self->firstBytesRead({}); });
+            return;
+        }
+        this->socket.async_read_some(this->buffer.prepare(firstReadBytes),
+            [self = this->shared_from_this()](error_code error, std::size_t count) {
+                self->buffer.commit(count);
+                self->firstBytesRead(error);
+            });
     }
 
     void respond(HttpResponse answer) override
@@ -71,21 +89,23 @@
         this->serializer.emplace(this->response);
         error_code error;
         while (!error && !this->serializer->is_done())
-            http::write_some(this->stream.socket(), *this->serializer, error);
+            http::write_some(this->socket, *this->serializer, error);
         if (error != boost::asio::error::would_block && error != boost::asio::error::try_again) {
             this->written(error);
             return;
         }
-        this->stream.expires_after(this->limits.bodyTime);
-        http::async_write(this->stream, *this->serializer,
+        this->expireAfter(this->limits.bodyTime);
+        http::async_write(this->socket, *this->serializer,
             [self = this->shared_from_this()](error_code failure, std::size_t) { self->written(failure); });
     }
 
     void finish() override
     {
         this->isFinishing = true;
-        if (!this->isBusy)
-            this->stream.cancel();
+        if (!this->isBusy) {
+            error_code ignored;
+            this->socket.cancel(ignored);
+        }
     }
 
     bool isClosedByCaller() override
@@ -97,11 +117,44 @@
     void closeAfterResponse() override { this->isKeptAlive = false; }
 
 protected:
-    int descriptor() override { return this->stream.socket().native_handle(); }
+    int descriptor() override { return this->socket.native_handle(); }
 
 private:
+    // Closes the connection at a deadline unless it is moved. One wait serves the deadlines of many requests:
+    // cancelling one for each would cost another turn of the event loop.
+    void expireAfter(Core::Duration time)
+    {
+        this->deadline = Timer::clock_type::now() + std::chrono::duration_cast<Timer::duration>(time);
+        if (this->deadline < this->waitEnd)
+            this->awaitDeadline();
+    }
+
+    void awaitDeadline()
+    {
+        this->waitEnd = this->deadline;
+        this->timer.expires_at(this->deadline);
+        this->timer.async_wait([weak = this->weak_from_this()](error_code error) {
+            const std::shared_ptr<StreamSession> self = weak.lock();
+            if (error || !self)
+                return;
+            self->waitEnd = never;
+            if (self->deadline > Timer::clock_type::now()) {
+                if (self->deadline != never)
+                    self->awaitDeadline();
+                return;
+            }
+            error_code ignored;
+            self->socket.close(ignored);
+        });
+    }
+
+    // Parses what has arrived of a request; the read functions of Beast would wait for its whole header.
     void firstBytesRead(error_code error)
     {
+        if (!error)
+            this->buffer.consume(this->parser->put(this->buffer.data(), error));
+        if (error == http::error::need_more)
+            error = {};
         if (error) {
             this->refuseMalformed(error);
             return;
@@ -115,8 +168,8 @@
             this->readBody();
             return;
         }
-        this->stream.expires_after(this->limits.headerTime);
-        http::async_read_header(this->stream, this->buffer, *this->parser,
+        this->expireAfter(this->limits.headerTime);
+        http::async_read_header(this->socket, this->buffer, *this->parser,
             [self = this->shared_from_this()](error_code failure, std::size_t) {
                 if (failure)
                     self->refuseMalformed(failure);
@@ -128,7 +181,7 @@
     // Reads the body, after the interim response that the caller may wait for.
     void readBody()
     {
-        this->stream.expires_after(this->limits.bodyTime);
+        this->expireAfter(this->limits.bodyTime);
         if (!beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
             this->readRest();
             return;
@@ -137,7 +190,7 @@
         this->interim.version(11);
         this->interim.result(http::status::continue_);
         http::async_write(
-            this->stream, this->interim, [self = this->shared_from_this()](error_code error, std::size_t) {
+            this->socket, this->interim, [self = this->shared_from_this()](error_code error, std::size_t) {
                 if (!error)
                     self->readRest();
             });
@@ -145,7 +198,7 @@
 
     void readRest()
     {
-        http::async_read(this->stream, this->buffer, *this->parser,
+        http::async_read(this->socket, this->buffer, *this->parser,
             [self = this->shared_from_this()](error_code error, std::size_t) { self->requestRead(error); });
     }
 
@@ -163,7 +216,7 @@
         http::request<http::string_body> message = this->parser->release();
         this->isKeptAlive = message.keep_alive();
         // No time limit while the request waits for its answer.
-        this->stream.expires_never();
+        this->deadline = never;
         HttpRequest request { std::string(message.method_string()), std::string(message.target()), {},
             std::move(message.body()) };
         for (const auto& field : message)
@@ -184,7 +237,7 @@
     // Notices that the caller has gone while its request waits; bytes of a next request end the watch.
     void watchCaller()
     {
-        this->stream.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
+        this->socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
             [self = this->shared_from_this(), request = this->requestNumber](error_code error) {
                 if (self->isAnswered || request != self->requestNumber)
                     return;
@@ -198,7 +251,7 @@
     bool hasMoreBytes()
     {
         char byte = 0;
-        return ::recv(this->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+        return ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
     // Answers a request that can't be read, if the caller is still there, and ends the connection.
@@ -235,11 +288,11 @@
     void shutDown()
     {
         error_code ignored;
-        this->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
         if (!this->isMalformed)
             return;
         // Closing with unread bytes would reset the connection and could destroy the response on its way.
-        this->stream.expires_after(drainTime);
+        this->expireAfter(drainTime);
         this->drain();
     }
 
@@ -247,14 +300,18 @@
     void drain()
     {
         this->buffer.clear();
-        this->stream.async_read_some(
+        this->socket.async_read_some(
             this->buffer.prepare(drainBytes), [self = this->shared_from_this()](error_code error, std::size_t) {
                 if (!error)
                     self->drain();
             });
     }
 
-    beast::tcp_stream stream;
+    boost::asio::ip::tcp::socket socket;
+    Timer timer;
+    Timer::time_point deadline = never;
+    // Moment at which the wait in progress ends.
+    Timer::time_point waitEnd = never;
     HttpLimits limits;
     Handlers handlers;
     beast::flat_buffer buffer;
