--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -1,7 +1,11 @@
 #include "celeryswitch/Http/HttpServer.h"
 #include "celeryswitch/Http/HttpConnection.h"
+#include <array>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <set>
 
 using namespace celeryswitch;
 using namespace std::chrono_literals;
@@ -61,15 +65,63 @@
             REQUIRE(open);
             boost::asio::write(caller, boost::asio::buffer(std::string(nextBytes)));
             CHECK_FALSE(open->isClosedByCaller());
+            CHECK(Http::HttpSession::closedByCallers({ open.get() }).empty());
             if (isReset)
                 caller.set_option(boost::asio::socket_base::linger(true, 0));
             caller.close();
             // The event loop does not run in between.
             CHECK(open->isClosedByCaller());
+            CHECK(Http::HttpSession::closedByCallers({ open.get() }).size() == 1);
         }
     }
 }
 
+// Guards against a check of all callers that misses one of several ended connections, or takes one for another.
+TEST_CASE("all sessions whose callers have left are found among those that wait", "[Http]")
+{
+    boost::asio::io_context context;
+    std::map<std::string, Http::HttpSession::Pointer> open;
+    Http::HttpServer server(context, Http::HttpLimits { 65'536, 16'384, 3s, 3s, 3s }, 64,
+        { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
+             open[request.path] = session;
+         },
+            {}, [](const Http::HttpSession::Pointer&) {} });
+    const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+    REQUIRE(address);
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1)));
+    constexpr int callersCount = 40;
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (int number = 0; number < callersCount; ++number) {
+        callers.emplace_back(context);
+        callers.back().connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        const std::string bytes = "GET /" + std::to_string(number) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+        boost::asio::write(callers.back(), boost::asio::buffer(bytes));
+    }
+    for (int turn = 0; turn < 1000 && open.size() < callersCount; ++turn)
+        context.run_for(10ms);
+    REQUIRE(open.size() == callersCount);
+    std::vector<Http::HttpSession*> sessions;
+    for (const auto& [path, session] : open)
+        sessions.push_back(session.get());
+    CHECK(Http::HttpSession::closedByCallers({}).empty());
+    CHECK(Http::HttpSession::closedByCallers(sessions).empty());
+    std::set<Http::HttpSession*> left;
+    for (int number = 0; number < callersCount; number += 3) {
+        if (number % 2 == 0)
+            callers[number].set_option(boost::asio::socket_base::linger(true, 0));
+        callers[number].close();
+        left.insert(open.at("/" + std::to_string(number)).get());
+    }
+    // The event loop does not run in between.
+    const std::vector<Http::HttpSession*> found = Http::HttpSession::closedByCallers(sessions);
+    CHECK(found.size() == left.size());
+    CHECK(std::set<Http::HttpSession*>(found.begin(), found.end()) == left);
+    // The sessions end; their descriptors are closed and count as gone.
+    context.restart();
+    context.run_for(50ms);
+    CHECK(Http::HttpSession::closedByCallers(sessions).size() == left.size());
+}
+
 // Guards against a process that listens on a port chosen by the system, where nobody reaches it, because its settings
 // name a port out of range.
 TEST_CASE("a server refuses an address with a port out of range", "[Http]")
@@ -167,3 +219,113 @@
     CHECK(statusOf("/sound") == "HTTP/1.1 200");
     CHECK(handled == 2);
 }
+
+// Guards against connections that stay open although their callers send nothing or never finish a request, also after
+// requests that were answered, and against a limit that ends a request while it waits for its answer.
+TEST_CASE("connections end at their time limits and not while a request waits", "[Http]")
+{
+    struct Case {
+        const char* name;
+        // Times of the header, the body and between requests; the long ones are not reached.
+        std::chrono::milliseconds header, body, idle;
+        const char* start;
+    };
+    const std::string whole = "POST /q HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+    const std::array<Case, 3> cases { { { "idle", 60s, 60s, 100ms, "" },
+        { "header", 100ms, 60s, 60s, "POST /q HTTP/1.1\r\nHo" },
+        { "body", 60s, 100ms, 60s, "POST /q HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{" } } };
+    for (const Case& limits : cases) {
+        for (const int answered : { 0, 1, 3 }) {
+            INFO(limits.name << " after " << answered << " requests");
+            boost::asio::io_context context;
+            Http::HttpSession::Pointer open;
+            Http::HttpServer server(context, { 65'536, 16'384, limits.header, limits.body, limits.idle }, 8,
+                { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest&) { open = session; }, {},
+                    [](const Http::HttpSession::Pointer&) {} });
+            const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+            REQUIRE(address);
+            const auto port
+                = static_cast<std::uint16_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1)));
+            const auto runUntil = [&](const auto& condition) {
+                const auto end = std::chrono::steady_clock::now() + 10s;
+                while (!condition() && std::chrono::steady_clock::now() < end) {
+                    context.restart();
+                    context.run_one_for(20ms);
+                }
+                return condition();
+            };
+            boost::asio::ip::tcp::socket caller(context);
+            caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+            for (int request = 0; request < answered; ++request) {
+                boost::asio::write(caller, boost::asio::buffer(whole));
+                REQUIRE(runUntil([&] { return open != nullptr; }));
+                // Longer than each short limit.
+                context.restart();
+                context.run_for(150ms);
+                CHECK_FALSE(open->isClosedByCaller());
+                open->respond({ 200, {}, "{}" });
+                open = nullptr;
+                std::array<char, 1024> bytes {};
+                REQUIRE(caller.read_some(boost::asio::buffer(bytes)) > 0);
+            }
+            boost::asio::write(caller, boost::asio::buffer(std::string(limits.start)));
+            REQUIRE(runUntil([&] { return server.connectionCount() == 1; }));
+            CHECK(runUntil([&] { return server.connectionCount() == 0; }));
+            CHECK_FALSE(open);
+        }
+    }
+}
+
+// Guards against an answer that is cut short or mixed up when the socket takes only a part of it, and against requests
+// that are lost because they arrive together.
+TEST_CASE("long answers to requests that arrive together are whole and in order", "[Http]")
+{
+    boost::asio::io_context context;
+    std::vector<std::string> paths;
+    Http::HttpServer server(context, Http::HttpLimits { 65'536, 16'384, 10s, 10s, 10s }, 8,
+        { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
+             paths.push_back(request.path + request.body);
+             session->respond({ 200, {}, std::string(3'000'000, static_cast<char>('a' + paths.size())) });
+         },
+            {}, [](const Http::HttpSession::Pointer&) {} });
+    const Core::Result<std::string> address = server.listen("127.0.0.1:0");
+    REQUIRE(address);
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.value().substr(address.value().rfind(':') + 1)));
+    boost::asio::ip::tcp::socket caller(context);
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+    std::string requests;
+    for (const char* path : { "/1", "/2", "/3" })
+        requests += std::string("POST ") + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n{}";
+    boost::asio::write(caller, boost::asio::buffer(requests));
+    // Nothing is read until the socket's buffers are full.
+    context.run_for(200ms);
+    std::string received;
+    std::array<char, 65'536> bytes {};
+    std::function<void()> read = [&] {
+        caller.async_read_some(
+            boost::asio::buffer(bytes), [&](const boost::system::error_code& error, std::size_t count) {
+                received.append(bytes.data(), count);
+                if (!error)
+                    read();
+            });
+    };
+    read();
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    const auto isWhole = [&] {
+        const std::size_t head = received.find("\r\n\r\n");
+        return head != std::string::npos && received.size() >= 3 * (head + 4 + 3'000'000);
+    };
+    while (!isWhole() && std::chrono::steady_clock::now() < end) {
+        context.restart();
+        context.run_one_for(50ms);
+    }
+    CHECK(paths == std::vector<std::string> { "/1{}", "/2{}", "/3{}" });
+    std::size_t position = 0;
+    for (const char letter : { 'b', 'c', 'd' }) {
+        REQUIRE(received.compare(position, 15, "HTTP/1.1 200 OK") == 0);
+        const std::size_t body = received.find("\r\n\r\n", position) + 4;
+        CHECK(received.substr(body, 3'000'000) == std::string(3'000'000, letter));
+        position = body + 3'000'000;
+    }
+    CHECK(position == received.size());
+}
