Count the scheduler's polls, visits and candidate evaluations

The work that an entry does for a message grows with its waiting jobs and linked workers, and no test can see it: processor time differs between machines. The scheduler now counts what its loops do. The counts repeat exactly and decide nothing.

--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -212,6 +212,7 @@
 bool JobScheduler::isHopeless(SteadyTime now, const Job& job)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        this->workDone.workersVisited += this->workerTable.size();
         if (!hasSuitableWorker(this->workerTable, this->placementRequest(now, job, step)))
             return true;
     }
@@ -221,6 +222,7 @@
 CallerAnswer JobScheduler::refusal(SteadyTime now, const Job& job, const std::string& reason)
 {
     double waitSeconds = 0;
+    this->workDone.candidatesEvaluated += job.steps.size() * this->workerTable.size();
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
         waitSeconds
             = std::max(waitSeconds, predictSharedWait(this->workerTable, this->placementRequest(now, job, step)));
@@ -260,6 +262,7 @@
 
 void JobScheduler::callerDisconnected(SteadyTime now, RequestNumber request)
 {
+    this->workDone.jobsVisited += this->jobs.size();
     for (auto found = this->jobs.begin(); found != this->jobs.end(); ++found) {
         if (found->second.request != request)
             continue;
@@ -271,6 +274,7 @@
 
 std::vector<SchedulerAction> JobScheduler::poll(SteadyTime now)
 {
+    ++this->workDone.polls;
     if (now >= this->decisionsFrom) {
         this->endExpired(now);
         this->forgetExpiredReservations(now);
@@ -289,6 +293,7 @@
 
 void JobScheduler::endExpired(SteadyTime now)
 {
+    this->workDone.jobsVisited += this->jobs.size();
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
         if (now < found->second.expiresAt)
@@ -299,6 +304,7 @@
 
 void JobScheduler::refuseWaiting(SteadyTime now)
 {
+    this->workDone.jobsVisited += this->jobs.size();
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
         Job& job = found->second;
@@ -365,6 +371,8 @@
 SteadyTime JobScheduler::nextWakeUp() const
 {
     SteadyTime due = SteadyTime::max();
+    this->workDone.jobsVisited += this->jobs.size();
+    this->workDone.workersVisited += this->workerTable.size();
     for (const auto& [id, job] : this->jobs) {
         due = std::min(due, job.hasBegun || !job.reservations.empty() ? job.expiresAt : job.refuseAt);
         for (const Reservation& reservation : job.reservations)
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -63,6 +63,16 @@
 
 using SchedulerAction = std::variant<AnswerRequest, SendToSidecar>;
 
+/// Work that a scheduler has done since it was created, in numbers that the same inputs give again.
+struct SchedulerWork {
+    std::uint64_t polls = 0;
+    /// Jobs and workers looked at by walks over all of them.
+    std::uint64_t jobsVisited = 0;
+    std::uint64_t workersVisited = 0;
+    /// Workers examined for a step's tasks, and again for each choice of one of them.
+    std::uint64_t candidatesEvaluated = 0;
+};
+
 /// Schedules the jobs of one entry: admission, placement, retries and answers. Pure: it has no sockets or clocks, and
 /// the same inputs at the same times give the same actions.
 class JobScheduler {
@@ -117,6 +127,8 @@
     std::size_t openJobs() const { return this->jobs.size(); }
     /// All known workers.
     const WorkerTable& workers() const { return this->workerTable; }
+    /// Work done so far.
+    const SchedulerWork& work() const { return this->workDone; }
 
 private:
     enum class TaskPhase : std::uint8_t {
@@ -293,6 +305,8 @@
     std::set<Core::InstanceId> linked;
     Core::SteadyTime sidecarsKnownAt = Core::SteadyTime::max();
     std::vector<SchedulerAction> actions;
+    /// Counted by const functions as well.
+    mutable SchedulerWork workDone;
 };
 
 }
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -40,6 +40,8 @@
             order.emplace_back(-found->second.rank, id);
     }
     std::sort(order.begin(), order.end());
+    this->workDone.jobsVisited += order.size();
+    this->workDone.workersVisited += this->workerTable.size();
     const double referenceSpeed = medianSpeed(this->workerTable);
     for (const auto& [rank, id] : order) {
         Job& job = this->jobs.at(id);
@@ -130,7 +132,8 @@
     }
     PlacementRequest request = this->placementRequest(now, job, stepIndex);
     request.reservationsPerTask = this->hasReservations(job, stepIndex) ? 0 : this->settings.reservationsPerTask;
-    const std::vector<Placement> placements = choosePlacements(this->workerTable, referenceSpeed, request);
+    const std::vector<Placement> placements
+        = choosePlacements(this->workerTable, referenceSpeed, request, this->workDone.candidatesEvaluated);
     for (const Placement& placement : placements) {
         if (placement.waitSeconds > 0)
             this->reserveRoom(now, job, stepIndex, placement, request);
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -170,6 +170,7 @@
     task.phase = TaskPhase::Done;
     ++step.done;
     job.longestRunSeconds = std::max(job.longestRunSeconds, static_cast<double>(report.runMicroseconds) / 1e6);
+    this->workDone.workersVisited += this->workerTable.size();
     const double seconds = static_cast<double>(report.runMicroseconds) / 1e6 * speed / medianSpeed(this->workerTable);
     step.longestSeconds = std::max(step.longestSeconds, seconds);
     step.sumSeconds += seconds;
@@ -209,6 +210,7 @@
         return;
     }
     task.expectedEnd = addSeconds(now, remainingSeconds);
+    this->workDone.workersVisited += (hasProgress ? 3 : 2) * this->workerTable.size();
     if (hasProgress)
         job.longestRunSeconds = std::max(job.longestRunSeconds, elapsed + remainingSeconds);
     // Percentages are whole numbers, so early extrapolations are imprecise.
@@ -318,6 +320,7 @@
 
 void JobScheduler::maintainSidecars(SteadyTime now)
 {
+    this->workDone.workersVisited += this->workerTable.size();
     for (auto& [sidecar, worker] : this->workerTable) {
         if (!worker.isConnected) {
             if (worker.lastReceivedAt != SteadyTime {}
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -110,6 +110,7 @@
 
 void JobScheduler::forgetExpiredReservations(SteadyTime now)
 {
+    this->workDone.jobsVisited += this->waitingJobs.size();
     for (const std::uint64_t id : this->waitingJobs) {
         const auto found = this->jobs.find(id);
         if (found == this->jobs.end() || found->second.reservations.empty())
--- a/celeryswitch/Scheduling/WorkerTable.cpp
+++ b/celeryswitch/Scheduling/WorkerTable.cpp
@@ -258,13 +258,15 @@
 }
 
 std::vector<Placement> choosePlacements(
-    const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request)
+    const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request, std::uint64_t& evaluated)
 {
     std::vector<Candidate> candidates = makeCandidates(workers, referenceSpeed, request);
+    evaluated += workers.size();
     std::vector<Placement> placements;
     std::uint32_t remaining = request.count;
     while (remaining > 0) {
         Candidate* best = chooseCandidate(candidates, request, 0, 0);
+        evaluated += candidates.size();
         if (!best)
             break;
         // At most half of a worker's room is taken at a time, as other entries may order simultaneously.
@@ -280,6 +282,7 @@
         return {};
     for (std::uint32_t units = remaining * request.reservationsPerTask; units > 0; --units) {
         Candidate* best = chooseCandidate(candidates, request, minimumReservationWait, unbounded);
+        evaluated += candidates.size();
         if (!best)
             break;
         assign(*best, 1, request, placements);
--- a/celeryswitch/Scheduling/WorkerTable.h
+++ b/celeryswitch/Scheduling/WorkerTable.h
@@ -116,8 +116,8 @@
 
 /// Chooses workers for all tasks of a request; returns none if a task's predicted wait is too long everywhere. With
 /// `reservationsPerTask` 0 it chooses workers for the tasks that fit now. `referenceSpeed` is the speed of the worker
-/// that `request.time` refers to.
+/// that `request.time` refers to. The workers examined are added to `evaluated`, once for each choice.
 std::vector<Placement> choosePlacements(
-    const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request);
+    const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request, std::uint64_t& evaluated);
 
 }
