Give entries of the simulated fleet a processor

No test saw an entry collapse under the cost of its own work, because the work of a simulated entry took no time. An entry may now have a share of a core. Its inputs wait in order of arrival, each costs time, as do polls, what the scheduler visits, and the messages and answers that leave when it is paid. Callers may be spread unevenly, and results are kept by entry. Off by default.

--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -11,6 +11,7 @@
     : options(std::move(value))
     , random(this->options.seed)
     , kindResults(this->options.kinds.size())
+    , entryResults(this->options.entries)
 {
     this->log = this->createLog({});
 }
@@ -85,6 +86,7 @@
             this->runRecords.end(), sidecar->worker->history().begin(), sidecar->worker->history().end());
     }
     result.kinds = this->kindResults;
+    result.entries = this->entryResults;
     result.runs = this->runRecords.size();
     result.messages = this->messages;
     result.orders = this->registry.counter("celeryswitch_runs_ordered_total", "").value();
@@ -102,6 +104,10 @@
     entry.clockLag = {};
     entry.stallGuard = {};
     entry.closedRequests.clear();
+    entry.inputs.clear();
+    entry.pendingActions.clear();
+    entry.isBusy = false;
+    entry.isPollDue = false;
     Scheduling::SchedulerSettings settings;
     settings.dataCentre = "dc-" + std::to_string(index % 3);
     settings.reservationsPerTask = this->options.reservationsPerTask;
@@ -146,36 +152,45 @@
     entry.scheduler->callersChecked(now);
 }
 
+void LeasedFleet::carryOut(std::size_t index, Scheduling::SchedulerAction action)
+{
+    if (auto* answer = std::get_if<Scheduling::AnswerRequest>(&action)) {
+        auto node = this->entries[index]->requests.extract(answer->request);
+        if (!node.empty())
+            this->handleAnswer(node.mapped(), answer->answer);
+        return;
+    }
+    auto& send = std::get<Scheduling::SendToSidecar>(action);
+    const std::size_t worker = std::stoul(send.sidecar);
+    Link& link = this->links[{ index, worker }];
+    if (!link.isOpen)
+        return;
+    ++this->messages;
+    this->events.scheduleAt(this->arrivalTime(link, index, worker, link.lastArrivalAtSidecar),
+        [this, index, worker, number = link.connectionId, message = std::move(send.message)] {
+            if (this->links[{ index, worker }].connectionId != number)
+                return;
+            Sidecar& sidecar = *this->sidecars[worker];
+            this->runWhenAwake(sidecar, [this, worker, number, message] {
+                this->sidecars[worker]->supervisor->messageReceived(this->events.now(), number, message);
+                this->pollSidecar(worker);
+            });
+        });
+}
+
 void LeasedFleet::pollEntry(std::size_t index)
 {
     Entry& entry = *this->entries[index];
+    if (this->hasProcessor()) {
+        entry.isPollDue = true;
+        this->useProcessor(index);
+        return;
+    }
     this->runWhenAwake(entry, [this, index, &entry] {
         this->observeStall(entry);
         this->checkCallers(entry);
-        for (Scheduling::SchedulerAction& action : entry.scheduler->poll(entry.now(this->events.now()))) {
-            if (auto* answer = std::get_if<Scheduling::AnswerRequest>(&action)) {
-                auto node = entry.requests.extract(answer->request);
-                if (!node.empty())
-                    this->handleAnswer(node.mapped(), answer->answer);
-                continue;
-            }
-            auto& send = std::get<Scheduling::SendToSidecar>(action);
-            const std::size_t worker = std::stoul(send.sidecar);
-            Link& link = this->links[{ index, worker }];
-            if (!link.isOpen)
-                continue;
-            ++this->messages;
-            this->events.scheduleAt(this->arrivalTime(link, index, worker, link.lastArrivalAtSidecar),
-                [this, index, worker, number = link.connectionId, message = std::move(send.message)] {
-                    if (this->links[{ index, worker }].connectionId != number)
-                        return;
-                    Sidecar& sidecar = *this->sidecars[worker];
-                    this->runWhenAwake(sidecar, [this, worker, number, message] {
-                        this->sidecars[worker]->supervisor->messageReceived(this->events.now(), number, message);
-                        this->pollSidecar(worker);
-                    });
-                });
-        }
+        for (Scheduling::SchedulerAction& action : entry.scheduler->poll(entry.now(this->events.now())))
+            this->carryOut(index, std::move(action));
         SteadyTime due = entry.scheduler->nextWakeUp();
         if (due < SteadyTime::max())
             due += entry.clockLag;
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Experiment/EventQueue.h"
 #include "celeryswitch/Experiment/LeasedFaults.h"
+#include "celeryswitch/Experiment/LeasedProcessor.h"
 #include "celeryswitch/Experiment/LeasedWorkerModel.h"
 #include "celeryswitch/Scheduling/JobScheduler.h"
 #include "celeryswitch/Scheduling/LinkSubset.h"
@@ -54,6 +55,9 @@
 struct LeasedOptions {
     std::vector<LeasedJobKind> kinds;
     std::size_t entries = 3;
+    /// Shares of the jobs that go to each entry, relative to each other; if there are none, all get the same.
+    std::vector<double> entryWeights;
+    LeasedProcessor processor;
     std::size_t workers = 11;
     Scheduling::LinkSubsetSettings links;
     std::int64_t workerMilliCores = 32'000;
@@ -95,9 +99,19 @@
     LeasedValue valueOf(std::size_t firstSecond, std::size_t endSecond) const;
 };
 
+/// Result of the jobs whose first request went to an entry.
+struct LeasedEntryResult {
+    std::uint64_t submitted = 0;
+    std::uint64_t inTime = 0;
+    LeasedValue value;
+    /// Time of a whole core that the entry used while jobs arrived.
+    double processorSeconds = 0;
+};
+
 /// Result of a simulation run.
 struct LeasedResult {
     std::vector<LeasedKindResult> kinds;
+    std::vector<LeasedEntryResult> entries;
     std::uint64_t runs = 0;
     /// Start orders, and those that were returned without a start.
     std::uint64_t orders = 0;
@@ -124,6 +138,21 @@
     struct Sidecar;
     struct Job;
     struct Link;
+    /// What an entry reads, by what it costs.
+    enum class EntryInputKind : std::uint8_t {
+        Request,
+        CallerClosed,
+        SidecarMessage,
+        Local,
+    };
+    struct EntryInput {
+        EntryInputKind kind = EntryInputKind::Local;
+        /// Handles the input.
+        std::function<void()> action;
+        /// Number of a request.
+        Scheduling::RequestNumber request = 0;
+        Core::SteadyTime arrivedAt;
+    };
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
     double lognormal(double mean, double logDeviation);
@@ -140,8 +169,8 @@
     void slowCallerLinks(std::size_t entry);
     // Time at which what a caller sends now arrives at an entry's machine, and not before `earliest`.
     Core::SteadyTime callerArrivalTime(const Entry& entry, Core::SteadyTime earliest) const;
-    // Runs an action of an entry at that time; returns it.
-    Core::SteadyTime receiveFromCaller(std::size_t entry, Core::SteadyTime earliest, std::function<void()> action);
+    // Lets an entry handle an input at that time; returns it.
+    Core::SteadyTime receiveFromCaller(std::size_t entry, Core::SteadyTime earliest, EntryInput input);
     std::unique_ptr<Logging::StructuredLog> createLog(const std::string& instance);
     // Log of a process; its records carry the name.
     Logging::StructuredLog& logOf(const std::string& instance);
@@ -169,6 +198,15 @@
     void observeStall(Entry& entry);
     void checkCallers(Entry& entry);
     void pollEntry(std::size_t index);
+    void carryOut(std::size_t index, Scheduling::SchedulerAction action);
+    bool hasProcessor() const { return this->options.processor.share > 0; }
+    // Handles an input of an entry, after those before if they take time.
+    void receiveInput(std::size_t index, EntryInput input);
+    Core::Duration inputCost(EntryInputKind kind) const;
+    // Handles the next input of an entry whose processor is free, and polls its scheduler.
+    void useProcessor(std::size_t index);
+    void occupyProcessor(std::size_t index, Core::Duration time);
+    void runScheduler(std::size_t index);
     void startSidecar(std::size_t index);
     void killSidecar(std::size_t index);
     void cutPowerOfSidecar(std::size_t index);
@@ -222,6 +260,7 @@
     std::map<std::uint64_t, Job> jobs;
     Core::SteadyTime firstArrivalAt;
     std::vector<LeasedKindResult> kindResults;
+    std::vector<LeasedEntryResult> entryResults;
     std::vector<RunRecord> runRecords;
     std::uint64_t lastId = 0;
     std::uint64_t messages = 0;
--- a/celeryswitch/Experiment/LeasedFleetCallers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetCallers.cpp
@@ -92,6 +92,9 @@
     const double share = this->options.faults.sameEntryRepeats;
     if (share > 0 && job.submissions > 0 && this->uniform() < share)
         return job.entry;
+    const std::vector<double>& weights = this->options.entryWeights;
+    if (!weights.empty())
+        return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(this->random);
     return static_cast<std::size_t>(this->uniform() * static_cast<double>(this->entries.size()));
 }
 
@@ -120,6 +123,11 @@
             this->events.scheduleAfter(std::chrono::milliseconds(100), [this, id] { this->submit(id); });
         return;
     }
+    if (job.submissions == 0) {
+        job.firstEntry = index;
+        ++this->entryResults[index].submitted;
+        this->entryResults[index].value.owed += job.value;
+    }
     ++job.submissions;
     const Scheduling::RequestNumber request = ++this->lastId;
     job.request = request;
@@ -136,17 +144,20 @@
     });
     const Configuration::Queue queue { this->options.kinds[job.kind].name, "h", "/", "loans", 1500, 60, stretch,
         this->options.kinds[job.kind].priority, this->options.kinds[job.kind].attempts };
-    job.requestArrivesAt = this->receiveFromCaller(index, {}, [this, index, id, request, queue] {
-        Entry& awake = *this->entries[index];
-        Job& submitted = this->jobs.at(id);
-        submitted.isHeldUp = submitted.request == request && this->events.now() > submitted.requestSentAt;
-        const SteadyTime now = awake.now(this->events.now());
-        this->observeStall(awake);
-        if (this->options.mechanisms.areCallersChecked && awake.requests.count(request) == 0)
-            return;
-        awake.scheduler->submit(now, now, request, queue, { submitted.specification, submitted.callerTimeout });
-        this->pollEntry(index);
-    });
+    job.requestArrivesAt = this->receiveFromCaller(index, {},
+        { EntryInputKind::Request,
+            [this, index, id, request, queue] {
+                Entry& awake = *this->entries[index];
+                Job& submitted = this->jobs.at(id);
+                submitted.isHeldUp = submitted.request == request && this->events.now() > submitted.requestSentAt;
+                const SteadyTime now = awake.now(this->events.now());
+                this->observeStall(awake);
+                if (this->options.mechanisms.areCallersChecked && awake.requests.count(request) == 0)
+                    return;
+                awake.scheduler->submit(now, now, request, queue, { submitted.specification, submitted.callerTimeout });
+                this->pollEntry(index);
+            },
+            request });
 }
 
 SteadyTime LeasedFleet::callerArrivalTime(const Entry& entry, SteadyTime earliest) const
@@ -157,17 +168,17 @@
     return std::max(arrival, this->events.now() + std::chrono::duration_cast<SteadyTime::duration>(entry.callerDelay));
 }
 
-SteadyTime LeasedFleet::receiveFromCaller(std::size_t index, SteadyTime earliest, std::function<void()> action)
+SteadyTime LeasedFleet::receiveFromCaller(std::size_t index, SteadyTime earliest, EntryInput input)
 {
     Entry& entry = *this->entries[index];
     const SteadyTime arrival = this->callerArrivalTime(entry, earliest);
     if (arrival <= this->events.now()) {
-        this->runWhenAwake(entry, std::move(action));
+        this->receiveInput(index, std::move(input));
         return arrival;
     }
-    this->events.scheduleAt(arrival, [this, index, incarnation = entry.incarnation, action = std::move(action)] {
+    this->events.scheduleAt(arrival, [this, index, incarnation = entry.incarnation, input = std::move(input)] {
         if (this->entries[index]->incarnation == incarnation)
-            this->runWhenAwake(*this->entries[index], action);
+            this->receiveInput(index, input);
     });
     return arrival;
 }
@@ -177,7 +188,7 @@
 {
     const Entry& entry = *this->entries[index];
     return this->events.now() < entry.closesReadAt || this->events.now() < entry.slowUntil
-        || this->events.now() < entry.callersSlowUntil || !entry.backlog.empty();
+        || this->events.now() < entry.callersSlowUntil || !entry.backlog.empty() || !entry.inputs.empty();
 }
 
 void LeasedFleet::resubmit(std::uint64_t id)
@@ -220,13 +231,13 @@
                 this->entries[index]->closedRequests.insert(request);
         });
     if (this->events.now() >= entry.frozenUntil || this->events.now() >= entry.closesReadAt) {
-        this->receiveFromCaller(index, requestArrivesAt, read);
+        this->receiveFromCaller(index, requestArrivesAt, { EntryInputKind::CallerClosed, read });
         return;
     }
     this->events.scheduleAt(
         std::max(entry.closesReadAt, requestArrivesAt), [this, index, read, incarnation = entry.incarnation] {
             if (this->entries[index]->incarnation == incarnation)
-                this->runWhenAwake(*this->entries[index], read);
+                this->receiveInput(index, { EntryInputKind::CallerClosed, read });
         });
 }
 
@@ -263,8 +274,13 @@
         = answer.kind == AnswerKind::State && answer.state == JobState::Failed && job.isFailing;
     if (job.isCompleted || isExpectedFailure) {
         ++(response <= goal ? kindResult.inTime : kindResult.late);
-        if (response <= goal * expiryFactor)
-            this->valueAt(job).earned += job.value * (response <= goal ? 1 : lateValue);
+        LeasedEntryResult& entryResult = this->entryResults[job.firstEntry];
+        entryResult.inTime += response <= goal ? 1 : 0;
+        if (response <= goal * expiryFactor) {
+            const double earned = job.value * (response <= goal ? 1 : lateValue);
+            this->valueAt(job).earned += earned;
+            entryResult.value.earned += earned;
+        }
     } else {
         ++(answer.kind == AnswerKind::NotRun ? kindResult.refused : kindResult.failed);
     }
--- a/celeryswitch/Experiment/LeasedFleetLinks.cpp
+++ b/celeryswitch/Experiment/LeasedFleetLinks.cpp
@@ -52,7 +52,7 @@
             Scheduling::LinkSubset(entryPrefix + std::to_string(entry), this->options.links).select(members))
             this->linkedWorkers[entry].insert(std::stoul(sidecar.identity.instanceId));
         if (entry < this->entries.size() && this->entries[entry]->isUp)
-            this->runWhenAwake(*this->entries[entry], [this, entry] { this->applyLinks(entry); });
+            this->receiveInput(entry, { EntryInputKind::Local, [this, entry] { this->applyLinks(entry); } });
     }
 }
 
@@ -87,7 +87,14 @@
     Messages::Member member;
     member.identity.instanceId = std::to_string(worker);
     member.identity.dataCentre = "dc-" + std::to_string(worker % 3);
-    entry.scheduler->sidecarConnected(entry.now(this->events.now()), member);
+    const auto accept = [this, entryIndex, member] {
+        Entry& linked = *this->entries[entryIndex];
+        linked.scheduler->sidecarConnected(linked.now(this->events.now()), member);
+    };
+    if (this->hasProcessor())
+        this->receiveInput(entryIndex, { EntryInputKind::Local, accept });
+    else
+        accept();
     this->pollSidecar(worker);
     this->pollEntry(entryIndex);
 }
@@ -101,9 +108,10 @@
         return;
     const std::uint64_t number = std::exchange(link.connectionId, 0);
     if (this->entries[entryIndex]->isUp)
-        this->runWhenAwake(*this->entries[entryIndex], [this, entryIndex, worker] {
-            this->entries[entryIndex]->scheduler->sidecarDisconnected(std::to_string(worker));
-        });
+        this->receiveInput(entryIndex, { EntryInputKind::Local, [this, entryIndex, worker] {
+                                            this->entries[entryIndex]->scheduler->sidecarDisconnected(
+                                                std::to_string(worker));
+                                        } });
     if (!this->sidecars[worker]->isUp || this->events.now() < link.cutUntil)
         return;
     this->runWhenAwake(*this->sidecars[worker], [this, worker, number] {
--- a/celeryswitch/Experiment/LeasedFleetSidecars.cpp
+++ b/celeryswitch/Experiment/LeasedFleetSidecars.cpp
@@ -110,14 +110,15 @@
                             Link& current = this->links[{ entry, index }];
                             if (current.connectionId != number)
                                 return;
-                            this->runWhenAwake(*this->entries[entry], [this, entry, index, update] {
+                            const auto read = [this, entry, index, update] {
                                 this->links[{ entry, index }].lastReceivedAt = this->events.now();
                                 Entry& receiver = *this->entries[entry];
                                 this->observeStall(receiver);
                                 receiver.scheduler->updateReceived(
                                     receiver.now(this->events.now()), std::to_string(index), update);
                                 this->pollEntry(entry);
-                            });
+                            };
+                            this->receiveInput(entry, { EntryInputKind::SidecarMessage, read });
                         });
                 }
             }
@@ -146,11 +147,12 @@
             [this, entry, index, number = link.connectionId, offer = send.offer] {
                 if (this->links[{ entry, index }].connectionId != number)
                     return;
-                this->runWhenAwake(*this->entries[entry], [this, entry, index, offer] {
+                const auto read = [this, entry, index, offer] {
                     Entry& receiver = *this->entries[entry];
                     receiver.scheduler->roomOffered(std::to_string(index), offer);
                     this->pollEntry(entry);
-                });
+                };
+                this->receiveInput(entry, { EntryInputKind::SidecarMessage, read });
             });
     }
 }
--- a/celeryswitch/Experiment/LeasedFleetState.h
+++ b/celeryswitch/Experiment/LeasedFleetState.h
@@ -63,6 +63,11 @@
     std::map<Scheduling::RequestNumber, std::uint64_t> requests;
     /// Requests whose connection has ended, which the entry has not read yet.
     std::set<Scheduling::RequestNumber> closedRequests;
+    /// Inputs that wait for the processor, whether it is in use, and the actions that leave when it is free again.
+    std::deque<EntryInput> inputs;
+    bool isBusy = false;
+    bool isPollDue = false;
+    std::vector<Scheduling::SchedulerAction> pendingActions;
 };
 
 struct LeasedFleet::Sidecar : LeasedFleetProcess {
@@ -111,6 +116,8 @@
     /// Open request and the entry that received it; 0 while there is none.
     Scheduling::RequestNumber request = 0;
     std::size_t entry = 0;
+    /// Entry that the first request went to.
+    std::size_t firstEntry = 0;
     /// When the request reaches its entry; the end of its connection does so later.
     Core::SteadyTime requestArrivesAt;
     /// When the request was sent, and whether it waited unread because the entry was stalled.
