--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -215,6 +215,7 @@
 bool JobScheduler::isHopeless(SteadyTime now, const Job& job)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        this->workDone.workersVisited += this->workerTable.size();
         if (!hasSuitableWorker(this->workerTable, this->placementRequest(now, job, step)))
             return true;
     }
@@ -224,6 +225,7 @@
 CallerAnswer JobScheduler::refusal(SteadyTime now, const Job& job, const std::string& reason)
 {
     double waitSeconds = 0;
+    this->workDone.candidatesEvaluated += job.steps.size() * this->workerTable.size();
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
         waitSeconds
             = std::max(waitSeconds, predictSharedWait(this->workerTable, this->placementRequest(now, job, step)));
@@ -263,6 +265,7 @@
 
 void JobScheduler::callerDisconnected(SteadyTime now, RequestNumber request)
 {
+    this->workDone.jobsVisited += this->jobs.size();
     for (auto found = this->jobs.begin(); found != this->jobs.end(); ++found) {
         if (found->second.request != request)
             continue;
@@ -274,6 +277,7 @@
 
 std::vector<SchedulerAction> JobScheduler::poll(SteadyTime now)
 {
+    ++this->workDone.polls;
     if (now >= this->decisionsFrom) {
         const bool areJobsDue = now >= this->jobsDueAt;
         if (areJobsDue) {
@@ -296,6 +300,7 @@
 
 void JobScheduler::endExpired(SteadyTime now)
 {
+    this->workDone.jobsVisited += this->jobs.size();
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
         if (now < found->second.expiresAt)
@@ -306,6 +311,7 @@
 
 void JobScheduler::refuseWaiting(SteadyTime now)
 {
+    this->workDone.jobsVisited += this->jobs.size();
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
         Job& job = found->second;
@@ -322,6 +328,7 @@
         this->endJob(now, found, this->refusal(now, job, "no room"));
     }
     this->jobsDueAt = SteadyTime::max();
+    this->workDone.jobsVisited += this->jobs.size();
     for (const auto& [id, job] : this->jobs)
         this->noteDue(job);
 }
@@ -387,6 +394,7 @@
 SteadyTime JobScheduler::nextWakeUp() const
 {
     SteadyTime due = this->jobsDueAt;
+    this->workDone.workersVisited += this->workerTable.size();
     for (const auto& [sidecar, worker] : this->workerTable) {
         const auto sent = this->lastSentAt.find(sidecar);
         if (worker.isConnected && sent != this->lastSentAt.end())
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -44,6 +44,8 @@
     }
     std::sort(order.begin(), order.end());
     const std::vector<const WorkerView*> changed = this->takeChangedWorkers();
+    this->workDone.jobsVisited += order.size();
+    this->workDone.workersVisited += this->workerTable.size();
     const double referenceSpeed = medianSpeed(this->workerTable);
     for (const auto& [rank, id] : order) {
         Job& job = this->jobs.at(id);
@@ -66,6 +68,7 @@
 std::vector<const WorkerView*> JobScheduler::takeChangedWorkers()
 {
     std::vector<const WorkerView*> changed;
+    this->workDone.workersVisited += this->workerTable.size();
     for (const auto& [sidecar, worker] : this->workerTable) {
         if (worker.lastChange > this->placedChange && worker.isUsable())
             changed.push_back(&worker);
@@ -80,6 +83,7 @@
         // Without reservations its tasks are placed together, which takes more than the room of one worker.
         if (job.steps[step].waiting == 0 || !this->hasReservations(job, step))
             continue;
+        this->workDone.workersVisited += workers.size();
         const Messages::Room& need = job.specification.steps[step].need;
         const bool isFitting = std::any_of(workers.begin(), workers.end(), [&](const WorkerView* worker) {
             return worker->profile.service == job.queue.service && need.fits(worker->roomFor(job.placementRank));
@@ -178,7 +182,8 @@
     PlacementRequest request = this->placementRequest(now, job, stepIndex);
     job.placementRank = std::max(job.placementRank, request.rank);
     request.reservationsPerTask = this->hasReservations(job, stepIndex) ? 0 : this->settings.reservationsPerTask;
-    const std::vector<Placement> placements = choosePlacements(this->workerTable, referenceSpeed, request);
+    const std::vector<Placement> placements
+        = choosePlacements(this->workerTable, referenceSpeed, request, this->workDone.candidatesEvaluated);
     for (const Placement& placement : placements) {
         if (placement.waitSeconds > 0)
             this->reserveRoom(now, job, stepIndex, placement, request);
