End the lease earlier, so that a late close does not let a run outlast its caller

Cause: the end of a run whose stop goes unanswered is bounded by the lease, which ended 50 ms before a caller may repeat its job, counted from a sample that the entry returned after it had checked its callers' connections. A close that is on the way for longer than that, as after one retransmission by TCP, made the sample younger than the moment at which the caller had left. Class: a time counted from the wrong event. Change: `retryMargin` is 210 ms (shortest retransmission timeout and a round trip) instead of 50, for runs that must end and for those of a silent entry alike. Starts are not held up: an order carries a sample of at most 253 ms, and beside a full lease of another entry's run it may be 274 ms old (third new test).

--- a/UnitTests/Workers/CallerEndTest.cpp
+++ b/UnitTests/Workers/CallerEndTest.cpp
@@ -122,6 +122,86 @@
     }
 }
 
+// Guards against a run that outlasts the return of its caller because the end of the connection reached the entry late:
+// a close that is lost once arrives after TCP's shortest retransmission timeout of 200 ms.
+TEST_CASE("a run ends before its caller repeats the job, although the close reaches the entry late", "[Workers]")
+{
+    for (const Core::Duration delay : { 20ms, 100ms, 200ms }) {
+        INFO(delay.count());
+        EntryWithSupervisor fixture;
+        fixture.connect(2, "entry-2");
+        fixture.liveConnections = { 2 };
+        fixture.announceWorker();
+        fixture.plan.time = 9s;
+        fixture.connectEntry();
+        fixture.run(20ms);
+        fixture.submitLongJob(1);
+        fixture.startTasks(2, 2);
+        fixture.run(400ms);
+        REQUIRE(fixture.isRunning(1));
+        fixture.areStopsLost = true;
+        const SteadyTime leftAt = fixture.now();
+        fixture.run(delay);
+        fixture.isCallerGone = true;
+        fixture.run(2s);
+        CHECK(fixture.historyOf(1).front().endedAt - leftAt < 1300ms);
+    }
+}
+
+// Guards against a lease that outlasts the return of the callers of an entry that stalls or fails while the ends of
+// their connections are still on the way to it.
+TEST_CASE("the lease ends before callers repeat jobs whose closes never reach a silent entry", "[Workers]")
+{
+    EntryWithSupervisor fixture;
+    fixture.connect(2, "entry-2");
+    fixture.liveConnections = { 2 };
+    fixture.announceWorker();
+    fixture.plan.time = 9s;
+    fixture.connectEntry();
+    fixture.run(20ms);
+    fixture.submitLongJob(1);
+    fixture.startTasks(2, 2);
+    fixture.run(400ms);
+    REQUIRE(fixture.isRunning(1));
+    fixture.areStopsLost = true;
+    const SteadyTime leftAt = fixture.now();
+    fixture.run(200ms);
+    fixture.frozenUntil = fixture.now() + 10s;
+    fixture.run(2s);
+    CHECK(fixture.historyOf(1).front().endedAt - leftAt < 1300ms);
+}
+
+// Guards against orders that wait at a sidecar because the lease that another entry's runs were granted leaves too
+// little room for the age of a sample that a live entry returns.
+TEST_CASE("an order with a sample of 250 ms starts at once beside the runs of another entry", "[Workers]")
+{
+    SupervisorFixture fixture;
+    fixture.connect(1, "entry-1");
+    fixture.connect(2, "entry-2");
+    fixture.liveConnections = { 1, 2 };
+    fixture.announceWorker();
+    fixture.plan.time = 5s;
+    fixture.startTasks(2, 2);
+    fixture.advance(500ms);
+    fixture.liveConnections = { 2 };
+    fixture.advance(250ms);
+    Messages::StartRuns start;
+    start.sequence = 1000;
+    start.order = 1000;
+    start.clockEcho = Core::toClockSample(fixture.now() - 250ms);
+    start.job = 3;
+    start.content = "content";
+    start.need = { 3000, 64, 0 };
+    start.expectedMilliseconds = 200;
+    start.rank = 1;
+    start.startWithinMicroseconds = 500'000;
+    start.deadlineMicroseconds = 5'000'000;
+    start.tasks = { { 0, 1 } };
+    fixture.supervisor->messageReceived(fixture.now(), 1, std::move(start));
+    fixture.advance(2ms);
+    CHECK(fixture.isRunning(3));
+}
+
 // Guards against orders that a new entry, or one with a new link, gets back until it may return a sample.
 TEST_CASE("an order right after a connection starts at once", "[Workers]")
 {
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -47,8 +47,10 @@
     /// Time after the failure of an entry, or after its answer that it gave up, from which callers repeat their jobs at
     /// another entry.
     Core::Duration callerRetryDelay = std::chrono::milliseconds(1300);
-    /// The lease of a worker ends at least this long before a caller may repeat the job of a run that must end.
-    Core::Duration retryMargin = std::chrono::milliseconds(50);
+    /// The lease of a worker ends at least this long before a caller may repeat the job of a run that must end. The
+    /// close of the caller's connection may reach the entry that late: after TCP's shortest retransmission timeout,
+    /// 200 ms, and a round trip.
+    Core::Duration retryMargin = std::chrono::milliseconds(210);
     /// Time limit of a stop at the worker.
     Core::Duration stopTimeout = std::chrono::milliseconds(50);
     /// Time for which runs of a previous incarnation of this sidecar are kept for an entry to claim.
