Void the starts of earlier sidecars on a restarted worker whatever the time of day says

Callers saw nothing; a task could run a second time. Cause: a sidecar takes its first fencing token from the time of day. A worker that starts again under its id has seen no token, so that a sidecar that starts after a jump back gives it a lower one than that of a start which its predecessor sent and which is still carried out late. Class: an identity that is not unique over time. One more call per sidecar start beside a worker that is younger than 60 s. A start time more than 49 days ahead of the token is ignored.

--- a/UnitTests/Workers/RunSupervisorProofTest.cpp
+++ b/UnitTests/Workers/RunSupervisorProofTest.cpp
@@ -467,3 +467,58 @@
         REQUIRE_FALSE(fixture.isRunning(1));
     }
 }
+
+// Guards against a start of an earlier process that a restarted worker executes because the earlier process took its
+// first token from a later time of day than this one.
+TEST_CASE("a restarted worker executes no start of an earlier sidecar after the time of day was set back", "[Workers]")
+{
+    for (const std::uint64_t setBack : { 500, 2400, 30'000 }) {
+        INFO("set back by " << setBack << " ms");
+        ReadySupervisor fixture;
+        const auto unixMilliseconds
+            = [&fixture] { return static_cast<std::uint64_t>(Core::toUnixMilliseconds(fixture.clock.wallNow())); };
+        SupervisorSettings settings;
+        settings.incarnation = 6;
+        settings.firstFencingToken = unixMilliseconds() + setBack;
+        fixture.restart(settings);
+        fixture.connect(3, "entry-1");
+        fixture.liveConnections = { 3 };
+        fixture.announceWorker();
+        fixture.isNextStartLost = true;
+        fixture.startTasks(3, 1);
+        fixture.advance(5ms);
+        REQUIRE(fixture.lostCalls.size() == 1);
+        const SteadyTime sentAt = fixture.now();
+        fixture.restartWorker(static_cast<std::int64_t>(unixMilliseconds()));
+        settings.incarnation = 7;
+        settings.firstFencingToken = unixMilliseconds();
+        fixture.restart(settings);
+        fixture.connect(4, "entry-1");
+        fixture.liveConnections = { 4 };
+        fixture.announceWorker();
+        fixture.executeLate(fixture.lostCalls.front(), sentAt);
+        CHECK_FALSE(fixture.isRunning(1));
+    }
+}
+
+// Guards against runs on a young worker that a restarted sidecar ends or does not adopt while it raises its token.
+TEST_CASE("a restarted sidecar adopts the runs of a worker that started shortly before", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.restartWorker(Core::toUnixMilliseconds(fixture.clock.wallNow()));
+    fixture.advance(300ms);
+    fixture.announceWorker();
+    fixture.plan.time = 900ms;
+    fixture.startTasks(1, 1);
+    fixture.advance(100ms);
+    REQUIRE(fixture.isRunning(1));
+    fixture.restart(6);
+    fixture.connect(3, "entry-1");
+    fixture.liveConnections = { 3 };
+    fixture.claim(3, { 1 });
+    fixture.announceWorker();
+    fixture.advance(1s);
+    REQUIRE(fixture.historyOf(1).size() == 1);
+    REQUIRE(fixture.historyOf(1).front().end == Messages::RunEnd::Done);
+    REQUIRE(fixture.reportsOf(1).back().end == Messages::RunEnd::Done);
+}
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -238,6 +238,9 @@
     bool hasDoubtfulCalls() const { return this->worker.seenToken <= this->doubtfulToken; }
     // Records which calls the worker has certainly voided, and which may still be executed.
     void recordTokens(const PendingCall& call, const CallResult& result);
+    // Raises the fencing token above those of earlier processes, whose starts the incarnation of the worker that began
+    // at `workerStartedAt` may still execute.
+    void voidEarlierProcesses(Core::SteadyTime now, std::int64_t workerStartedAt);
     // Raises the fencing token after the worker refused that of a call, unless a newer one was given out meanwhile.
     void raiseRefusedToken(const PendingCall& call);
     // Time by which the lease has to end, so that no active run outlives its entry until callers retry.
--- a/celeryswitch/Workers/RunSupervisorLease.cpp
+++ b/celeryswitch/Workers/RunSupervisorLease.cpp
@@ -88,6 +88,20 @@
     this->fencingToken = std::max(this->fencingToken, this->doubtfulToken + 1);
 }
 
+void RunSupervisor::voidEarlierProcesses(SteadyTime now, std::int64_t workerStartedAt)
+{
+    // A restarted worker has seen no token. Processes that called its earlier incarnations began before it, with the
+    // time of day as their first token, which may have been ahead.
+    const std::uint64_t lowest
+        = static_cast<std::uint64_t>(std::max<std::int64_t>(0, workerStartedAt)) + minimumTokenStep;
+    // A start time that is far ahead of the time of day is not one.
+    if (this->fencingToken >= lowest || lowest - this->fencingToken > maximumTokenStep)
+        return;
+    this->fencingToken = lowest;
+    this->doubtfulToken = std::max(this->doubtfulToken, lowest - 1);
+    this->nextListPollAt = now;
+}
+
 void RunSupervisor::raiseRefusedToken(const PendingCall& call)
 {
     if (call.fencingToken < this->fencingToken)
--- a/celeryswitch/Workers/RunSupervisorLife.cpp
+++ b/celeryswitch/Workers/RunSupervisorLife.cpp
@@ -97,6 +97,7 @@
                 + std::chrono::duration_cast<std::chrono::milliseconds>(this->settings.longestLease).count();
     }
     this->worker.workerStartedAt = startedAt;
+    this->voidEarlierProcesses(now, startedAt);
     if (const std::optional<WorkerAnnouncement> successor = this->announcedSuccessor;
         successor && call.sentAt >= this->successorAnnouncedAt) {
         this->announcedSuccessor.reset();
