Play jumps of the time of day with restarts of workers and sidecars in the model fleet

The model's workers had start times of a few seconds, so that no test related a fencing token to them.

--- a/UnitTests/Scheduling/LeasedFleetTest.cpp
+++ b/UnitTests/Scheduling/LeasedFleetTest.cpp
@@ -113,6 +113,20 @@
     return faults;
 }
 
+// Sidecars and workers that restart while the time of day jumps and starts are carried out late.
+LeasedFaults clockJumpFaults()
+{
+    LeasedFaults faults;
+    faults.lateOrders = 0.6;
+    faults.isLateStartFromArrival = true;
+    faults.sidecarKills = 120;
+    faults.workerRestarts = 120;
+    faults.isStartTimeOfDay = true;
+    faults.sidecarClockJumps = 240;
+    faults.clockJumpSeconds = 3;
+    return faults;
+}
+
 // Callers that leave early and come back to the same entry, processes that are slow, and slow links.
 LeasedFaults returningCallerFaults()
 {
@@ -256,6 +270,19 @@
     requireNoViolation(replacementFaults());
 }
 
+// Guards against starts of earlier sidecars that a restarted worker executes after a jump of the time of day.
+TEST_CASE("no task runs twice while sidecars and workers restart and the time of day jumps", "[Scheduling][fleet]")
+{
+    requireNoViolation(clockJumpFaults());
+}
+
+// Guards against the same where it was seen: a first token below that of an open start of the predecessor.
+TEST_CASE("no task runs twice after jumps of the time of day below the token of an open start", "[Scheduling][fleet]")
+{
+    for (const std::uint64_t seed : { 27, 31, 59 })
+        requireNoViolation(clockJumpFaults(), seed);
+}
+
 // Guards against second runs of jobs that the same entry admits more than once.
 TEST_CASE("no task runs twice when callers leave and return to the same entry", "[Scheduling][fleet]")
 {
--- a/celeryswitch/Experiment/LeasedFaults.h
+++ b/celeryswitch/Experiment/LeasedFaults.h
@@ -28,6 +28,8 @@
     double entrySuspensions = 0;
     /// Workers that start again at once, under the same id.
     double workerRestarts = 0;
+    /// Whether a worker's start time is the time of day, as on the platform, and not the number of its incarnation.
+    bool isStartTimeOfDay = false;
     /// Announcements and deregistrations of other workers or of earlier incarnations that reach a sidecar.
     double strayAnnouncements = 0;
     /// Connections of callers that break.
--- a/celeryswitch/Experiment/LeasedFleetWorkers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetWorkers.cpp
@@ -23,7 +23,8 @@
     const std::uint64_t incarnation = ++sidecar.workerIncarnation;
     LeasedWorkerSettings settings;
     settings.workerId = !workerId.empty() ? workerId : "w-" + std::to_string(index) + "-" + std::to_string(incarnation);
-    settings.bornAt = static_cast<std::int64_t>(incarnation) * 1000;
+    settings.bornAt = this->options.faults.isStartTimeOfDay ? Core::toClockSample(this->events.now()) / 1000
+                                                            : static_cast<std::int64_t>(incarnation) * 1000;
     settings.service = "loans";
     const auto& classes = this->options.workerClasses;
     settings.capacity
