--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -47,8 +47,10 @@
     /// Time after the failure of an entry, or after its answer that it gave up, from which callers repeat their jobs at
     /// another entry.
     Core::Duration callerRetryDelay = std::chrono::milliseconds(1300);
-    /// The lease of a worker ends at least this long before a caller may repeat the job of a run that must end.
-    Core::Duration retryMargin = std::chrono::milliseconds(50);
+    /// The lease of a worker ends at least this long before a caller may repeat the job of a run that must end. The
+    /// close of the caller's connection may reach the entry that late: after TCP's shortest retransmission timeout,
+    /// 200 ms, and a round trip.
+    Core::Duration retryMargin = std::chrono::milliseconds(210);
     /// Time limit of a stop at the worker.
     Core::Duration stopTimeout = std::chrono::milliseconds(50);
     /// Time for which runs of a previous incarnation of this sidecar are kept for an entry to claim.
@@ -236,6 +238,9 @@
     bool hasDoubtfulCalls() const { return this->worker.seenToken <= this->doubtfulToken; }
     // Records which calls the worker has certainly voided, and which may still be executed.
     void recordTokens(const PendingCall& call, const CallResult& result);
+    // Raises the fencing token above those of earlier processes, whose starts the incarnation of the worker that began
+    // at `workerStartedAt` may still execute.
+    void voidEarlierProcesses(Core::SteadyTime now, std::int64_t workerStartedAt);
     // Raises the fencing token after the worker refused that of a call, unless a newer one was given out meanwhile.
     void raiseRefusedToken(const PendingCall& call);
     // Time by which the lease has to end, so that no active run outlives its entry until callers retry.
