Keep the linter's clean verdicts in a cache outside the clone

Cause: check-style.sh ran the linter over every unit, although few change between two runs.

Entries not used for 30 days are deleted. check-style.sh hands the units out one by one.

--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -6,5 +6,7 @@
 cmake -B build-lint -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON -DCMAKE_CXX_COMPILER=clang++ > /dev/null
 mapfile -t sources < <(git ls-files '*.h' '*.cpp')
 clang-format --dry-run --Werror "${sources[@]}"
-git ls-files '*.cpp' | xargs -P "$(nproc)" -n 3 ./scripts/lint.sh build-lint
+git ls-files '*.cpp' | xargs -P "$(nproc)" -n 1 ./scripts/lint.sh build-lint
+# Verdicts of text that no clone has had for a month.
+find "${XDG_CACHE_HOME:-$HOME/.cache}/celeryswitch-lint" -type f -mtime +30 -delete
 echo "style: ${#sources[@]} files clean"
