Give free ports of tests and scenarios a loopback address of their own

Cause: the unit tests' state group and the scenario runner ask the system for a free port of 127.0.0.1, release it and bind it later. With unit tests and scenarios side by side, another process can be given that port in between, as a listening port 0 or as the local port of a connection.

Change: Scenario::freeAddresses takes the ports on a loopback address made from the process id, outside the range of the soak; both users share it. No collision was seen; the gap is closed because the tests now run side by side.

--- a/UnitTests/State/StateGroup.h
+++ b/UnitTests/State/StateGroup.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "celeryswitch/Configuration/AuditTrail.h"
+#include "celeryswitch/Scenario/FreeAddresses.h"
 #include "celeryswitch/State/StateClient.h"
 #include "celeryswitch/State/StateProcess.h"
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <cstdlib>
 #include <filesystem>
@@ -35,13 +35,8 @@
     StateGroup(const StateGroup&) = delete;
     StateGroup& operator=(const StateGroup&) = delete;
 
-    /// An address whose port the system has just chosen.
-    static std::string freeAddress()
-    {
-        boost::asio::io_context context;
-        boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::address_v4::loopback(), 0 });
-        return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-    }
+    /// An address whose port the system has just chosen and that no other process uses.
+    static std::string freeAddress() { return Scenario::freeAddresses(1).front(); }
     /// Starts a replica on its data folder. A name that is not in the first group joins it.
     std::string start(const std::string& name)
     {
--- a/celeryswitch/Scenario/ScenarioFleet.cpp
+++ b/celeryswitch/Scenario/ScenarioFleet.cpp
@@ -1,8 +1,7 @@
 #include "celeryswitch/Scenario/ScenarioFleet.h"
 
 #include "celeryswitch/Load/FleetProbe.h"
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "celeryswitch/Scenario/FreeAddresses.h"
 #include <boost/json.hpp>
 #include <csignal>
 #include <filesystem>
@@ -34,20 +33,6 @@
 // Address in an endpoint's line, "listening on 127.0.0.1:9000".
 std::string addressOf(const std::string& readyLine) { return readyLine.substr(readyLine.rfind(' ') + 1); }
 
-// Ports that are free now. Replicas have to know each other's ports before they start.
-std::vector<std::string> freeAddresses(std::uint32_t count)
-{
-    boost::asio::io_context context;
-    std::vector<boost::asio::ip::tcp::acceptor> acceptors;
-    std::vector<std::string> addresses;
-    for (std::uint32_t index = 0; index < count; ++index) {
-        acceptors.emplace_back(
-            context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0), false);
-        addresses.push_back("127.0.0.1:" + std::to_string(acceptors.back().local_endpoint().port()));
-    }
-    return addresses;
-}
-
 std::string tomlText(const std::string& text) { return "\"" + text + "\""; }
 
 }
