Run known red cases and scenarios side by side, and test the unit test runner

Cause: run-tests.sh ran the known red unit tests and the scenarios one after the other, although they mostly wait or use one core.

Change: known red unit tests run on all cores and scenarios four at a time; their lines are printed in the order of before, with their own seconds. The soak's seeds, which already ran at the same time, use the same functions and so print their seconds instead of 0. test-run-unit-tests.sh checks the unit test runner on cases with awkward names and on planted faults; it adds one case to the count.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -9,16 +9,49 @@
 passed=0
 failed=0
 red=0
+# Output, status and seconds of the cases in the background.
+outputs=$(mktemp -d "${TMPDIR:-/tmp}/celeryswitch-tests.XXXXXX")
+trap 'rm -rf "$outputs"' EXIT
 
 # Names listed in KNOWN-RED.txt as "unit: NAME" or "scenario: NAME".
 known_red() { sed -n "s/^$1: //p" KNOWN-RED.txt; }
 
-# Runs a case that is known to fail and prints what it did.
-run_known_red() {
-    local name=$1
-    shift
+# Starts a case in the background, once fewer than LIMIT of them run.
+# usage: start_case LIMIT NAME COMMAND...
+start_case() {
+    local limit=$1 name=$2
+    shift 2
+    while [ "$(jobs -rp | wc -l)" -ge "$limit" ]; do
+        wait -n || true
+    done
+    (
+        start=$SECONDS
+        status=0
+        "$@" > "$outputs/$name.log" 2>&1 || status=$?
+        echo "$status $((SECONDS - start))" > "$outputs/$name.status"
+    ) &
+}
+
+# Prints a finished background case like run_case, and counts it. A case that left no status failed.
+finish_case() {
+    local name=$1 status=1 seconds=0
+    read -r status seconds < "$outputs/$name.status" || true
+    if [ "$status" -eq 0 ]; then
+        passed=$((passed + 1))
+        echo "$name passed in $seconds s"
+    else
+        failed=$((failed + 1))
+        cat "$outputs/$name.log"
+        echo "$name FAILED"
+    fi
+}
+
+# Prints what a finished background case that is known to fail did.
+finish_known_red() {
+    local name=$1 status=1
     red=$((red + 1))
-    if "$@" > /dev/null 2>&1; then
+    read -r status _ < "$outputs/$name.status" || true
+    if [ "$status" -eq 0 ]; then
         echo "known red: $name PASSED; remove it from KNOWN-RED.txt"
     else
         echo "known red: $name failed, as listed in KNOWN-RED.txt"
@@ -39,12 +72,6 @@
     fi
 }
 
-# Prints what a background run wrote to a file, and returns its status.
-finished_run() {
-    cat "$2"
-    return "$1"
-}
-
 echo "== unit tests"
 if output=$(./scripts/run-unit-tests.sh "$build" 2>&1); then
     # "All tests passed (N assertions in M test cases)"
@@ -57,9 +84,16 @@
     failed=${failed:-1}
 fi
 printf '%s\n' "$output"
-while read -r name; do
-    run_known_red "$name" "$build/celeryswitch-unittests" "$name"
-done < <(known_red unit)
+mapfile -t red_units < <(known_red unit)
+for name in "${red_units[@]}"; do
+    start_case "$(nproc)" "$name" "$build/celeryswitch-unittests" "$name"
+done
+wait
+for name in "${red_units[@]}"; do
+    finish_known_red "$name"
+done
+
+run_case "unit tests, planted faults" ./scripts/test-run-unit-tests.sh "$build"
 
 echo "== layers"
 run_case "layers" ./scripts/check-layers.sh
@@ -77,26 +111,27 @@
 run_case "soak, calm" "$build/celeryswitch-soak" "--program=$build/celeryswitch" --calm --seconds=2
 run_case "soak, faults" "$build/celeryswitch-soak" "--program=$build/celeryswitch" --seed=1 --seconds=12
 # The seeds that failed once are played at the same time, each on addresses of its own.
-seeds=()
-outputs=$(mktemp -d)
-while read -r seed _; do
-    "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--seed=$seed" > "$outputs/$seed" 2>&1 &
-    seeds+=("$seed:$!")
-done < <(grep -v '^#' Soak/regression-seeds.txt)
-for entry in "${seeds[@]}"; do
-    status=0
-    wait "${entry#*:}" || status=$?
-    run_case "soak, seed ${entry%:*}" finished_run "$status" "$outputs/${entry%:*}"
+mapfile -t seeds < <(grep -v '^#' Soak/regression-seeds.txt | cut -d ' ' -f 1)
+for seed in "${seeds[@]}"; do
+    start_case "${#seeds[@]}" "soak, seed $seed" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--seed=$seed"
+done
+wait
+for seed in "${seeds[@]}"; do
+    finish_case "soak, seed $seed"
 done
-rm -r "$outputs"
 
 echo "== scenarios"
+# Scenarios mostly wait; their processes listen on addresses that the system or their own runner chose.
+for file in scenarios/*.toml; do
+    start_case 4 "$(basename "$file" .toml)" "$build/celeryswitch" scenario "$file"
+done
+wait
 for file in scenarios/*.toml; do
     name=$(basename "$file" .toml)
     if known_red scenario | grep -qxF "$name"; then
-        run_known_red "$name" "$build/celeryswitch" scenario "$file"
+        finish_known_red "$name"
     else
-        run_case "$name" "$build/celeryswitch" scenario "$file"
+        finish_case "$name"
     fi
 done
 echo "$red known red"
