Give the entries of the model fleet the pacer and the overload guard

Cause: the regression tests of the congestion collapse have to play what SchedulingEntry does. Change: entries of the model with a processor space their polls, measure the lag of their loop and refuse surplus requests; admission is charged only for requests that are read.

--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -108,6 +108,8 @@
     entry.pendingActions.clear();
     entry.isBusy = false;
     entry.isPollDue = false;
+    entry.pacer = {};
+    entry.overloadGuard = {};
     Scheduling::SchedulerSettings settings;
     settings.dataCentre = "dc-" + std::to_string(index % 3);
     settings.reservationsPerTask = this->options.reservationsPerTask;
@@ -115,6 +117,8 @@
         settings.unreachableRunsTimeout = std::chrono::milliseconds(1);
     entry.scheduler = std::make_unique<Scheduling::JobScheduler>(
         settings, this->logOf("entry-" + std::to_string(index)), this->registry);
+    if (this->hasProcessor())
+        this->tickEntry(index);
     this->applyLinks(index);
     for (std::size_t worker = 0; worker < this->sidecars.size(); ++worker)
         this->connect(index, worker);
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -4,8 +4,10 @@
 #include "celeryswitch/Experiment/LeasedFaults.h"
 #include "celeryswitch/Experiment/LeasedProcessor.h"
 #include "celeryswitch/Experiment/LeasedWorkerModel.h"
+#include "celeryswitch/Scheduling/DecisionPacer.h"
 #include "celeryswitch/Scheduling/JobScheduler.h"
 #include "celeryswitch/Scheduling/LinkSubset.h"
+#include "celeryswitch/Scheduling/OverloadGuard.h"
 #include "celeryswitch/Scheduling/StallGuard.h"
 #include "celeryswitch/Workers/RunSupervisor.h"
 #include <memory>
@@ -205,6 +207,10 @@
     Core::Duration inputCost(EntryInputKind kind) const;
     // Handles the next input of an entry whose processor is free, and polls its scheduler.
     void useProcessor(std::size_t index);
+    Core::Duration slowed(Core::Duration cost) const;
+    void payAdmission(std::size_t index);
+    void refuseUnread(std::size_t index, Scheduling::RequestNumber request);
+    void tickEntry(std::size_t index);
     void occupyProcessor(std::size_t index, Core::Duration time);
     void runScheduler(std::size_t index);
     void startSidecar(std::size_t index);
--- a/celeryswitch/Experiment/LeasedFleetCallers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetCallers.cpp
@@ -154,6 +154,10 @@
                 this->observeStall(awake);
                 if (this->options.mechanisms.areCallersChecked && awake.requests.count(request) == 0)
                     return;
+                if (this->hasProcessor() && !awake.overloadGuard.admits(now, queue.name)
+                    && !awake.scheduler->isKnown(id))
+                    return this->refuseUnread(index, request);
+                this->payAdmission(index);
                 awake.scheduler->submit(now, now, request, queue, { submitted.specification, submitted.callerTimeout });
                 this->pollEntry(index);
             },
--- a/celeryswitch/Experiment/LeasedFleetProcessor.cpp
+++ b/celeryswitch/Experiment/LeasedFleetProcessor.cpp
@@ -13,6 +13,7 @@
 
 // As in SchedulingEntry.
 constexpr Duration minimumSleep = std::chrono::milliseconds(1);
+constexpr Duration tickInterval = std::chrono::milliseconds(50);
 
 }
 
@@ -49,31 +50,76 @@
 void LeasedFleet::useProcessor(std::size_t index)
 {
     Entry& entry = *this->entries[index];
-    if (!entry.isUp || entry.isBusy || (entry.inputs.empty() && !entry.isPollDue))
+    if (!entry.isUp || entry.isBusy)
         return;
+    const bool mayPoll = entry.isPollDue && this->events.now() >= entry.pacer.nextAt();
+    if (entry.inputs.empty() && !mayPoll) {
+        if (entry.isPollDue)
+            this->events.scheduleAt(entry.pacer.nextAt(), [this, index] { this->useProcessor(index); });
+        return;
+    }
     if (this->events.now() < entry.frozenUntil) {
         this->occupyProcessor(index, entry.frozenUntil - this->events.now());
         return;
     }
     entry.isBusy = true;
     const Scheduling::SchedulerWork before = entry.scheduler->work();
-    Duration cost {};
+    entry.inputCost = {};
     if (!entry.inputs.empty()) {
         const EntryInput input = std::move(entry.inputs.front());
         entry.inputs.pop_front();
-        cost += this->inputCost(input.kind);
+        entry.inputCost += this->inputCost(input.kind);
         input.action();
     }
-    if (std::exchange(entry.isPollDue, false))
+    if (mayPoll) {
+        entry.isPollDue = false;
         this->runScheduler(index);
-    cost += this->options.processor.costOf(before, entry.scheduler->work());
+    }
+    Duration cost = this->options.processor.costOf(before, entry.scheduler->work());
     for (const Scheduling::SchedulerAction& action : entry.pendingActions)
         cost += this->options.processor.costOf(action);
+    if (mayPoll)
+        entry.pacer.decided(this->events.now(), this->events.now() + this->slowed(cost));
+    cost += entry.inputCost;
     const double costSeconds = std::chrono::duration<double>(cost).count();
     if (this->firstArrivalAt != SteadyTime {} && this->events.now() >= this->firstArrivalAt
         && this->events.now() - this->firstArrivalAt < this->options.duration)
         this->entryResults[index].processorSeconds += costSeconds;
-    this->occupyProcessor(index, seconds(costSeconds / this->options.processor.share));
+    this->occupyProcessor(index, this->slowed(cost));
+}
+
+// Time that work takes on the entry's share of a core.
+Duration LeasedFleet::slowed(Duration cost) const
+{
+    return seconds(std::chrono::duration<double>(cost).count() / this->options.processor.share);
+}
+
+// Pays for reading and admitting a request that is not refused unread.
+void LeasedFleet::payAdmission(std::size_t index)
+{
+    this->entries[index]->inputCost += this->options.processor.admissionCost;
+}
+
+void LeasedFleet::refuseUnread(std::size_t index, Scheduling::RequestNumber request)
+{
+    this->entries[index]->pendingActions.push_back(Scheduling::AnswerRequest {
+        request, { Scheduling::AnswerKind::NotRun, {}, 0, std::chrono::seconds(1), "entry overloaded" } });
+}
+
+// Measures the lag of the entry's event loop, as the ticks of a SchedulingEntry do.
+void LeasedFleet::tickEntry(std::size_t index)
+{
+    const SteadyTime dueAt = this->events.now();
+    this->receiveInput(index, { EntryInputKind::Local, [this, index, dueAt] {
+                                   Entry& entry = *this->entries[index];
+                                   entry.overloadGuard.loopObserved(this->events.now(), this->events.now() - dueAt);
+                                   this->pollEntry(index);
+                                   this->events.scheduleAfter(
+                                       tickInterval, [this, index, incarnation = entry.incarnation] {
+                                           if (this->entries[index]->incarnation == incarnation)
+                                               this->tickEntry(index);
+                                       });
+                               } });
 }
 
 // Carries out the pending actions after a time, and goes on with the next input.
--- a/celeryswitch/Experiment/LeasedFleetState.h
+++ b/celeryswitch/Experiment/LeasedFleetState.h
@@ -67,6 +67,10 @@
     std::deque<EntryInput> inputs;
     bool isBusy = false;
     bool isPollDue = false;
+    Scheduling::DecisionPacer pacer;
+    /// Cost of the input at hand.
+    Core::Duration inputCost {};
+    Scheduling::OverloadGuard overloadGuard;
     std::vector<Scheduling::SchedulerAction> pendingActions;
 };
 
--- a/celeryswitch/Experiment/LeasedProcessor.h
+++ b/celeryswitch/Experiment/LeasedProcessor.h
@@ -10,8 +10,10 @@
 struct LeasedProcessor {
     /// Share of a core that the entry may use; 0 stands for work that takes no time.
     double share = 0;
-    /// A caller's request from its connection to the scheduler, an answer to it, and the end of its connection.
-    Core::Duration requestCost = std::chrono::microseconds(200);
+    /// A caller's request from its connection to its headers, from there to the scheduler, an answer to it, and the end
+    /// of its connection.
+    Core::Duration requestCost = std::chrono::microseconds(120);
+    Core::Duration admissionCost = std::chrono::microseconds(80);
     Core::Duration answerCost = std::chrono::microseconds(100);
     Core::Duration closeCost = std::chrono::microseconds(40);
     /// A message from a sidecar and one to it, with their system calls.
