Control the refused share by the lag and its growth, from 10 ms on

Cause: the share moved by fixed steps at observations that become rarer the later the loop is, and from 20 ms on, when offers of 30 ms lapse already. Change: proportional-integral control by the time elapsed, two observations, accepted lag 10 ms.

--- a/celeryswitch/Scheduling/OverloadGuard.cpp
+++ b/celeryswitch/Scheduling/OverloadGuard.cpp
@@ -10,16 +10,19 @@
 
 namespace {
 
-// Standing lag that is accepted. A job waits for the event loop at least twice: when it arrives and when its last task
-// ends.
-constexpr Core::Duration acceptedLag = std::chrono::milliseconds(20);
-// Growth of the refused share at an observation with the accepted lag, and the largest multiple of it.
-constexpr double shareStep = 0.02;
-constexpr double maximumSteps = 4;
+// Lag that is accepted. A job waits for the event loop at least twice: when it arrives and when its last task ends.
+constexpr Core::Duration acceptedLag = std::chrono::milliseconds(10);
+// Bound of the lag that an observation counts, so that a stop of the process does not look like a long backlog.
+constexpr Core::Duration maximumLag = std::chrono::milliseconds(100);
+// Proportional-integral control: change of the refused share a second for each second of lag beyond the accepted one,
+// and for each second by which the lag grew since the observation before.
+constexpr double excessGain = 10;
+constexpr double growthGain = 4;
+// Decrease of the share a second while the lag is accepted.
+constexpr double shareDecrease = 0.4;
+// Bound of the time since the observation before that counts.
+constexpr double maximumElapsedSeconds = 0.5;
 constexpr double maximumShare = 0.95;
-// Decay of the refused share at an observation below the accepted lag.
-constexpr double shareDecay = 0.93;
-constexpr double minimumShare = 0.005;
 // Arrivals below which a queue is forgotten.
 constexpr double forgottenArrivals = 0.01;
 
@@ -29,15 +32,18 @@
 
 void OverloadGuard::loopObserved(Core::SteadyTime now, Core::Duration lag)
 {
-    this->lags[this->nextLag] = std::max(lag, Core::Duration::zero());
+    const Core::Duration counted = std::clamp(lag, Core::Duration::zero(), maximumLag);
+    const double excess = std::chrono::duration<double>(counted - acceptedLag).count();
+    const double growth = std::chrono::duration<double>(counted - this->latestLag).count();
+    const double elapsed
+        = std::min(std::chrono::duration<double>(now - this->observedAt).count(), maximumElapsedSeconds);
+    this->latestLag = counted;
+    this->observedAt = now;
+    this->lags[this->nextLag] = counted;
     this->nextLag = (this->nextLag + 1) % this->lags.size();
-    const double excess = std::chrono::duration<double>(this->standingLag()) / acceptedLag;
-    if (excess > 1)
-        this->share = std::min(maximumShare, this->share + shareStep * std::min(excess, maximumSteps));
-    else
-        this->share *= shareDecay;
-    if (this->share < minimumShare)
-        this->share = 0;
+    const double integral = excess > 0 ? excessGain * excess * elapsed : -shareDecrease * elapsed;
+    if (this->share > 0 || this->standingLag() > acceptedLag)
+        this->share = std::clamp(this->share + integral + growthGain * growth, 0.0, maximumShare);
     this->divide(now);
 }
 
--- a/celeryswitch/Scheduling/OverloadGuard.h
+++ b/celeryswitch/Scheduling/OverloadGuard.h
@@ -28,7 +28,7 @@
 
 private:
     /// A single late observation may be a stop of the process; a lag in all of the latest ones is a backlog.
-    static constexpr std::size_t observations = 3;
+    static constexpr std::size_t observations = 2;
     static constexpr Core::Duration arrivalSpan = std::chrono::milliseconds(1000);
 
     struct Queue {
@@ -42,6 +42,8 @@
 
     std::array<Core::Duration, observations> lags {};
     std::size_t nextLag = 0;
+    Core::Duration latestLag {};
+    Core::SteadyTime observedAt;
     double share = 0;
     std::unordered_map<std::string, Queue> queues;
 };
