--- a/UnitTests/Scheduling/JobSchedulerOverloadTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerOverloadTest.cpp
@@ -210,3 +210,20 @@
     CHECK(fixture.reservedStarts.empty());
     CHECK(fixture.starts.size() == 1);
 }
+
+// Guards against the congestion collapse of an entry whose every message costs more the more jobs wait.
+TEST_CASE("an update without new room places no waiting job anew", "[Scheduling]")
+{
+    SchedulerFixture fixture(4);
+    fixture.fillWorkers(4, 300'000);
+    for (RequestNumber request = 1; request <= 20; ++request)
+        fixture.submit(request, fixture.makeJob(100 + request));
+    REQUIRE(!fixture.reserves.empty());
+    const std::uint64_t before = fixture.scheduler.work().candidatesEvaluated;
+    for (int update = 0; update < 10; ++update)
+        fixture.update("side-1", { 0, 65'536, 0 });
+    CHECK(fixture.scheduler.work().candidatesEvaluated == before);
+    // Room that appears on one worker is still used at once.
+    fixture.update("side-2", { 32'000, 65'536, 0 });
+    CHECK(!fixture.starts.empty());
+}
