--- a/UnitTests/Scheduling/LeasedFleetTest.cpp
+++ b/UnitTests/Scheduling/LeasedFleetTest.cpp
@@ -264,6 +264,12 @@
     requireNoViolation(lateStartFaults(), 14);
 }
 
+// The same: a seed plays another schedule whenever the placement changes.
+TEST_CASE("no task runs twice after late starts of sidecars that lost power with seed 25", "[Scheduling][fleet]")
+{
+    requireNoViolation(lateStartFaults(), 25);
+}
+
 // Guards against second runs after orderly replacements, departures of workers and jumps of the time of day.
 TEST_CASE("no task runs twice while sidecars are replaced and workers leave", "[Scheduling][fleet]")
 {
