Work out the rank of waiting tasks in one place

Cause: placementRequest and hasRoomFor each had the same formula for the rank of a step's waiting tasks, so that a change of one could leave jobs untried that outrank what is queued. Change: rankOfWaiting, called by both; behaviour is the same. Measured: run-unit-tests.sh 365 passed, 0 failed; linter and layers clean.

--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -231,6 +231,8 @@
     // Notes that a worker may have more room than when the waiting jobs were last placed.
     void noteChange(WorkerView& worker);
     std::vector<const WorkerView*> takeChangedWorkers();
+    // Rank of a step's waiting tasks, which carry the value of the whole job.
+    static float rankOfWaiting(const Job& job, const Step& step);
     // Whether one of the workers has room for a waiting task of a job.
     bool hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers) const;
     // Time from which on placing a job on all workers may find more than placing it on those that change.
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -95,6 +95,13 @@
     return changed;
 }
 
+float JobScheduler::rankOfWaiting(const Job& job, const Step& step)
+{
+    const float rank
+        = job.hasBegun ? job.rank * static_cast<float>(step.tasks.size()) / static_cast<float>(step.waiting) : job.rank;
+    return job.hasRun ? rank * startedJobWeight : rank;
+}
+
 bool JobScheduler::hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers) const
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
@@ -102,12 +109,8 @@
         // Without reservations the tasks are placed together, which takes more than the room of one worker.
         if (waitingStep.waiting == 0 || (waitingStep.waiting > 1 && !this->hasReservations(job, step)))
             continue;
-        // The highest rank that a placement may have now, see placementRequest.
-        float rank = job.rank;
-        if (job.hasBegun)
-            rank *= static_cast<float>(waitingStep.tasks.size()) / static_cast<float>(waitingStep.waiting);
-        if (job.hasRun)
-            rank *= startedJobWeight;
+        // A placement may have a lower rank when the goal is missed already.
+        const float rank = rankOfWaiting(job, waitingStep);
         this->workDone.workersVisited += workers.size();
         const Messages::Room& need = job.specification.steps[step].need;
         const bool isFitting = std::any_of(workers.begin(), workers.end(), [&](const WorkerView* worker) {
@@ -157,11 +160,7 @@
         request.tasksAtSidecar = this->tasksAtSidecar(job, stepIndex);
     request.dataCentre = this->settings.dataCentre;
     request.time = this->modelOf(now, job.queue).stepTime(specification.declaredMilliseconds / 1000.0);
-    // The remaining tasks carry the value of the whole job.
-    request.rank
-        = job.hasBegun ? job.rank * static_cast<float>(step.tasks.size()) / static_cast<float>(step.waiting) : job.rank;
-    if (job.hasRun)
-        request.rank *= startedJobWeight;
+    request.rank = rankOfWaiting(job, step);
     request.stretch = job.queue.stretch;
     request.salt = job.specification.id;
     request.now = now;
