--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -182,4 +182,37 @@
     return verdict(fleet, breaks);
 }
 
+int playUnreadableService(const CaseSetting& setting)
+{
+    Fleet fleet(setting.ownProgram, setting.root, setting.folder, setting.recordFile, { 3, 1, 1 });
+    if (!fleet.start())
+        return startFailed(fleet);
+    std::vector<std::string> breaks;
+    std::int64_t version = 10;
+    const std::vector<std::pair<const char*, json::value>> wrongFields { { "admission_control", "yes" },
+        { "standby", 1 }, { "health_path", 7 } };
+    for (const auto& [name, value] : wrongFields) {
+        json::object service = Fleet::usualService();
+        if (setting.isTroubled)
+            service[name] = value;
+        const std::string body = fleet.configuration(++version, service);
+        Answer answer;
+        for (int attempt = 0; attempt < 10 && (answer.status == 0 || answer.status >= 500); ++attempt) {
+            answer = fleet.operate("POST", 1 + attempt % 3, "/v1/config/put", body);
+            sleepMilliseconds(100);
+        }
+        if (answer.status != 200 && !setting.isTroubled)
+            return startFailed(fleet);
+        if (answer.status != 200 || !setting.isTroubled)
+            continue;
+        breaks.push_back("CONFIG: version " + std::to_string(version) + " with the service's " + name + " = "
+            + json::serialize(value) + " was acknowledged");
+        const Answer held = fleet.operate("GET", 1, "/v1/config/get", "");
+        if (held.status == 200 && held.body == body)
+            breaks.push_back(
+                "CONFIG: version " + std::to_string(version) + " is read back as the newest desired state");
+    }
+    return verdict(fleet, breaks);
+}
+
 }
--- a/review/standins/Cases.h
+++ b/review/standins/Cases.h
@@ -28,5 +28,7 @@
 int playCancelAtAnotherEntry(const CaseSetting& setting);
 /// A client chooses an id with capital digits.
 int playCapitalDigits(const CaseSetting& setting);
+/// An operator sends a desired state of which a service can't be read.
+int playUnreadableService(const CaseSetting& setting);
 
 }
--- a/review/standins/Fleet.cpp
+++ b/review/standins/Fleet.cpp
@@ -128,28 +128,48 @@
     child->start(command, {}, this->root, this->folder + "/worker" + std::to_string(number) + ".log");
 }
 
-bool Fleet::putConfiguration(std::int64_t version)
+json::object Fleet::usualService()
+{
+    return { { "name", service }, { "health_path", "/health" }, { "max_conns", 64 }, { "protocol", "h1" },
+        { "tls", false }, { "admission_control", true }, { "standby", false } };
+}
+
+std::string Fleet::configuration(std::int64_t version, const json::object& onlyService) const
 {
     const json::object route { { "name", "r-3hwrr6x" }, { "host", host }, { "path_prefix", prefix },
         { "type", "unsafe" }, { "timeout_ms", this->timeoutMilliseconds },
         { "target_completion_ms", this->targetMilliseconds }, { "priority", 0 }, { "service", service },
         { "max_attempts", 2 }, { "stretch", this->stretch } };
-    const json::object entry { { "name", service }, { "health_path", "/health" }, { "max_conns", 64 },
-        { "protocol", "h1" }, { "tls", false }, { "admission_control", true }, { "standby", false } };
     const json::object limits { { "max_header_bytes", 16384 }, { "max_body_bytes", 262144 },
         { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
-    const std::string body = json::serialize(json::object { { "version", version }, { "routes", json::array { route } },
-        { "services", json::array { entry } }, { "limits", limits } });
+    return json::serialize(json::object { { "version", version }, { "routes", json::array { route } },
+        { "services", json::array { onlyService } }, { "limits", limits } });
+}
+
+Answer Fleet::operate(const std::string& method, int state, const std::string& path, const std::string& body)
+{
+    this->log.write("operator: " + method + " " + path + " to replica " + std::to_string(state) + " " + body);
+    const std::int64_t begin = steadyMilliseconds();
+    const std::optional<Message> response = call(this->control(state),
+        { method, path, { { "Host", this->control(state) }, { "Content-Type", "application/json" } }, body }, 1000);
+    Answer answer;
+    answer.tookMilliseconds = steadyMilliseconds() - begin;
+    if (response) {
+        answer.status = response->status;
+        answer.body = response->body;
+    }
+    this->log.write(
+        "operator: " + method + " " + path + " answered " + std::to_string(answer.status) + " " + answer.body);
+    return answer;
+}
+
+bool Fleet::putConfiguration(std::int64_t version)
+{
+    const std::string body = this->configuration(version, usualService());
     const std::int64_t until = steadyMilliseconds() + 10'000;
     for (int state = 1; steadyMilliseconds() < until; state = state % this->size.states + 1) {
-        const std::optional<Message> answer = call(this->control(state),
-            { "POST", "/v1/config/put", { { "Host", this->control(state) }, { "Content-Type", "application/json" } },
-                body },
-            1000);
-        if (answer && answer->status == 200) {
-            this->log.write("operator: version " + std::to_string(version) + " acknowledged");
+        if (this->operate("POST", state, "/v1/config/put", body).status == 200)
             return true;
-        }
         sleepMilliseconds(100);
     }
     return false;
--- a/review/standins/Fleet.h
+++ b/review/standins/Fleet.h
@@ -58,6 +58,12 @@
 
     /// Sends the desired state until it is acknowledged; false when it isn't in 10 s.
     bool putConfiguration(std::int64_t version);
+    /// A desired state; `service` is its only service.
+    std::string configuration(std::int64_t version, const json::object& service) const;
+    /// The service that the first desired state has.
+    static json::object usualService();
+    /// One call of the operator, written to the record.
+    Answer operate(const std::string& method, int state, const std::string& path, const std::string& body);
     /// One request of a client, written to the record.
     Answer request(const std::string& method, int entry, const std::string& id, const std::string& body,
         std::int64_t patienceMilliseconds);
--- a/review/standins/Main.cpp
+++ b/review/standins/Main.cpp
@@ -19,6 +19,8 @@
         return review::playCancelAtAnotherEntry(setting);
     if (name == "capital-digits")
         return review::playCapitalDigits(setting);
+    if (name == "unreadable-service")
+        return review::playUnreadableService(setting);
     std::cerr << "no case " << name << "\n";
     return review::notRun;
 }
