Show a late start that runs beside the task's second run

Cause: nothing voids the open calls of a sidecar that has died, and the entry answers 504 for a job whose start is in doubt, after which its client hands the job in at another entry.

--- a/review/standins/Fleet.h
+++ b/review/standins/Fleet.h
@@ -76,6 +76,10 @@
     std::vector<Begin> begins() const;
     /// What has ended at workers so far.
     std::vector<End> ends() const;
+    /// Workers, as "i-...", and the tasks of the starts that they have put off so far.
+    std::vector<std::pair<std::string, std::string>> lateStarts() const;
+    /// Id of a worker.
+    static std::string workerId(int number);
 
     /// Extra arguments of workers, such as "answer-ms=5".
     std::vector<std::string> workerArguments;
--- a/review/standins/Worker.cpp
+++ b/review/standins/Worker.cpp
@@ -104,6 +104,12 @@
     if (error || !parsed.is_object())
         return this->answer(400, {});
     const json::object& order = parsed.get_object();
+    if (this->isLate(request.path, order)) {
+        this->carryOutLate(request.path, order);
+        // The connection stays open and silent until its other end gives up.
+        sleepMilliseconds(2 * this->settings.lateMilliseconds);
+        return this->answer(503, {});
+    }
     if (request.path == "/v1/run-start") {
         Message response = this->start(order);
         sleepMilliseconds(this->settings.answerMilliseconds);
@@ -116,6 +122,41 @@
     return this->answer(404, {});
 }
 
+bool Worker::isLate(const std::string& path, const json::object& order)
+{
+    // Time after a late renewal in which the first start is late as well.
+    constexpr std::int64_t bothLateTime = 60;
+    const std::lock_guard<std::mutex> guard(this->mutex);
+    if (this->settings.lateEvery == 0)
+        return false;
+    if (path == "/v1/run-start")
+        return this->clock() < std::exchange(this->lateStartsUntil, 0);
+    if (path != "/v1/hold" || !order.contains("deadline_ms") || ++this->renewals % this->settings.lateEvery != 0)
+        return false;
+    this->lateStartsUntil = this->clock() + bothLateTime;
+    return true;
+}
+
+void Worker::carryOutLate(const std::string& path, json::object order)
+{
+    // The renewal comes first, so that the lease is in force when the start comes.
+    constexpr std::int64_t renewalLead = 50;
+    const bool isStart = path == "/v1/run-start";
+    const std::string what = isStart ? "start " + text(order, "task") : "renewal";
+    this->record.write("worker " + this->settings.id + (isStart ? " late " : " puts off a ") + what);
+    const std::int64_t leaseLeft = number(order, "deadline_ms") - this->clock();
+    std::thread([this, isStart, what, order = std::move(order), leaseLeft]() mutable {
+        sleepMilliseconds(this->settings.lateMilliseconds - (isStart ? 0 : renewalLead));
+        if (!isStart) {
+            order["deadline_ms"] = this->clock() + leaseLeft;
+            order.erase("wait_ms");
+        }
+        const Message result = isStart ? this->start(order) : this->hold(order);
+        this->record.write(
+            "worker " + this->settings.id + " carried out late " + what + ": " + std::to_string(result.status));
+    }).detach();
+}
+
 bool Worker::acceptToken(const json::object& order)
 {
     const std::int64_t given = number(order, "fencing_token");
@@ -238,6 +279,8 @@
     settings.recordFile = given("record");
     settings.milliCores = std::stoll(given("cpu", "16000"));
     settings.answerMilliseconds = std::stoll(given("answer-ms", "0"));
+    settings.lateEvery = std::stoll(given("late-every", "0"));
+    settings.lateMilliseconds = std::stoll(given("late-ms", "3200"));
     std::stringstream labels(given("labels", "a,r1-1"));
     for (std::string label; std::getline(labels, label, ',');)
         settings.labels.push_back(label);
--- a/review/standins/Worker.h
+++ b/review/standins/Worker.h
@@ -19,6 +19,11 @@
     std::int64_t memoryMegabytes = 32'768;
     /// Time after which a start is answered; the task begins before.
     std::int64_t answerMilliseconds = 0;
+    /// Of so many renewals of the lease one gets no answer and is carried out late, its time counted from then, and
+    /// with it the first start that arrives soon after it; 0: none.
+    std::int64_t lateEvery = 0;
+    /// Time by which the start is late; the renewal is carried out a moment before.
+    std::int64_t lateMilliseconds = 3200;
 };
 
 /// A worker process.
@@ -38,6 +43,10 @@
     std::int64_t clock() const { return steadyMilliseconds() - this->bornSteady; }
     Message handle(const Message& request);
     Message start(const json::object& order);
+    // Whether the order that has just arrived is one that is carried out late.
+    bool isLate(const std::string& path, const json::object& order);
+    // Carries an order out late, without an answer.
+    void carryOutLate(const std::string& path, json::object order);
     Message stop(const json::object& order);
     Message hold(const json::object& order);
     Message answer(int status, json::object body) const;
@@ -63,6 +72,8 @@
     std::int64_t leaseEnd = 0;
     std::int64_t token = 0;
     std::int64_t sequence = 0;
+    std::int64_t renewals = 0;
+    std::int64_t lateStartsUntil = 0;
 };
 
 /// Reads settings and runs a worker; the exit code of the process.
