--- a/review/standins/Main.cpp
+++ b/review/standins/Main.cpp
@@ -28,8 +28,8 @@
 // case NAME ROOT RECORD: plays a case in a temporary folder, which stays when KEEP is set.
 int caseMain(const std::string& own, const std::string& name, const std::string& root, const std::string& record)
 {
-    char pattern[] = "/tmp/celeryswitch-review-XXXXXX";
-    const char* folder = ::mkdtemp(pattern);
+    std::string pattern = std::filesystem::temp_directory_path() / "celeryswitch-review-XXXXXX";
+    const char* folder = ::mkdtemp(pattern.data());
     if (!folder || !std::filesystem::exists(root + "/target/celeryswitch"))
         return review::notRun;
     std::ofstream(record, std::ios::trunc).close();
