Report a run as never started only on evidence of the incarnation that was asked to start it

Cause: a start without an answer is settled by the worker's next list. A run that the list doesn't name and that was not known to have begun ended as "not started". When the worker restarts under its id, that list comes from another incarnation, which knows nothing of what the earlier one had begun: absence of news was taken for proof. With another id the 421 answer ended the same runs as lost. The same held for a run that was told to stop and whose end went with the incarnation, for a list without a start time, and for a run that the worker had listed while it was being stopped.

Change: a run keeps the incarnation that its start was sent to. A list proves that it never started only if the same incarnation sent it and the worker never confirmed the start; all else is lost, so that the job is given up (504) and not refused. Each "not started" names its proof (never ordered, refused, not sent, unlisted) in RunTable.h, and the log of an end shows the proof and both incarnations.

The model fleet got workers that owe the answers to starts when they restart; with incarnations that state one start time (mechanism off) its check finds the fault.

--- a/UnitTests/Scheduling/LeasedFleetTest.cpp
+++ b/UnitTests/Scheduling/LeasedFleetTest.cpp
@@ -140,6 +140,24 @@
     return faults;
 }
 
+// Workers that restart under their ids while they owe the answers to starts that they have carried out.
+LeasedFaults restartedWorkerFaults()
+{
+    LeasedFaults faults;
+    faults.workerRestarts = 400;
+    faults.startAnswerSeconds = 0.025;
+    return faults;
+}
+
+// As many jobs as workers that restart all the time can't serve, so that returned tasks find no other place.
+LeasedOptions overloadedRestarts(std::uint64_t seed)
+{
+    LeasedOptions options = threeKinds(seed, 4);
+    options.duration = std::chrono::seconds(8);
+    options.faults = restartedWorkerFaults();
+    return options;
+}
+
 std::string joinLines(const std::vector<std::string>& lines)
 {
     std::string text;
@@ -295,6 +313,19 @@
     requireNoViolation(returningCallerFaults());
 }
 
+// Guards against jobs that are refused as not run although a worker began a task of them and restarted under its id
+// before it answered.
+TEST_CASE("no job that a restarted worker had begun is refused as not run", "[Scheduling][fleet]")
+{
+    for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
+        INFO("seed " << seed);
+        const LeasedResult result = LeasedFleet(overloadedRestarts(seed)).run();
+        INFO(joinLines(result.violations));
+        REQUIRE(result.violations.empty());
+        REQUIRE(result.runs > 100);
+    }
+}
+
 // Guards against checks that detect nothing: with a mechanism off, some seed violates an invariant.
 TEST_CASE("the fleet's checks detect a disabled mechanism", "[Scheduling][fleet]")
 {
@@ -332,6 +363,9 @@
     mechanisms = {};
     mechanisms.areCallersChecked = false;
     CHECK(violatesInvariant(suspensionAndStrayFaults(), mechanisms));
+    LeasedOptions restarts = overloadedRestarts(1);
+    restarts.mechanisms.areIncarnationsDistinct = false;
+    CHECK_FALSE(LeasedFleet(restarts).run().violations.empty());
 }
 
 // Guards against an overload in which kinds of small demand are refused as often as the kind that causes it.
--- /dev/null
+++ b/UnitTests/Workers/NotStartedProofTest.cpp
@@ -0,0 +1,105 @@
+// Which runs a RunSupervisor may report as never started: the entry then refuses their job as not run.
+#include "UnitTests/Workers/SupervisorFixture.h"
+#include <catch2/catch.hpp>
+
+using namespace celeryswitch;
+using namespace celeryswitch::Workers;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Messages::RunEnd;
+
+// The ends that were reported for an order.
+std::vector<RunEnd> endsOf(const SupervisorFixture& fixture, const Messages::OrderedTask& ordered)
+{
+    std::vector<RunEnd> ends;
+    for (const Messages::RunReport& report : fixture.reports) {
+        if (report.ordered == ordered && report.state == Messages::RunState::Ended)
+            ends.push_back(report.end);
+    }
+    return ends;
+}
+
+// A run of job 1 that the worker executes; the answer to its start has not arrived.
+struct UnansweredRun : ReadySupervisor {
+    UnansweredRun()
+    {
+        this->plan.time = 5s;
+        this->isNextStartLost = true;
+        this->startTasks(1, 1);
+        this->advance(1ms);
+        REQUIRE(this->lostCalls.size() == 1);
+        this->worker.handle(this->now(), this->lostCalls.front(), 999'999);
+        REQUIRE(this->isRunning(1));
+    }
+};
+
+}
+
+// Guards against a job that is refused as not run although a worker began a task of it and crashed before its answer:
+// the list of the worker's next incarnation, under the same id, doesn't name the run.
+TEST_CASE("a run that a worker began before it crashed is not reported as never started", "[Workers]")
+{
+    UnansweredRun fixture;
+    SECTION("no stop") { }
+    SECTION("a stop that the crashed worker accepted")
+    {
+        fixture.stop(1, fixture.orderedTask(1));
+        fixture.advance(1ms);
+        REQUIRE_FALSE(fixture.isRunning(1));
+    }
+    SECTION("a stop that the restarted worker accepts")
+    {
+        fixture.areStopsLost = true;
+        fixture.stop(1, fixture.orderedTask(1));
+        fixture.advance(1ms);
+        fixture.areStopsLost = false;
+    }
+    fixture.restartWorker(90'000);
+    fixture.advance(500ms);
+    REQUIRE(fixture.isReportedEnded(1));
+    REQUIRE(fixture.reportsOf(1).back().end == RunEnd::Lost);
+}
+
+// Guards against the same where the list can't be told from that of another incarnation.
+TEST_CASE("a list without the start time of its worker does not prove that a run never started", "[Workers]")
+{
+    UnansweredRun fixture;
+    fixture.alterResult = [](CallResult& result) { result.workerStartedAt.reset(); };
+    fixture.restartWorker(90'000);
+    fixture.advance(500ms);
+    REQUIRE(fixture.isReportedEnded(1));
+    REQUIRE(fixture.reportsOf(1).back().end == RunEnd::Lost);
+}
+
+// Guards against the same where the worker listed the run after it was told to stop, and its end got lost.
+TEST_CASE("a run that was listed while it was being stopped is not reported as never started", "[Workers]")
+{
+    UnansweredRun fixture;
+    fixture.areStopsLost = true;
+    fixture.stop(1, fixture.orderedTask(1));
+    fixture.advance(200ms);
+    REQUIRE(fixture.isRunning(1));
+    fixture.alterResult = [](CallResult& result) { result.ended.clear(); };
+    fixture.areStopsLost = false;
+    fixture.advance(500ms);
+    REQUIRE_FALSE(fixture.isRunning(1));
+    REQUIRE(fixture.reportsOf(1).back().end == RunEnd::Lost);
+}
+
+// Guards against refusals that lose a proof they had: the incarnation that the start was sent to never executed it.
+TEST_CASE("an unanswered start is reported as never started by the incarnation that it was sent to", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.advance(100ms);
+    fixture.restartWorker(90'000);
+    fixture.supervisor->workerAnnounced(fixture.now(), fixture.worker.announcement(fixture.now()));
+    fixture.advance(100ms);
+    REQUIRE(fixture.load.isReady);
+    fixture.isNextStartLost = true;
+    fixture.startTasks(1, 1);
+    fixture.advance(400ms);
+    REQUIRE(fixture.historyOf(1).empty());
+    REQUIRE(fixture.reportsOf(1).back().end == RunEnd::NotStarted);
+}
--- a/celeryswitch/Experiment/LeasedFaults.h
+++ b/celeryswitch/Experiment/LeasedFaults.h
@@ -28,6 +28,9 @@
     double entrySuspensions = 0;
     /// Workers that start again at once, under the same id.
     double workerRestarts = 0;
+    /// Time between the begin of a run and the worker's answer to its start, in seconds; a worker that restarts
+    /// meanwhile never answers.
+    double startAnswerSeconds = 0;
     /// Whether a worker's start time is the time of day, as on the platform, and not the number of its incarnation.
     bool isStartTimeOfDay = false;
     /// Announcements and deregistrations of other workers or of earlier incarnations that reach a sidecar.
@@ -81,6 +84,8 @@
     bool areCallersChecked = true;
     /// The clocks of processes count the time for which their machines were suspended.
     bool isSuspensionCounted = true;
+    /// Incarnations of a worker under the same id state different start times.
+    bool areIncarnationsDistinct = true;
 };
 
 }
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -234,6 +234,8 @@
     void callWorker(std::size_t index, Workers::CallWorker order);
     void deliverCall(std::size_t index, std::uint64_t incarnation, std::uint64_t sidecarIncarnation,
         const Workers::CallWorker& order);
+    // Passes the answer to a call to its sidecar, unless the call has timed out.
+    void answerCall(std::size_t index, std::uint64_t ticket, const Workers::CallResult& answer);
     void connect(std::size_t entry, std::size_t worker);
     void disconnect(std::size_t entry, std::size_t worker);
     void maintainLinks();
--- a/celeryswitch/Experiment/LeasedFleetWorkers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetWorkers.cpp
@@ -25,6 +25,8 @@
     settings.workerId = !workerId.empty() ? workerId : "w-" + std::to_string(index) + "-" + std::to_string(incarnation);
     settings.bornAt = this->options.faults.isStartTimeOfDay ? Core::toClockSample(this->events.now()) / 1000
                                                             : static_cast<std::int64_t>(incarnation) * 1000;
+    if (!workerId.empty() && !this->options.mechanisms.areIncarnationsDistinct)
+        settings.bornAt = sidecar.worker->settings().bornAt;
     settings.service = "loans";
     const auto& classes = this->options.workerClasses;
     settings.capacity
@@ -119,14 +121,8 @@
     if (!sidecar.worker->isAlive())
         return;
     for (auto& [ticket, result] : sidecar.worker->advance(this->events.now())) {
-        this->events.scheduleAfter(callDelay, [this, index, ticket = ticket, answer = std::move(result)] {
-            this->runWhenAwake(*this->sidecars[index], [this, index, ticket, answer] {
-                if (this->sidecars[index]->calls.erase(ticket) == 0)
-                    return;
-                this->sidecars[index]->supervisor->callFinished(this->events.now(), ticket >> 20, answer);
-                this->pollSidecar(index);
-            });
-        });
+        this->events.scheduleAfter(callDelay,
+            [this, index, ticket = ticket, answer = std::move(result)] { this->answerCall(index, ticket, answer); });
     }
     const SteadyTime due = sidecar.worker->nextEventTime();
     if (due < SteadyTime::max()
@@ -219,13 +215,26 @@
     this->advanceWorker(index);
     if (!result || sidecarIncarnation == 0)
         return;
-    this->events.scheduleAfter(callDelay, [this, index, ticket, answer = std::move(*result)] {
-        this->runWhenAwake(*this->sidecars[index], [this, index, ticket, answer] {
-            if (this->sidecars[index]->calls.erase(ticket) == 0)
-                return;
-            this->sidecars[index]->supervisor->callFinished(this->events.now(), ticket >> 20, answer);
-            this->pollSidecar(index);
+    const Duration answerTime = std::holds_alternative<Workers::StartCall>(call)
+        ? seconds(this->options.faults.startAnswerSeconds)
+        : Duration {};
+    this->events.scheduleAfter(
+        answerTime + callDelay, [this, index, incarnation, answerTime, ticket, answer = std::move(*result)] {
+            const bool isAnswered = answerTime <= Duration::zero()
+                || (this->sidecars[index]->workerIncarnation == incarnation
+                    && this->sidecars[index]->worker->isAlive());
+            if (isAnswered)
+                this->answerCall(index, ticket, answer);
         });
+}
+
+void LeasedFleet::answerCall(std::size_t index, std::uint64_t ticket, const Workers::CallResult& answer)
+{
+    this->runWhenAwake(*this->sidecars[index], [this, index, ticket, answer] {
+        if (this->sidecars[index]->calls.erase(ticket) == 0)
+            return;
+        this->sidecars[index]->supervisor->callFinished(this->events.now(), ticket >> 20, answer);
+        this->pollSidecar(index);
     });
 }
 
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -1,5 +1,7 @@
 #include "celeryswitch/Workers/RunSupervisor.h"
 
+#include "celeryswitch/Core/Assert.h"
+
 namespace celeryswitch::Workers {
 
 using Core::SteadyTime;
@@ -196,7 +198,7 @@
             break;
         Run& best = *this->runs.find(this->runs.queue().begin()->second);
         if (now >= best.startBy)
-            this->endRun(now, best, RunEvent::StopWanted, RunEnd::NotStarted, RunRefusal::NoRoom);
+            this->endUnstartedRun(now, best, RunEvent::StopWanted, NoStartProof::NeverOrdered, RunRefusal::NoRoom);
         else if (this->isStartable(now, best))
             this->fire(now, best, RunEvent::RoomGranted);
         else
@@ -247,7 +249,7 @@
         if (run.phase == RunPhase::Ended || run.phase == RunPhase::Stopping)
             continue;
         if (run.phase == RunPhase::Queued && (now >= run.startBy || this->worker.isDraining || this->isShuttingDown)) {
-            this->endRun(now, run, RunEvent::StopWanted, RunEnd::NotStarted,
+            this->endUnstartedRun(now, run, RunEvent::StopWanted, NoStartProof::NeverOrdered,
                 now >= run.startBy ? RunRefusal::NoRoom : RunRefusal::Draining);
             continue;
         }
@@ -335,12 +337,25 @@
         { { "job", Messages::jobText(run.task.job) }, { "task", run.task.index }, { "run", run.number },
             { "entry", run.entry }, { "order", run.order }, { "reason", std::string(reason) },
             { "phase", std::string(Core::enumName(run.phase)) } });
-    this->fire(now, run, RunEvent::StopWanted);
+    if (run.phase == RunPhase::Queued)
+        this->endUnstartedRun(now, run, RunEvent::StopWanted, NoStartProof::NeverOrdered, run.refusal);
+    else
+        this->fire(now, run, RunEvent::StopWanted);
 }
 
 void RunSupervisor::endRun(SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal)
 {
+    CELERY_ASSERT(end != RunEnd::NotStarted);
     run.end = end;
+    run.noStartProof.reset();
+    run.refusal = refusal;
+    this->fire(now, run, event);
+}
+
+void RunSupervisor::endUnstartedRun(SteadyTime now, Run& run, RunEvent event, NoStartProof proof, RunRefusal refusal)
+{
+    run.end = RunEnd::NotStarted;
+    run.noStartProof = proof;
     run.refusal = refusal;
     this->fire(now, run, event);
 }
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -267,7 +267,13 @@
     void stopRun(Core::SteadyTime now, Run& run, std::string_view reason);
     // Logs the end of a run that may have started and was not done, with what the end was concluded from.
     void logEnd(Core::SteadyTime now, const Run& run, RunEvent evidence) const;
+    // Ends a run that may have started.
     void endRun(Core::SteadyTime now, Run& run, RunEvent event, RunEnd end, RunRefusal refusal = RunRefusal::None);
+    // Ends a run that certainly never started.
+    void endUnstartedRun(Core::SteadyTime now, Run& run, RunEvent event, NoStartProof proof, RunRefusal refusal);
+    // Ends a run that is absent from a list of the worker. `listedBy` is the start time of the incarnation that sent
+    // the list, if it stated it.
+    void endUnlistedRun(Core::SteadyTime now, Run& run, std::optional<std::int64_t> listedBy);
     // Tells the entry of a run with the next update, and, for `report`, sends that at once.
     void addReport(Core::SteadyTime now, const Run& run);
     void report(Core::SteadyTime now, const Run& run);
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -48,6 +48,7 @@
 void RunSupervisor::sendStart(SteadyTime now, Run& run)
 {
     run.startToken = this->fencingToken;
+    run.orderedIncarnation = this->worker.workerStartedAt;
     if (run.orderedAt == SteadyTime {})
         run.orderedAt = now;
     const std::int64_t leaseEnd = this->extendLease(now).value_or(this->worker.leaseEnd);
@@ -228,17 +229,17 @@
             this->sendStart(now, *run);
             return;
         }
-        this->endRun(now, *run, RunEvent::StartRefused, RunEnd::NotStarted,
+        this->endUnstartedRun(now, *run, RunEvent::StartRefused, NoStartProof::Refused,
             result.refusal == CallRefusal::Room       ? RunRefusal::NoRoom
                 : result.refusal == CallRefusal::Late ? RunRefusal::Late
                                                       : RunRefusal::Rejected);
         break;
     case CallStatus::Unhealthy:
         this->recordRefusal(now);
-        this->endRun(now, *run, RunEvent::StartRefused, RunEnd::NotStarted, RunRefusal::Unhealthy);
+        this->endUnstartedRun(now, *run, RunEvent::StartRefused, NoStartProof::Refused, RunRefusal::Unhealthy);
         break;
     case CallStatus::NotSent:
-        this->endRun(now, *run, RunEvent::StartRefused, RunEnd::NotStarted, RunRefusal::Unhealthy);
+        this->endUnstartedRun(now, *run, RunEvent::StartRefused, NoStartProof::NotSent, RunRefusal::Unhealthy);
         break;
     case CallStatus::OtherIncarnation:
         break;
--- a/celeryswitch/Workers/RunSupervisorLife.cpp
+++ b/celeryswitch/Workers/RunSupervisorLife.cpp
@@ -128,7 +128,7 @@
     this->health = {};
     for (auto& [task, run] : this->runs.all()) {
         if (run.phase == RunPhase::Queued)
-            this->endRun(now, run, RunEvent::Lost, RunEnd::NotStarted, RunRefusal::Unhealthy);
+            this->endUnstartedRun(now, run, RunEvent::Lost, NoStartProof::NeverOrdered, RunRefusal::Unhealthy);
         else if (run.phase != RunPhase::Ended)
             this->endRun(now, run, RunEvent::Lost, RunEnd::Lost);
     }
--- a/celeryswitch/Workers/RunSupervisorLists.cpp
+++ b/celeryswitch/Workers/RunSupervisorLists.cpp
@@ -44,9 +44,7 @@
             || (call.sentAt < run.listedFrom && call.fencingToken <= run.startToken))
             continue;
         if (isListWhole)
-            this->endRun(now, run, RunEvent::Unlisted,
-                run.startedAt != SteadyTime {} || run.mayHaveEnded ? RunEnd::Lost : RunEnd::NotStarted,
-                RunRefusal::Unanswered);
+            this->endUnlistedRun(now, run, result.workerStartedAt);
         else if (run.phase != RunPhase::Starting)
             // A run that must end bounds the lease, so that the end is certain at the latest when the lease is over.
             this->stopRun(now, run, "missing in a list with an unreadable row");
@@ -63,6 +61,16 @@
     }
 }
 
+void RunSupervisor::endUnlistedRun(SteadyTime now, Run& run, std::optional<std::int64_t> listedBy)
+{
+    // Another incarnation doesn't know what the one that the start was sent to had begun.
+    const bool isSameIncarnation = listedBy && listedBy == run.orderedIncarnation;
+    if (isSameIncarnation && !run.isStartConfirmed && !run.mayHaveEnded)
+        this->endUnstartedRun(now, run, RunEvent::Unlisted, NoStartProof::Unlisted, RunRefusal::Unanswered);
+    else
+        this->endRun(now, run, RunEvent::Unlisted, RunEnd::Lost, RunRefusal::Unanswered);
+}
+
 void RunSupervisor::handleRunningRun(SteadyTime now, const PendingCall& call, const RunningRunRecord& record)
 {
     Run* run = this->runs.find(record.task);
--- a/celeryswitch/Workers/RunSupervisorRecords.cpp
+++ b/celeryswitch/Workers/RunSupervisorRecords.cpp
@@ -55,7 +55,10 @@
         { { "job", Messages::jobText(run.task.job) }, { "task", run.task.index }, { "run", run.number },
             { "entry", run.entry }, { "order", run.order }, { "end", std::string(Core::enumName(run.end)) },
             { "refusal", std::string(Core::enumName(run.refusal)) },
-            { "evidence", std::string(Core::enumName(evidence)) }, { "ran_ms", age(run.startedAt) },
+            { "evidence", std::string(Core::enumName(evidence)) },
+            { "no_start_proof", run.noStartProof ? std::string(Core::enumName(*run.noStartProof)) : "none" },
+            { "ordered_born", run.orderedIncarnation.value_or(-1) },
+            { "born", this->worker.workerStartedAt.value_or(-1) }, { "ran_ms", age(run.startedAt) },
             { "stopping_ms", age(run.stopWantedAt) }, { "contact_age_ms", age(this->contactAt) },
             { "lease_left_ms",
                 this->worker.clock.isKnown() ? this->worker.leaseEnd - this->worker.clock.at(now) : 0 } });
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <tuple>
 
 namespace celeryswitch::Workers {
@@ -52,6 +53,19 @@
     OrderStop,
 };
 
+/// What proves that a run never started. A run that ends without a proof counts as lost.
+enum class NoStartProof : std::uint8_t {
+    /// The worker was not asked to start the run.
+    NeverOrdered,
+    /// The worker refused the start.
+    Refused,
+    /// No connection for the start was established.
+    NotSent,
+    /// The incarnation of the worker that the start was sent to does not list the run and can't execute the start any
+    /// more.
+    Unlisted,
+};
+
 /// An order for a task whose earlier run has not ended.
 struct RefusedOrder {
     Core::InstanceId entry;
@@ -79,11 +93,14 @@
     Core::SteadyTime startBy = Core::SteadyTime::max();
     /// Whether a list of ends had a row that could not be read and may be the end of this run.
     bool mayHaveEnded = false;
-    /// Set before the phase becomes Ended.
-    RunEnd end = RunEnd::NotStarted;
+    /// Set before the phase becomes Ended; NotStarted only together with `noStartProof`.
+    RunEnd end = RunEnd::Lost;
+    std::optional<NoStartProof> noStartProof;
     RunRefusal refusal = RunRefusal::None;
     /// Fencing token of the last start call; a call with a higher token that the worker answers voids the start.
     std::uint64_t startToken = 0;
+    /// Incarnation of the worker that the last start call was sent to, by its start time; std::nullopt if unknown.
+    std::optional<std::int64_t> orderedIncarnation;
     /// Lists that are requested from this time on show the run until it ends: its start or its stop was answered
     /// before. The largest time while neither was.
     Core::SteadyTime listedFrom = Core::SteadyTime::max();
@@ -208,6 +225,16 @@
     } };
 };
 
+template <> struct EnumTable<Workers::NoStartProof> {
+    static constexpr std::string_view type = "NoStartProof";
+    static constexpr std::array<std::pair<Workers::NoStartProof, std::string_view>, 4> names { {
+        { Workers::NoStartProof::NeverOrdered, "never-ordered" },
+        { Workers::NoStartProof::Refused, "refused" },
+        { Workers::NoStartProof::NotSent, "not-sent" },
+        { Workers::NoStartProof::Unlisted, "unlisted" },
+    } };
+};
+
 template <> struct EnumTable<Workers::RunGuard> {
     static constexpr std::string_view type = "RunGuard";
     static constexpr std::array<std::pair<Workers::RunGuard, std::string_view>, 1> names { {
