Tell an entry that its order met a run that began, and not that nothing started

Callers could see: a job answered 503 "never runs" by one entry while a run of the same job, for the caller's earlier request at another entry, had begun on the worker.

Cause: an order for a task that another order holds waits until that run has ended and was then reported as "not started" (TaskBusy), whatever the run had done. True of the order, not of the job; the entry knows the job by its own order only.

Change: the order ends as not started only if the other run has a proof of that, else as lost. The job is then given up rather than refused, as for any other run that may have begun.

--- a/UnitTests/Workers/NotStartedProofTest.cpp
+++ b/UnitTests/Workers/NotStartedProofTest.cpp
@@ -103,3 +103,32 @@
     REQUIRE(fixture.historyOf(1).empty());
     REQUIRE(fixture.reportsOf(1).back().end == RunEnd::NotStarted);
 }
+
+// Guards against a job that is refused as not run at one entry although a run for its earlier request at another entry
+// began.
+TEST_CASE("an order that was refused because of a run that began is not reported as never started", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.connect(2, "entry-2");
+    fixture.liveConnections = { 1, 2 };
+    fixture.plan.time = 5s;
+    SECTION("the other run began")
+    {
+        fixture.startTasks(1, 1);
+        fixture.advance(50ms);
+        fixture.startTasks(2, 1);
+        fixture.advance(100ms);
+        REQUIRE(endsOf(fixture, fixture.orderedTask(1)) == std::vector { RunEnd::Lost });
+    }
+    SECTION("the other run was still queued")
+    {
+        fixture.startTasks(1, 2, 1, 32'000);
+        fixture.advance(20ms);
+        fixture.startTasks(1, 1);
+        fixture.advance(20ms);
+        fixture.startTasks(2, 1);
+        fixture.advance(100ms);
+        REQUIRE(fixture.historyOf(1).empty());
+        REQUIRE(endsOf(fixture, fixture.orderedTask(1)) == std::vector { RunEnd::NotStarted });
+    }
+}
--- a/celeryswitch/Workers/RunSupervisorEntries.cpp
+++ b/celeryswitch/Workers/RunSupervisorEntries.cpp
@@ -192,8 +192,9 @@
         const auto found = this->entries.find(refused.entry);
         if (found == this->entries.end() || found->second.incarnation != refused.entryIncarnation)
             continue;
-        found->second.reports.push_back({ { run.task, refused.order }, refused.run, RunState::Ended, RunEnd::NotStarted,
-            RunRefusal::TaskBusy, 0, 0 });
+        // The entry refuses a job as not run only if no run of it began, also for an earlier request of its caller.
+        found->second.reports.push_back({ { run.task, refused.order }, refused.run, RunState::Ended,
+            run.noStartProof ? RunEnd::NotStarted : RunEnd::Lost, RunRefusal::TaskBusy, 0, 0 });
         found->second.isUpdateDue = true;
     }
 }
