Answer a claim that meets another run of its task with lost, not with never started

Callers could see: a job answered 503 "never runs" whose run an earlier process of the sidecar had started.

Cause: an entry claims its orders when a sidecar is back. If the new process had a run of the same task for another order, the claim was answered with "not started" (TaskBusy) once that run had ended; but the claimed order may have been carried out by the process before, of which the new one knows nothing. Without another run such a claim is answered with "lost".

Change: orders that are known from a claim only are marked as possibly started and end as lost.

Test: on the code before, "a claimed order is not reported as never started because of another run of its task" got 7 (not started) in place of 6 (lost); it passes now.

--- a/UnitTests/Workers/NotStartedProofTest.cpp
+++ b/UnitTests/Workers/NotStartedProofTest.cpp
@@ -132,3 +132,30 @@
         REQUIRE(endsOf(fixture, fixture.orderedTask(1)) == std::vector { RunEnd::NotStarted });
     }
 }
+
+// Guards against a job that is refused as not run although an earlier process of the sidecar had started its run: the
+// claim of the entry meets a run of the same task for another order.
+TEST_CASE("a claimed order is not reported as never started because of another run of its task", "[Workers]")
+{
+    ReadySupervisor fixture;
+    fixture.plan.time = 5s;
+    fixture.startTasks(1, 1);
+    fixture.advance(50ms);
+    const Messages::OrderedTask claimed = fixture.orderedTask(1);
+    fixture.restartWorker(90'000);
+    fixture.restart(6);
+    fixture.connect(2, "entry-2");
+    fixture.liveConnections = { 2 };
+    fixture.announceWorker();
+    fixture.startTasks(2, 2, 1, 32'000);
+    fixture.advance(20ms);
+    fixture.startTasks(2, 1);
+    fixture.advance(20ms);
+    fixture.connect(3, "entry-1");
+    fixture.liveConnections = { 2, 3 };
+    Messages::ClaimRuns claims;
+    claims.runs.push_back({ claimed, 1, { 3000, 64, 0 } });
+    fixture.supervisor->messageReceived(fixture.now(), 3, std::move(claims));
+    fixture.advance(100ms);
+    REQUIRE(endsOf(fixture, claimed) == std::vector { RunEnd::Lost });
+}
--- a/celeryswitch/Workers/RunSupervisorEntries.cpp
+++ b/celeryswitch/Workers/RunSupervisorEntries.cpp
@@ -99,7 +99,7 @@
                 || (run->entry.empty() && run->number >= claim.run));
         if (isActive && !isClaimed) {
             // The entry may start the task elsewhere as soon as it is told, so that this run has to end first.
-            run->refusedAtEnd.push_back({ id, entry.incarnation, claim.ordered.order, claim.run });
+            run->refusedAtEnd.push_back({ id, entry.incarnation, claim.ordered.order, claim.run, true });
             this->stopRun(now, *run, "task claimed for another order");
             continue;
         }
@@ -193,8 +193,9 @@
         if (found == this->entries.end() || found->second.incarnation != refused.entryIncarnation)
             continue;
         // The entry refuses a job as not run only if no run of it began, also for an earlier request of its caller.
+        const bool isUnstarted = run.noStartProof && !refused.mayHaveStarted;
         found->second.reports.push_back({ { run.task, refused.order }, refused.run, RunState::Ended,
-            run.noStartProof ? RunEnd::NotStarted : RunEnd::Lost, RunRefusal::TaskBusy, 0, 0 });
+            isUnstarted ? RunEnd::NotStarted : RunEnd::Lost, RunRefusal::TaskBusy, 0, 0 });
         found->second.isUpdateDue = true;
     }
 }
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -72,6 +72,8 @@
     Core::Incarnation entryIncarnation = 0;
     std::uint64_t order = 0;
     std::uint32_t run = 0;
+    /// Whether an earlier process of this sidecar may have started a run for the order.
+    bool mayHaveStarted = false;
 };
 
 /// A run of a task on the worker.
