Let workers of the soak come back under their ids, with answers they still owed

The soak's workers came back under new ids and answered every start at once, so that no run was begun, unanswered and gone at the same time. Now a worker that crashes begins what it is told for 30 ms without answering, every second life has the id of the one before, and while there are faults one job in four can run on one worker only, so that it is refused rather than placed elsewhere when that worker is lost.

--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::uint32_t queueCount = 3;
+// One in this many jobs can only run on one worker while there are faults.
+constexpr std::uint64_t boundJobInterval = 4;
 constexpr std::chrono::milliseconds resendTime { 1300 };
 constexpr std::chrono::seconds leadTime { 10 };
 // Time after the last fault until service is expected to be whole again, and length of the calm time that follows.
@@ -157,6 +159,9 @@
     job.sentAt = now();
     job.patience = seconds(1.5 + 3 * (1.6 * longest + 0.06));
     job.isCalm = now() >= this->startedAt + this->settings.duration + recoveryTime;
+    // A job that loses its only worker is refused rather than placed elsewhere.
+    if (number % boundJobInterval == 0 && now() < this->startedAt + this->settings.duration)
+        job.requiredLabel = SoakWorker::rackLabel(std::to_string(1 + number / boundJobInterval % this->workers.size()));
     this->submit(number);
 }
 
@@ -189,7 +194,7 @@
     const double longest = std::chrono::duration<double>(job.taskTimes.front()).count();
     Http::HttpRequest request = writeJob(queueHost(job.queue), queuePrefix(job.queue), job.id,
         static_cast<std::uint32_t>(job.taskTimes.size()), { job.milliCores, 64, 0 },
-        static_cast<std::uint32_t>(longest * 1000 * (0.7 + 0.6 * this->uniform())),
+        static_cast<std::uint32_t>(longest * 1000 * (0.7 + 0.6 * this->uniform())), job.requiredLabel,
         std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
     const SteadyTime sentAt = now();
     caller.connection->request(std::move(request), left,
--- a/Soak/SoakRun.h
+++ b/Soak/SoakRun.h
@@ -54,6 +54,8 @@
         std::uint32_t queue = 0;
         std::vector<Core::Duration> taskTimes;
         std::uint32_t milliCores = 0;
+        /// Label of the one worker that can run it; empty when all can.
+        std::string requiredLabel;
         Core::SteadyTime sentAt;
         Core::Duration patience {};
         std::uint32_t submissions = 0;
--- a/Soak/SoakWire.cpp
+++ b/Soak/SoakWire.cpp
@@ -118,10 +118,12 @@
 
 Http::HttpRequest writeJob(const std::string& host, const std::string& prefix, const std::string& id,
     std::uint32_t tasks, const Messages::Room& need, std::uint32_t declaredMilliseconds,
-    std::int64_t patienceMilliseconds)
+    const std::string& requiredLabel, std::int64_t patienceMilliseconds)
 {
-    const json::object step { { "count", tasks }, { "cpu", need.milliCores }, { "mem_mb", need.memoryMegabytes },
+    json::object step { { "count", tasks }, { "cpu", need.milliCores }, { "mem_mb", need.memoryMegabytes },
         { "estimated_ms", declaredMilliseconds } };
+    if (!requiredLabel.empty())
+        step["required_label"] = requiredLabel;
     const json::object body { { "spec", "soak" }, { "best_effort", true }, { "steps", json::array { step } } };
     return { "POST", prefix + id,
         { { "Host", host }, { "Content-Type", "application/json" },
--- a/Soak/SoakWire.h
+++ b/Soak/SoakWire.h
@@ -14,10 +14,11 @@
 Http::HttpResponse writeResult(const Workers::CallResult& result, std::int64_t bornAt);
 /// The request by which a worker announces itself.
 Http::HttpRequest writeHeartbeat(const Workers::WorkerAnnouncement& announcement);
-/// The request by which a caller hands in a job of alike tasks; `prefix` is its queue's.
+/// The request by which a caller hands in a job of alike tasks; `prefix` is its queue's. An empty `requiredLabel`
+/// stands for none.
 Http::HttpRequest writeJob(const std::string& host, const std::string& prefix, const std::string& id,
     std::uint32_t tasks, const Messages::Room& need, std::uint32_t declaredMilliseconds,
-    std::int64_t patienceMilliseconds);
+    const std::string& requiredLabel, std::int64_t patienceMilliseconds);
 /// A whole routing document of some queues, under a version.
 std::string writeDocument(std::uint64_t version, std::uint32_t queues, std::uint32_t timeoutMilliseconds);
 /// Host of queue `number`, and its path prefix.
--- a/Soak/SoakWorker.cpp
+++ b/Soak/SoakWorker.cpp
@@ -10,6 +10,8 @@
 constexpr Http::HttpLimits limits { 256 * 1024, 16 * 1024, std::chrono::seconds(10), std::chrono::seconds(10),
     std::chrono::seconds(60) };
 constexpr std::size_t connectionsLimit = 64;
+// Time for which a worker that crashes begins runs without answering: shorter than the time-out of a start.
+constexpr std::chrono::milliseconds failingTime { 30 };
 
 Core::SteadyTime steadyNow() { return Core::BootClock::now(); }
 
@@ -48,12 +50,13 @@
 void SoakWorker::live()
 {
     ++this->life;
+    this->isFailing = false;
     Experiment::LeasedWorkerSettings settings;
-    settings.workerId = "w-" + this->name + "-" + std::to_string(this->life);
+    settings.workerId = "w-" + this->name + "-" + std::to_string((this->life + 1) / 2);
     settings.bornAt = Core::toUnixMilliseconds(std::chrono::system_clock::now());
     settings.service = "loans";
     settings.capacity = { 32'000, 65'536, 0 };
-    settings.labels = { "a", "rack-" + this->name };
+    settings.labels = { "a", rackLabel(this->name) };
     settings.clockRate = 0.98 + 0.02 * std::uniform_real_distribution<double>(0, 1)(this->random);
     this->model = std::make_unique<Experiment::LeasedWorkerModel>(settings, this->planner, steadyNow());
 }
@@ -73,8 +76,17 @@
 
 void SoakWorker::crash(Core::Duration until)
 {
-    if (!this->model->isAlive())
+    if (!this->model->isAlive() || std::exchange(this->isFailing, true))
         return;
+    this->lifeTimer.expires_after(failingTime);
+    this->lifeTimer.async_wait([this, until](const boost::system::error_code& error) {
+        if (!error)
+            this->end(until);
+    });
+}
+
+void SoakWorker::end(Core::Duration until)
+{
     this->model->terminate(steadyNow());
     this->past.insert(this->past.end(), this->model->history().begin(), this->model->history().end());
     this->waiting.clear();
@@ -117,9 +129,9 @@
     } else {
         result = this->model->handle(steadyNow(), call, ticket);
     }
-    if (session && result)
+    if (session && result && !this->isFailing)
         session->respond(writeResult(*result, this->model->settings().bornAt));
-    else if (session)
+    else if (session && !result)
         this->waiting[ticket] = session;
     this->turn();
 }
@@ -130,7 +142,7 @@
         return;
     for (const auto& [ticket, result] : this->model->advance(steadyNow())) {
         auto node = this->waiting.extract(ticket);
-        if (!node.empty())
+        if (!node.empty() && !this->isFailing)
             node.mapped()->respond(writeResult(result, this->model->settings().bornAt));
     }
     const Core::SteadyTime due = this->model->nextEventTime();
--- a/Soak/SoakWorker.h
+++ b/Soak/SoakWorker.h
@@ -20,7 +20,8 @@
     Core::Result<void> start();
     /// Address by which the sidecar reaches the worker: a relay that can be cut.
     const std::string& address() const { return this->relay->address(); }
-    /// Ends everything at once; a new life begins after a while.
+    /// Stops answering, and ends everything a moment later. A new life begins after `until`, every second one under the
+    /// id of the life before.
     void crash(Core::Duration until);
     /// Cuts or heals the path of orders.
     void setCut(bool isCut) { this->relay->setCut(isCut); }
@@ -29,11 +30,14 @@
     /// Processor room, and the part of it that runs use now, in thousandths of a core.
     std::int64_t milliCores() const { return this->model->settings().capacity.milliCores; }
     std::int64_t usedMilliCores() const { return this->model->usedRoom().milliCores; }
+    /// Label that only the worker of this name has.
+    static std::string rackLabel(const std::string& name) { return "rack-" + name; }
     /// Every run of every life.
     std::vector<Experiment::RunRecord> history() const;
 
 private:
     void live();
+    void end(Core::Duration until);
     void announce();
     void received(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request);
     void carryOut(const Http::HttpSession::Pointer& session, std::uint64_t life, const Workers::WorkerCall& call,
@@ -57,6 +61,8 @@
     std::map<std::uint64_t, Http::HttpSession::Pointer> waiting;
     std::uint64_t lastTicket = 0;
     double latePart = 0;
+    /// Whether the worker is about to crash: it begins what it is told to, and its answers never leave.
+    bool isFailing = false;
     bool isAnnouncing = false;
 };
 
