--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cpp
@@ -34,6 +34,8 @@
     const auto number = static_cast<unsigned>(::getpid());
     this->network = "127." + std::to_string(1 + number % 200) + "." + std::to_string(number / 200 % 250) + ".";
     int next = 10;
+    for (int index = 1; index <= std::min(3, this->fleetSize.states); ++index)
+        this->seeds.push_back(index);
     for (int index = 1; index <= this->fleetSize.states; ++index)
         this->addresses["state-" + std::to_string(index)] = this->network + std::to_string(next++);
     for (int index = 1; index <= this->fleetSize.entries; ++index)
@@ -73,14 +75,14 @@
     const std::string ip = this->ipOf(name);
     const std::string machineClass = role == "entry" ? "front" : role == "sidecar" ? "side" : "core";
     const std::string serves = role == "entry" ? "front" : role == "sidecar" ? "side" : "control";
-    std::string seeds;
-    for (int index = 1; index <= std::min(3, this->fleetSize.states); ++index)
-        seeds += (seeds.empty() ? "" : ",") + quoted(this->control(index));
+    std::string seedList;
+    for (const int number : this->seeds)
+        seedList += (seedList.empty() ? "" : ",") + quoted(this->control(number));
     std::ofstream file(this->folder + "/" + name + ".toml");
     file << "node = " << quoted(name) << "\nrole = " << quoted(role) << "\nmachine_class = " << quoted(machineClass)
          << "\nserves = [" << quoted(serves) << "]\nip = " << quoted(ip)
          << "\nzone = " << quoted(zones[(numberOf(name) - 1) % 3])
-         << "\nregion = \"nordeste\"\nport_range = [18120, 18135]\nseeds = [" << seeds
+         << "\nregion = \"nordeste\"\nport_range = [18120, 18135]\nseeds = [" << seedList
          << "]\nbootstrap = " << (this->wasStarted[name] ? "false" : "true")
          << "\nheartbeat_ms = 1500\nconfig_mode = \"highest\"\norders = \"invoke\"\n";
     if (role == "state") {
@@ -122,7 +124,7 @@
     return process > 0;
 }
 
-bool Fleet::start()
+bool Fleet::startWorkers()
 {
     for (int index = 1; index <= this->fleetSize.sidecars; ++index) {
         const std::string name = "sidecar-" + std::to_string(index);
@@ -139,6 +141,13 @@
         if (!this->workers.back()->isListening())
             return false;
     }
+    return true;
+}
+
+bool Fleet::start()
+{
+    if (!this->startWorkers())
+        return false;
     for (const auto& [name, ip] : this->addresses) {
         if (!this->startProcess(name))
             return false;
@@ -180,9 +189,9 @@
     return true;
 }
 
-bool Fleet::put(const std::string& document)
+bool Fleet::put(const std::string& document, std::int64_t limit)
 {
-    const std::int64_t until = steadyMilliseconds() + 20'000;
+    const std::int64_t until = steadyMilliseconds() + limit;
     for (int attempt = 0; steadyMilliseconds() < until; ++attempt) {
         const Message response = callOnce(
             this->control(attempt % this->fleetSize.states + 1), "POST", "/v1/config/put", {}, document, 1000);
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -30,16 +30,21 @@
 
     /// Starts everything; false when something can't start.
     bool start();
+    /// Starts the workers alone.
+    bool startWorkers();
     /// Starts one process.
     bool startProcess(const std::string& name);
+    /// From now on settings files name the replicas with these numbers as seeds.
+    void setSeeds(std::vector<int> numbers) { this->seeds = std::move(numbers); }
     /// Sends a signal to one process and waits for its end if it kills.
     void signal(const std::string& name, int number);
     /// Whether a process runs.
     bool isRunning(const std::string& name);
     /// Waits until every entry answers that it is ready; false after 20 s.
     bool waitReady();
-    /// Puts a desired state as an operator does: again, to the next replica, until it is acknowledged.
-    bool put(const std::string& document);
+    /// Puts a desired state as an operator does: again, to the next replica, until it is acknowledged; false when it is
+    /// refused, or after `limit` milliseconds.
+    bool put(const std::string& document, std::int64_t limit = 20'000);
     /// Address of clients at an entry, by number from 1.
     std::string front(int number) const;
     std::string control(int number) const;
@@ -54,6 +59,7 @@
 
     std::string program;
     FleetSize fleetSize;
+    std::vector<int> seeds;
     std::string folder;
     std::string network;
     std::map<std::string, std::string> addresses;
