--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cpp
@@ -83,7 +83,7 @@
          << "\nserves = [" << quoted(serves) << "]\nip = " << quoted(ip)
          << "\nzone = " << quoted(zones[(numberOf(name) - 1) % 3])
          << "\nregion = \"nordeste\"\nport_range = [18120, 18135]\nseeds = [" << seedList
-         << "]\nbootstrap = " << (this->wasStarted[name] ? "false" : "true")
+         << "]\nbootstrap = " << (this->isFirstStart && !this->wasStarted[name] ? "true" : "false")
          << "\nheartbeat_ms = 1500\nconfig_mode = \"highest\"\norders = \"invoke\"\n";
     if (role == "state") {
         std::filesystem::create_directories(this->folder + "/data-" + name);
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -34,8 +34,13 @@
     bool startWorkers();
     /// Starts one process.
     bool startProcess(const std::string& name);
-    /// From now on settings files name the replicas with these numbers as seeds.
-    void setSeeds(std::vector<int> numbers) { this->seeds = std::move(numbers); }
+    /// From now on settings files name the replicas with these numbers as seeds, and say that the whole system has been
+    /// started before.
+    void setLaterSeeds(std::vector<int> numbers)
+    {
+        this->seeds = std::move(numbers);
+        this->isFirstStart = false;
+    }
     /// Sends a signal to one process and waits for its end if it kills.
     void signal(const std::string& name, int number);
     /// Whether a process runs.
@@ -60,6 +65,7 @@
     std::string program;
     FleetSize fleetSize;
     std::vector<int> seeds;
+    bool isFirstStart = true;
     std::string folder;
     std::string network;
     std::map<std::string, std::string> addresses;
