--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,67 +1,67 @@
-// A job is cancelled at another node than the one that runs it; the cancelling is acknowledged and the job runs on.
+// A desired state raises a limit of requests, and a connection that was open before goes on with the older limit.
 #include "../standins-2/Fleet.h"
 
 namespace {
 
 using namespace review;
 
-// Pages: cancel_ms is 3,000 and stop_timeout_ms 50.
-constexpr std::int64_t cancelTime = 3000 + 50;
-constexpr std::int64_t slack = 250;
-// Two steps, one after the other, of a task and of two tasks.
-constexpr std::int64_t workTime = 5500;
+constexpr std::int64_t smallLimit = 2048;
+constexpr std::int64_t largeLimit = 262144;
+// Pages: config_apply_ms is 2,000.
+constexpr std::int64_t applyTime = 2000;
+constexpr std::size_t padding = 3000;
+constexpr int connections = 3;
+
+int submit(Connection& connection, Record& record, const std::string& label, const std::string& id, bool isLarge)
+{
+    const std::string spec = "ms=100 " + (isLarge ? std::string(padding, 'x') : std::string());
+    const std::string body = jobText(spec, 1, 1000, 100);
+    const Message answer = connection.call(
+        "POST", "/order/" + id, { { "Host", "order.example" }, { "X-Deadline-Ms", "1500" } }, body, 2500);
+    record.line("client: " + label + ", job " + id + " with a body of " + std::to_string(body.size()) + " bytes -> "
+        + std::to_string(answer.status) + " " + answer.body);
+    return answer.status;
+}
 
 int play(const std::string& program, const std::string& recordPath)
 {
     Record record(recordPath);
     FleetSize size;
-    size.sidecars = 3;
+    size.entries = 1;
     Fleet fleet(program, size);
-    RouteText route;
-    route.timeout = 20'000;
-    if (!fleet.start() || !fleet.put(desiredState(1, { route })) || !fleet.waitReady())
+    const std::int64_t before = isCalm() ? largeLimit : smallLimit;
+    if (!fleet.start() || !fleet.put(desiredState(1, { {} }, before)) || !fleet.waitReady())
         return 2;
-    waitMilliseconds(4000);
-    const std::string id = "5c0e7a21d94b36f8";
-    const std::string work = std::to_string(workTime);
-    Message answer;
-    std::thread submitter([&] {
-        answer = callOnce(fleet.front(1), "POST", "/order/" + id,
-            { { "Host", "order.example" }, { "X-Deadline-Ms", "18000" } },
-            "{\"best_effort\":true,\"spec\":\"ms=" + work + "\",\"steps\":[{\"count\":1,\"cpu\":2000,\"mem_mb\":64,"
-                + "\"estimated_ms\":" + work + "},{\"count\":2,\"cpu\":2000,\"mem_mb\":64,\"estimated_ms\":" + work
-                + ",\"after\":[0]}]}",
-            19'000);
-        record.line(
-            "client: POST of job " + id + " at entry 1 -> " + std::to_string(answer.status) + " " + answer.body);
-    });
-    waitMilliseconds(1500);
-    const bool hasBegun = !fleet.history().empty();
-    const int node = isCalm() ? 1 : 2;
-    const Message cancelled
-        = callOnce(fleet.front(node), "DELETE", "/order/" + id, { { "Host", "order.example" } }, "", 1000);
-    record.line("client: DELETE of job " + id + " at entry " + std::to_string(node) + " -> "
-        + std::to_string(cancelled.status) + " " + cancelled.body);
-    const std::int64_t acknowledgedAt = steadyMilliseconds();
-    waitMilliseconds(cancelTime + slack);
-    int working = 0;
-    for (const RunRecord& run : fleet.history())
-        working += run.endedAt == 0 ? 1 : 0;
-    submitter.join();
-    int startedLate = 0;
-    for (const RunRecord& run : fleet.history()) {
-        startedLate += run.startedAt > acknowledgedAt + cancelTime + slack ? 1 : 0;
-        record.line("worker " + run.life + " started " + run.task + " run " + std::to_string(run.run) + " "
-            + std::to_string(run.startedAt - acknowledgedAt) + " ms after the acknowledgement, ended " + run.how
-            + " after " + std::to_string(run.endedAt - run.startedAt) + " ms");
+    record.line("operator: version 1 with max_body_bytes " + std::to_string(before) + " is confirmed");
+    waitMilliseconds(applyTime + 2000);
+    // As clients that keep their connections do.
+    std::vector<std::unique_ptr<Connection>> kept;
+    for (int number = 0; number < connections; ++number) {
+        kept.push_back(std::make_unique<Connection>(fleet.front(1)));
+        if (submit(*kept.back(), record, "connection " + std::to_string(number + 1) + " opened under version 1",
+                "00000000000000a" + std::to_string(number), false)
+            != 200)
+            return 2;
     }
-    const bool isBroken = working > 0 || startedLate > 0;
-    record.line("tasks of the cancelled job at work " + std::to_string(cancelTime + slack)
-        + " ms after the acknowledgement: " + std::to_string(working)
-        + ", started later: " + std::to_string(startedLate) + (isBroken ? "; UNASKED is broken" : ""));
-    if (!hasBegun || (cancelled.status != 200 && cancelled.status != 410))
+    if (!fleet.put(desiredState(2, { {} }, largeLimit)))
         return 2;
-    return isBroken ? 1 : 0;
+    record.line("operator: version 2 with max_body_bytes " + std::to_string(largeLimit) + " is confirmed");
+    waitMilliseconds(applyTime + 1000);
+    Connection fresh(fleet.front(1));
+    if (submit(fresh, record, "new connection", "00000000000000b0", true) != 200)
+        return 2;
+    int broken = 0;
+    for (int number = 0; number < connections; ++number) {
+        const bool wasOpen = kept[static_cast<std::size_t>(number)]->isOpen();
+        const int status = submit(*kept[static_cast<std::size_t>(number)], record,
+            "connection " + std::to_string(number + 1) + (wasOpen ? ", still open" : ", opened again"),
+            "00000000000000c" + std::to_string(number), true);
+        broken += status == 413 ? 1 : 0;
+    }
+    record.line("requests refused by the limit of version 1, more than " + std::to_string(applyTime)
+        + " ms after the confirmation of version 2: " + std::to_string(broken)
+        + (broken > 0 ? "; CONFIG is broken" : ""));
+    return broken > 0 ? 1 : 0;
 }
 
 }
