--- a/review/standins-2/Fleet.cpp
+++ b/review/standins-2/Fleet.cpp
@@ -167,6 +167,12 @@
     }
 }
 
+void Fleet::loseDisk(const std::string& name)
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder + "/data-" + name, ignored);
+}
+
 bool Fleet::isRunning(const std::string& name)
 {
     pid_t& process = this->processes[name];
--- a/review/standins-2/Fleet.h
+++ b/review/standins-2/Fleet.h
@@ -43,6 +43,8 @@
     }
     /// Sends a signal to one process and waits for its end if it kills.
     void signal(const std::string& name, int number);
+    /// Takes the data folder of a process that has ended away, as a machine that loses its disk.
+    void loseDisk(const std::string& name);
     /// Whether a process runs.
     bool isRunning(const std::string& name);
     /// Waits until every entry answers that it is ready; false after 20 s.
