--- a/UnitTests/Experiment/ExperimentTest.cpp
+++ b/UnitTests/Experiment/ExperimentTest.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-const std::string workloadFolder
-    = std::string(__FILE__).substr(0, std::string(__FILE__).rfind("UnitTests")) + "workloads/";
+const std::string workloadFolder = CELERYSWITCH_SOURCE_FOLDER "/workloads/";
 
 ExperimentOptions optionsFor(const std::string& workload, double loadPercent, std::chrono::seconds duration)
 {
--- a/UnitTests/Load/WorkloadTest.cpp
+++ b/UnitTests/Load/WorkloadTest.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-const std::string folder = std::string(__FILE__).substr(0, std::string(__FILE__).rfind("UnitTests")) + "workloads/";
+const std::string folder = CELERYSWITCH_SOURCE_FOLDER "/workloads/";
 
 }
 
--- a/UnitTests/Settings/SettingsDocumentTest.cpp
+++ b/UnitTests/Settings/SettingsDocumentTest.cpp
@@ -159,8 +159,7 @@
 // Guards against settings that the documentation does not mention.
 TEST_CASE("the settings page lists every key of every role", "[Settings]")
 {
-    const std::string page
-        = fileContent(std::filesystem::path(__FILE__).parent_path() / ".." / ".." / "docs" / "settings.md");
+    const std::string page = fileContent(std::filesystem::path(CELERYSWITCH_SOURCE_FOLDER) / "docs" / "settings.md");
     for (Messages::Role role :
         { Messages::Role::Entry, Messages::Role::Sidecar, Messages::Role::State, Messages::Role::Operator }) {
         const std::string title = "## " + std::string(Core::enumName(role));
