Evacuate data centres on the operator's order

Change: evacuations are records of the state log; entries learn them with the view, sidecars with each renewal of their registration, and each sidecar starts nothing while its data centre is evacuated; work that no other worker can run is refused at once; the command line starts, ends and lists them. In force where the contracts name places.

--- a/Program/Commands.h
+++ b/Program/Commands.h
@@ -27,6 +27,8 @@
 CommandResult runConfig(const std::vector<std::string>& arguments);
 /// Drains endpoints, lists members and replaces replicas.
 CommandResult runMembers(const std::vector<std::string>& arguments);
+/// Begins, ends and lists evacuations of data centres.
+CommandResult runEvacuate(const std::vector<std::string>& arguments);
 /// Shows and cancels jobs.
 CommandResult runJob(const std::vector<std::string>& arguments);
 /// Lists and verifies the audit trail.
--- a/Program/Main.cpp
+++ b/Program/Main.cpp
@@ -14,7 +14,7 @@
     std::string_view help;
 };
 
-constexpr std::array<Command, 16> commands { {
+constexpr std::array<Command, 17> commands { {
     { "entry", runRole, "run an entry: accepts jobs from callers and places their tasks" },
     { "sidecar", runRole, "run a sidecar beside an endpoint" },
     { "state", runRole, "run a state replica" },
@@ -22,6 +22,7 @@
     { "check", runCheck, "check a settings file and report every problem" },
     { "config", runConfig, "show and change the configuration of the fleet" },
     { "drain", runMembers, "stop new work for an endpoint, or let it come back" },
+    { "evacuate", runEvacuate, "stop new work in a data centre, or let it come back" },
     { "members", runMembers, "list members and replicas, replace a replica" },
     { "job", runJob, "show or cancel a job" },
     { "report", runReport, "print what ran, failed and never started" },
--- a/UnitTests/Platform/BootFileTest.cpp
+++ b/UnitTests/Platform/BootFileTest.cpp
@@ -108,3 +108,21 @@
     REQUIRE(load("a = '''\n" + repeated(".a", 3000) + "'''\n" + settings));
     REQUIRE(load(repeated("x1 = 1.5\nx2 = [1.5, 2.5]\n", 1) + repeated("# a.b.c\n", 5000) + settings));
 }
+
+// Guards against evacuations that are served where the deployment does not ask for them, and against sidecars that
+// learn of one too late.
+TEST_CASE("evacuations are in force where the contracts name them", "[Platform]")
+{
+    const std::string zones = settings + "[zones]\nrecife = \"nordeste\"\nsalvador = \"nordeste\"\n";
+    const auto without = load("contracts = [\"base\",\"drain\"]\n" + zones);
+    REQUIRE(without);
+    REQUIRE(stateSettings(without.value()).evacuableDataCentres.empty());
+    REQUIRE_FALSE(sidecarSettings(without.value(), 1).isEvacuable);
+    REQUIRE(sidecarSettings(without.value(), 1).renewalInterval == std::chrono::seconds(5));
+    const auto with = load(
+        "contracts = [\"base\",\"places\"]\n" + replaced(zones, "grace_s = 6", "grace_s = 6\nevacuate_ms = 4000"));
+    REQUIRE(with);
+    REQUIRE(stateSettings(with.value()).evacuableDataCentres == std::set<std::string> { "recife", "salvador" });
+    REQUIRE(sidecarSettings(with.value(), 1).isEvacuable);
+    REQUIRE(sidecarSettings(with.value(), 1).renewalInterval == std::chrono::milliseconds(2000));
+}
--- a/UnitTests/Platform/OperatorCallsTest.cpp
+++ b/UnitTests/Platform/OperatorCallsTest.cpp
@@ -11,7 +11,7 @@
 // Replicas that serve operators.
 class ServedGroup : public StateGroup {
 public:
-    ServedGroup()
+    explicit ServedGroup(const std::set<std::string>& dataCentres = {})
         : StateGroup(0)
         , controlLog(logSettings(), this->clock)
     {
@@ -26,6 +26,7 @@
             settings.dataFolder = this->folder + "/" + name;
             settings.initialReplicas = this->addresses;
             settings.authenticationKeys = this->keys;
+            settings.evacuableDataCentres = dataCentres;
             auto started = StateProcess::Builder()
                                .setSettings(settings)
                                .setControl(this->controls.at(name), this->api, this->controlLog)
@@ -53,6 +54,11 @@
                 R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[],"limits":{}})" });
     }
 
+    std::uint16_t evacuate(const std::string& name, const std::string& order) const
+    {
+        return this->call(name, { "POST", "/v1/evacuate/" + order, {}, "" });
+    }
+
     Core::SystemClock clock;
     Logging::StructuredLog controlLog;
     Platform::OperatorApi api;
@@ -109,3 +115,29 @@
     REQUIRE((put == 503 || put == 307));
     REQUIRE(StateGroup::waitUntil([&] { return group.call(left, { "GET", "/v1/config/get", {}, "" }) == 503; }));
 }
+
+// Guards against evacuations that only some replicas serve, against misspelt data centres that are confirmed, and
+// against a call that is served where the deployment does not ask for it.
+TEST_CASE("every replica takes evacuations of known data centres", "[Platform][threads]")
+{
+    {
+        const ServedGroup group({ "recife", "salvador" });
+        group.waitForLeader();
+        for (const char* name : { "a", "b", "c" }) {
+            REQUIRE(StateGroup::waitUntil([&] { return group.evacuate(name, "recife/start") == 200; }));
+            REQUIRE(group.evacuate(name, "recife/start") == 200);
+            REQUIRE(group.evacuate(name, "olinda/start") == 404);
+            REQUIRE(group.evacuate(name, "recife/pause") == 404);
+            REQUIRE(group.call(name, { "GET", "/v1/evacuate/recife/start", {}, "" }) == 404);
+        }
+        BlockingClient client(group);
+        const auto listed = client.request(Messages::QueryEvacuations {});
+        REQUIRE(std::get<Messages::EvacuationList>(listed.value().body).evacuations.size() == 1);
+        REQUIRE(group.evacuate("b", "recife/end") == 200);
+        const auto ended = client.request(Messages::QueryEvacuations {});
+        REQUIRE(std::get<Messages::EvacuationList>(ended.value().body).evacuations.empty());
+    }
+    const ServedGroup without;
+    without.waitForLeader();
+    REQUIRE(without.evacuate("a", "recife/start") == 404);
+}
--- a/UnitTests/Platform/WireTest.cpp
+++ b/UnitTests/Platform/WireTest.cpp
@@ -365,6 +365,19 @@
     REQUIRE(isRefused(replaced(configBody, "\"h.example\"", nested)));
 }
 
+// Guards against evacuations of a data centre whose name is cut or of none.
+TEST_CASE("an evacuation order names its data centre", "[Platform]")
+{
+    const OperatorApi api;
+    const auto decoded = api.decode(post("/v1/evacuate/thyna-depot/start", ""));
+    REQUIRE(std::get<State::EvacuateDataCentre>(decoded).dataCentre == "thyna-depot");
+    REQUIRE(std::get<State::EvacuateDataCentre>(decoded).isEvacuated);
+    REQUIRE_FALSE(std::get<State::EvacuateDataCentre>(api.decode(post("/v1/evacuate/a/end", ""))).isEvacuated);
+    for (const char* path : { "/v1/evacuate/start", "/v1/evacuate//start", "/v1/evacuate/a", "/v1/evacuate/a/b/start",
+             "/v1/evacuate/a/start/", "/v1/evacuate/a/begin" })
+        REQUIRE(std::holds_alternative<State::UnknownPath>(api.decode(post(path, ""))));
+}
+
 // Guards against operators that are sent to the wrong place or take a refusal for good.
 TEST_CASE("answers to operators carry status and place", "[Platform]")
 {
--- a/celeryswitch/Entry/EntryCore.cpp
+++ b/celeryswitch/Entry/EntryCore.cpp
@@ -202,6 +202,7 @@
 void EntryCore::viewReceived(const Messages::FleetView& view)
 {
     this->sidecarLinks.setMembers(view.members);
+    this->sidecarLinks.setEvacuatedDataCentres(view.evacuatedDataCentres);
     this->entryLinks.setMembers(view.members);
     if (view.configurationVersion <= this->configurationVersion)
         return;
--- a/celeryswitch/Entry/SidecarLinks.cpp
+++ b/celeryswitch/Entry/SidecarLinks.cpp
@@ -172,6 +172,15 @@
     }
 }
 
+void SidecarLinks::setEvacuatedDataCentres(std::vector<std::string> dataCentres)
+{
+    if (dataCentres == this->evacuatedDataCentres)
+        return;
+    this->evacuatedDataCentres = std::move(dataCentres);
+    for (auto& [id, link] : this->links)
+        this->updateDraining(link);
+}
+
 void SidecarLinks::tick(Core::ConfigurationVersion configurationVersion)
 {
     for (auto& [sidecarId, link] : this->links)
@@ -230,7 +239,10 @@
 void SidecarLinks::updateDraining(Link& link)
 {
     const bool isSilent = this->context.now - link.lastHeard > Ownership::sidecarSilenceLimit;
-    const bool isDraining = link.isDrainAnnounced || link.isRemoved || isSilent;
+    const auto& evacuated = this->evacuatedDataCentres;
+    const bool isEvacuated
+        = std::find(evacuated.begin(), evacuated.end(), link.member.identity.dataCentre) != evacuated.end();
+    const bool isDraining = link.isDrainAnnounced || link.isRemoved || isSilent || isEvacuated;
     if (!link.isConnected || isDraining == link.isDraining)
         return;
     link.isDraining = isDraining;
--- a/celeryswitch/Entry/SidecarLinks.h
+++ b/celeryswitch/Entry/SidecarLinks.h
@@ -31,6 +31,8 @@
     /// Updates the links to the sidecars of a new fleet view. Removed sidecars stay connected for recovery until
     /// their retention period ends and the view omits them.
     void setMembers(const std::vector<Messages::Member>& members);
+    /// Sidecars of these data centres get no new work.
+    void setEvacuatedDataCentres(std::vector<std::string> dataCentres);
     /// Sidecar of a connection; null if the connection belongs to no sidecar.
     const Core::InstanceId* sidecarOf(ConnectionId connectionId) const;
     /// Whether a connection belongs to one of these links.
@@ -93,6 +95,7 @@
     Dispatch::Dispatcher& dispatcher;
     Handlers handlers;
     std::map<Core::InstanceId, Link> links;
+    std::vector<std::string> evacuatedDataCentres;
     std::unordered_map<ConnectionId, Core::InstanceId> sidecarsByConnection;
     Core::SteadyTime nextHeartbeat {};
 };
--- a/celeryswitch/Messages/StateMessages.h
+++ b/celeryswitch/Messages/StateMessages.h
@@ -60,11 +60,14 @@
     std::uint32_t contactAgeMilliseconds = 0;
     /// Whether the asker has this view; it then carries versions, replicas and the age only.
     bool isUnchanged = false;
+    /// Data centres whose workers must start nothing.
+    std::vector<std::string> evacuatedDataCentres;
 
     template <typename Archive> void serialize(Archive& archive)
     {
         archive(this->viewVersion, this->configurationVersion, this->configuration, this->members, this->partitions,
-            this->routingVersion, this->routing, this->replicas, this->contactAgeMilliseconds, this->isUnchanged);
+            this->routingVersion, this->routing, this->replicas, this->contactAgeMilliseconds, this->isUnchanged,
+            this->evacuatedDataCentres);
     }
 };
 
@@ -238,6 +241,23 @@
     template <typename Archive> void serialize(Archive&) { }
 };
 
+/// Begins or ends the evacuation of a data centre. Changes nothing if that is its state already.
+struct SetEvacuation {
+    std::string author;
+    std::string dataCentre;
+    bool isEvacuated = false;
+
+    template <typename Archive> void serialize(Archive& archive)
+    {
+        archive(this->author, this->dataCentre, this->isEvacuated);
+    }
+};
+
+/// Asks for the evacuations in force.
+struct QueryEvacuations {
+    template <typename Archive> void serialize(Archive&) { }
+};
+
 /// Asks a replica what it knows of itself and its group.
 struct QueryReplicaStatus {
     template <typename Archive> void serialize(Archive&) { }
@@ -262,7 +282,7 @@
     /// Append only: the index is part of the format.
     std::variant<WatchView, RegisterMember, RemoveMember, AcquirePartitions, RenewLeases, ReleasePartitions,
         ProposeChange, AppendReport, QueryReport, QueryAudit, ReplaceReplica, QueryReplicaStatus, PutRouting,
-        QueryRouting, WatchChanges>
+        QueryRouting, WatchChanges, SetEvacuation, QueryEvacuations>
         body;
 
     template <typename Archive> void serialize(Archive& archive) { archive(this->requestId, this->body); }
@@ -276,10 +296,12 @@
     std::uint32_t leaseMilliseconds = 0;
     /// Newest accepted configuration; a holder with an older one fetches the view before it starts more work.
     Core::ConfigurationVersion configurationVersion = 0;
+    /// Data centres whose workers must start nothing; sidecars learn them from their renewals.
+    std::vector<std::string> evacuatedDataCentres;
 
     template <typename Archive> void serialize(Archive& archive)
     {
-        archive(this->held, this->leaseMilliseconds, this->configurationVersion);
+        archive(this->held, this->leaseMilliseconds, this->configurationVersion, this->evacuatedDataCentres);
     }
 };
 
@@ -319,6 +341,23 @@
     template <typename Archive> void serialize(Archive& archive) { archive(this->version, this->source); }
 };
 
+/// Evacuation of a data centre in force.
+struct Evacuation {
+    std::string dataCentre;
+    /// Milliseconds since 1970 by the state leader's clock when it began.
+    std::int64_t since = 0;
+
+    friend bool operator==(const Evacuation&, const Evacuation&) = default;
+    template <typename Archive> void serialize(Archive& archive) { archive(this->dataCentre, this->since); }
+};
+
+/// Answer to QueryEvacuations, in the order of the data centres' names.
+struct EvacuationList {
+    std::vector<Evacuation> evacuations;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->evacuations); }
+};
+
 /// Answer without content.
 struct Done {
     template <typename Archive> void serialize(Archive&) { }
@@ -332,7 +371,7 @@
     std::string detail;
     /// Append only: the index is part of the format.
     std::variant<Done, FleetView, LeaseGrant, ChangeAccepted, ReportAnswer, AuditAnswer, ReplicaStatus, RoutingSource,
-        FleetChanges>
+        FleetChanges, EvacuationList>
         body;
 
     template <typename Archive> void serialize(Archive& archive)
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -79,6 +79,8 @@
     Unanswered,
     /// The worker refused the order for another reason.
     Rejected,
+    /// The worker's data centre is evacuated.
+    Evacuated,
 };
 
 /// State of a run as the sidecar reports it.
@@ -331,7 +333,7 @@
 
 template <> struct EnumTable<Messages::RunRefusal> {
     static constexpr std::string_view type = "RunRefusal";
-    static constexpr std::array<std::pair<Messages::RunRefusal, std::string_view>, 8> names { {
+    static constexpr std::array<std::pair<Messages::RunRefusal, std::string_view>, 9> names { {
         { Messages::RunRefusal::None, "none" },
         { Messages::RunRefusal::NoRoom, "no-room" },
         { Messages::RunRefusal::Draining, "draining" },
@@ -340,6 +342,7 @@
         { Messages::RunRefusal::Late, "late" },
         { Messages::RunRefusal::Unanswered, "unanswered" },
         { Messages::RunRefusal::Rejected, "rejected" },
+        { Messages::RunRefusal::Evacuated, "evacuated" },
     } };
 };
 
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -62,6 +62,24 @@
     this->isPlacementDue = true;
 }
 
+void JobScheduler::setEvacuatedDataCentres(SteadyTime now, std::set<std::string> dataCentres)
+{
+    this->evacuatedDataCentres = std::move(dataCentres);
+    for (auto& [sidecar, worker] : this->workerTable) {
+        const bool wasEvacuated
+            = std::exchange(worker.isEvacuated, this->evacuatedDataCentres.count(worker.dataCentre) > 0);
+        if (worker.isEvacuated && !wasEvacuated)
+            this->forgetReservationsAt(sidecar);
+    }
+    for (auto next = this->jobs.begin(); next != this->jobs.end();) {
+        const auto found = next++;
+        if (!found->second.hasBegun && this->isRefusedAtOnce(now, found->second))
+            this->endJob(now, found, this->refusal(now, found->second, "data centre evacuated"));
+    }
+    this->isFullPlacementDue = true;
+    this->isPlacementDue = true;
+}
+
 bool JobScheduler::hasRuns(const Core::InstanceId& sidecar) const
 {
     const auto isThere = [&](const Task& task) { return task.phase == TaskPhase::Ordered && task.sidecar == sidecar; };
@@ -85,7 +103,7 @@
         return false;
     std::size_t usable = 0;
     for (const auto& [sidecar, worker] : this->workerTable)
-        usable += worker.isUsable() ? 1 : 0;
+        usable += worker.isUsable() || worker.isEvacuated ? 1 : 0;
     return static_cast<double>(usable) < static_cast<double>(this->linked.size()) * this->settings.discoveryShare;
 }
 
@@ -205,12 +223,17 @@
             { "refused_after_ms", toMilliseconds(job.refuseAt - now) } });
     const auto admitted = this->jobs.emplace(id, std::move(job)).first;
     this->noteDue(admitted->second);
-    if (!this->isDiscoveringWorkers(now) && this->isHopeless(now, admitted->second))
+    if (this->isRefusedAtOnce(now, admitted->second))
         this->endJob(now, admitted, this->refusal(now, admitted->second, "no suitable worker"));
     else
         this->enqueue(admitted->second);
 }
 
+bool JobScheduler::isRefusedAtOnce(SteadyTime now, const Job& job)
+{
+    return !this->isDiscoveringWorkers(now) && this->isHopeless(now, job);
+}
+
 bool JobScheduler::isHopeless(SteadyTime now, const Job& job)
 {
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -103,6 +103,8 @@
 
     /// Sets the sidecars that the entry is linked to. The first non-empty set starts `discoveryTime`.
     void setLinkedSidecars(Core::SteadyTime now, std::set<Core::InstanceId> sidecars);
+    /// Sets the data centres whose workers get no new runs. Waiting jobs that no other worker can run are refused.
+    void setEvacuatedDataCentres(Core::SteadyTime now, std::set<std::string> dataCentres);
     /// A connection to a sidecar was opened; the sidecar has not yet reported its worker's state.
     void sidecarConnected(Core::SteadyTime now, const Messages::Member& sidecar);
     /// The connection to a sidecar was lost.
@@ -127,6 +129,7 @@
     void collect(Metrics::MetricRegistry& registry) const;
     /// Number of jobs without an answer.
     std::size_t openJobs() const { return this->jobs.size(); }
+    std::size_t evacuatedDataCentreCount() const { return this->evacuatedDataCentres.size(); }
     /// All known workers.
     const WorkerTable& workers() const { return this->workerTable; }
     /// Work done so far.
@@ -219,6 +222,8 @@
     // Share of the total demand that comes from queues of higher rank.
     double higherRankedShare(Core::SteadyTime now, const QueueModel& model) const;
     bool isDiscoveringWorkers(Core::SteadyTime now) const;
+    // Whether a job without runs can run on no worker, so that it is refused at once.
+    bool isRefusedAtOnce(Core::SteadyTime now, const Job& job);
     QueueModel& modelOf(Core::SteadyTime now, const Configuration::Queue& queue);
     bool isSupported(const JobSpecification& job, std::string& reason) const;
     // Sets a job's rank and its times of refusal and expiry.
@@ -331,6 +336,7 @@
     bool isFirstEchoDue = false;
     Core::SteadyTime decisionsFrom;
     std::set<Core::InstanceId> linked;
+    std::set<std::string> evacuatedDataCentres;
     Core::SteadyTime sidecarsKnownAt = Core::SteadyTime::max();
     std::vector<SchedulerAction> actions;
     /// Counted by const functions as well.
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -40,6 +40,7 @@
         worker.profile = member.worker;
     worker.isConnected = true;
     worker.isLinked = this->linked.count(sidecar) > 0;
+    worker.isEvacuated = this->evacuatedDataCentres.count(worker.dataCentre) > 0;
     worker.load.isReady = false;
     worker.lastSequence = 0;
     // A sample of the previous connection proves nothing if the sidecar's machine was restarted.
--- a/celeryswitch/Scheduling/RefusalAdvice.cpp
+++ b/celeryswitch/Scheduling/RefusalAdvice.cpp
@@ -18,7 +18,7 @@
 {
     return workers.empty() || std::any_of(workers.begin(), workers.end(), [&](const auto& element) {
         const WorkerView& worker = element.second;
-        return worker.profile.workerId.empty() || worker.isSuitable(request);
+        return (worker.profile.workerId.empty() && !worker.isEvacuated) || worker.isSuitable(request);
     });
 }
 
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -97,7 +97,8 @@
     , linkSubset(this->settings.instanceId, this->settings.links)
     , watcher(context, this->transport, log, watcherSettings(this->settings),
           { [this](const std::vector<Messages::Member>& members) { this->membersReceived(members); },
-              [this](Configuration::RoutingDocument document) { this->routingReceived(std::move(document)); } })
+              [this](Configuration::RoutingDocument document) { this->routingReceived(std::move(document)); },
+              [this](const std::set<std::string>& dataCentres) { this->evacuationsReceived(dataCentres); } })
     , timer(context)
     , tickTimer(context)
 {
@@ -130,6 +131,8 @@
         .set(static_cast<double>(this->surplusRefused));
     registry.gauge("celeryswitch_processor_seconds", "Processor time that the process has used.")
         .set(std::chrono::duration<double>(Core::processorTime()).count());
+    registry.gauge("celeryswitch_evacuated_data_centres", "Data centres whose workers get no new runs.")
+        .set(static_cast<double>(this->scheduler.evacuatedDataCentreCount()));
     registry.gauge("celeryswitch_ready", "Whether this process takes requests.").set(this->isReady() ? 1 : 0);
 }
 
@@ -276,6 +279,12 @@
     this->runScheduler();
 }
 
+void SchedulingEntry::evacuationsReceived(const std::set<std::string>& dataCentres)
+{
+    this->scheduler.setEvacuatedDataCentres(this->observeTime(), dataCentres);
+    this->runScheduler();
+}
+
 void SchedulingEntry::runScheduler()
 {
     // Closing a connection while actions are carried out may call this function again.
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -72,6 +72,7 @@
     void checkCallers(Core::SteadyTime now);
     // The time now; recognizes a stall before the event at hand is decided on.
     Core::SteadyTime observeTime();
+    void evacuationsReceived(const std::set<std::string>& dataCentres);
     void membersReceived(const std::vector<Messages::Member>& members);
     bool isReady() const;
     // Runs the scheduler now, or at the end of the pause after its latest run.
--- a/celeryswitch/Scheduling/WorkerTable.cpp
+++ b/celeryswitch/Scheduling/WorkerTable.cpp
@@ -147,7 +147,7 @@
 
 bool WorkerView::isSuitable(const PlacementRequest& request) const
 {
-    return this->profile.service == request.service && request.need.fits(this->profile.capacity)
+    return !this->isEvacuated && this->profile.service == request.service && request.need.fits(this->profile.capacity)
         && (request.requiredLabel.empty() || this->hasLabel(request.requiredLabel));
 }
 
--- a/celeryswitch/Scheduling/WorkerTable.h
+++ b/celeryswitch/Scheduling/WorkerTable.h
@@ -27,6 +27,8 @@
     bool isConnected = false;
     /// Whether the entry is linked to the sidecar. Without the link its runs go on, but it gets no new ones.
     bool isLinked = true;
+    /// Whether the worker's data centre is evacuated; it gets no new runs, while those that it has may end.
+    bool isEvacuated = false;
     Messages::WorkerProfile profile;
     Messages::WorkerLoad load;
     /// Latest clock sample received from the sidecar over this connection, and when it was received.
@@ -45,12 +47,13 @@
     /// Whether runs may be ordered on the worker.
     bool isUsable() const
     {
-        return this->isConnected && this->isLinked && this->load.isReady && !this->profile.workerId.empty();
+        return this->isConnected && this->isLinked && !this->isEvacuated && this->load.isReady
+            && !this->profile.workerId.empty();
     }
     /// Whether the sidecar is late with an update or with the acknowledgement of an order. It may be cut off: other
     /// work is placed elsewhere, while its own runs go on.
     bool isSilent(Core::SteadyTime now) const;
-    /// Whether the worker, when idle, can run a request's tasks.
+    /// Whether the worker, when idle, can run a request's tasks. Not while its data centre is evacuated.
     bool isSuitable(const PlacementRequest& request) const;
     /// Whether the worker carries a label.
     bool hasLabel(const std::string& label) const;
--- a/celeryswitch/State/ControlGateway.cpp
+++ b/celeryswitch/State/ControlGateway.cpp
@@ -31,10 +31,12 @@
 }
 
 ControlGateway::ControlGateway(boost::asio::io_context& context, const ControlProtocol& protocol,
-    Logging::StructuredLog& log, Messages::Hello identity, Network::AuthenticationKeys keys, RequestHandler onRequest)
+    Logging::StructuredLog& log, Messages::Hello identity, Network::AuthenticationKeys keys,
+    std::set<std::string> evacuableDataCentres, RequestHandler onRequest)
     : context(context)
     , protocol(protocol)
     , log(log)
+    , evacuableDataCentres(std::move(evacuableDataCentres))
     , onRequest(std::move(onRequest))
     , server(context, limits, connectionsLimit,
           { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
@@ -43,13 +45,22 @@
               [this](std::uint16_t, const std::string& reason) {
                   return this->protocol.encode({ ControlOutcome::Invalid, reason }, {});
               },
-              {} })
+              abandonedHandler() })
     , transport(context, std::move(keys))
     , leaderClient(context, this->transport, leaderSettings(std::move(identity)))
 {
     this->transport.setConnectLimit(forwardConnectLimit);
 }
 
+std::function<void(const Http::HttpSession::Pointer&)> ControlGateway::abandonedHandler()
+{
+    // Routing documents are ordered by their versions. Evacuations are not: a start that was read late, after a freeze
+    // of this process, must not follow the end that its operator was confirmed elsewhere.
+    if (this->evacuableDataCentres.empty())
+        return {};
+    return [this](const Http::HttpSession::Pointer& session) { this->abandoned(session); };
+}
+
 Core::Result<std::string> ControlGateway::listen(const std::string& address)
 {
     this->port = address.substr(std::min(address.size(), address.rfind(':') + 1));
@@ -63,13 +74,16 @@
         const std::string problem = put->document.problem();
         if (problem.empty()) {
             const std::uint64_t version = put->document.version;
-            this->ask(session, std::move(request), version,
+            this->ask(session, std::move(request), "document put", version,
                 Messages::PutRouting { "operator", Network::encodeMessage(put->document), std::move(put->source) });
             return;
         }
         decoded = UnreadableCall { problem };
     } else if (std::holds_alternative<GetDocument>(decoded)) {
-        this->ask(session, std::move(request), 0, Messages::QueryRouting {});
+        this->ask(session, std::move(request), "document read", 0, Messages::QueryRouting {});
+        return;
+    } else if (const auto* order = std::get_if<EvacuateDataCentre>(&decoded)) {
+        this->evacuate(session, std::move(request), *order);
         return;
     }
     ControlAnswer refusal { ControlOutcome::Unknown, {} };
@@ -77,17 +91,42 @@
         refusal = { ControlOutcome::Invalid, unreadable->problem };
     else if (const auto* unserved = std::get_if<UnservedCall>(&decoded))
         refusal = { ControlOutcome::Unavailable, unserved->reason };
+    this->refuse(session, request, refusal);
+}
+
+void ControlGateway::evacuate(
+    const Http::HttpSession::Pointer& session, Http::HttpRequest request, const EvacuateDataCentre& order)
+{
+    if (this->evacuableDataCentres.count(order.dataCentre) == 0) {
+        const bool isServed = !this->evacuableDataCentres.empty();
+        this->refuse(session, request,
+            { ControlOutcome::Unknown, isServed ? "no data centre is named \"" + order.dataCentre + "\"" : "" });
+        return;
+    }
+    this->ask(session, std::move(request), order.isEvacuated ? "evacuation start" : "evacuation end", 0,
+        Messages::SetEvacuation { "operator", order.dataCentre, order.isEvacuated });
+}
+
+void ControlGateway::abandoned(const Http::HttpSession::Pointer& session)
+{
+    // Not answered. A call that was passed on already may still be carried out.
+    std::erase_if(this->waiting, [&](const auto& call) { return call.second.session == session; });
+}
+
+void ControlGateway::refuse(
+    const Http::HttpSession::Pointer& session, const Http::HttpRequest& request, const ControlAnswer& refusal)
+{
     this->log.write(LogLevel::Info, "operator call refused",
         { { "path", request.path }, { "outcome", std::string(Core::enumName(refusal.outcome)) },
             { "detail", refusal.text } });
     session->respond(this->protocol.encode(refusal, request));
 }
 
-void ControlGateway::ask(const Http::HttpSession::Pointer& session, Http::HttpRequest request, std::uint64_t version,
-    decltype(Messages::StateRequest::body) body)
+void ControlGateway::ask(const Http::HttpSession::Pointer& session, Http::HttpRequest request, std::string description,
+    std::uint64_t version, decltype(Messages::StateRequest::body) body)
 {
     const std::uint64_t requestId = ++this->lastRequest;
-    this->waiting[requestId] = { session, std::move(request), version, body };
+    this->waiting[requestId] = { session, std::move(request), std::move(description), version, body };
     if (!this->onRequest({ connection, { requestId, std::move(body) } })) {
         this->answer(requestId, { ControlOutcome::Unavailable, "the replica is overloaded" });
         return;
@@ -147,8 +186,9 @@
     auto node = this->waiting.extract(requestId);
     if (node.empty())
         return;
-    this->log.write(LogLevel::Info, node.mapped().version > 0 ? "document put" : "document read",
-        { { "version", node.mapped().version }, { "outcome", std::string(Core::enumName(answer.outcome)) },
+    this->log.write(LogLevel::Info, node.mapped().description,
+        { { "path", node.mapped().request.path }, { "version", node.mapped().version },
+            { "outcome", std::string(Core::enumName(answer.outcome)) },
             { "forwarded", node.mapped().isForwarded ? 1 : 0 },
             { "detail", answer.outcome == ControlOutcome::Document ? std::string() : answer.text } });
     node.mapped().session->respond(this->protocol.encode(answer, node.mapped().request));
--- a/celeryswitch/State/ControlGateway.h
+++ b/celeryswitch/State/ControlGateway.h
@@ -8,6 +8,7 @@
 #include "celeryswitch/State/StateCore.h"
 #include <functional>
 #include <map>
+#include <set>
 
 namespace celeryswitch::State {
 
@@ -23,9 +24,11 @@
     /// Passes a request on; false when it can't be taken now.
     using RequestHandler = std::function<bool(ClientRequest)>;
 
-    /// `identity` and `keys` are those of the replica towards the leader. `protocol` and `log` outlive the gateway.
+    /// `identity` and `keys` are those of the replica towards the leader. Evacuations are served for the data centres
+    /// named; without any, their calls are unknown. `protocol` and `log` outlive the gateway.
     ControlGateway(boost::asio::io_context& context, const ControlProtocol& protocol, Logging::StructuredLog& log,
-        Messages::Hello identity, Network::AuthenticationKeys keys, RequestHandler onRequest);
+        Messages::Hello identity, Network::AuthenticationKeys keys, std::set<std::string> evacuableDataCentres,
+        RequestHandler onRequest);
 
     /// Starts listening on "address:port".
     Core::Result<std::string> listen(const std::string& address);
@@ -39,21 +42,31 @@
     struct Waiting {
         Http::HttpSession::Pointer session;
         Http::HttpRequest request;
-        /// Version of the document that it puts; 0 for a read.
+        /// What it asks, for the log.
+        std::string description;
+        /// Version of the document that it puts; 0 for other calls.
         std::uint64_t version = 0;
         StateClient::Body body;
         bool isForwarded = false;
     };
 
     void received(const Http::HttpSession::Pointer& session, Http::HttpRequest request);
-    void ask(const Http::HttpSession::Pointer& session, Http::HttpRequest request, std::uint64_t version,
-        decltype(Messages::StateRequest::body) body);
+    void ask(const Http::HttpSession::Pointer& session, Http::HttpRequest request, std::string description,
+        std::uint64_t version, decltype(Messages::StateRequest::body) body);
+    void evacuate(
+        const Http::HttpSession::Pointer& session, Http::HttpRequest request, const EvacuateDataCentre& order);
+    void refuse(
+        const Http::HttpSession::Pointer& session, const Http::HttpRequest& request, const ControlAnswer& refusal);
+    std::function<void(const Http::HttpSession::Pointer&)> abandonedHandler();
+    // The operator of a call has closed its connection.
+    void abandoned(const Http::HttpSession::Pointer& session);
     void forward(std::uint64_t requestId, Waiting& call, const std::string& leader);
     void answer(std::uint64_t requestId, ControlAnswer answer);
 
     boost::asio::io_context& context;
     const ControlProtocol& protocol;
     Logging::StructuredLog& log;
+    std::set<std::string> evacuableDataCentres;
     RequestHandler onRequest;
     Http::HttpServer server;
     Network::PeerTransport transport;
--- a/celeryswitch/State/ControlProtocol.h
+++ b/celeryswitch/State/ControlProtocol.h
@@ -16,6 +16,11 @@
 };
 /// An operator reads the routing document in force.
 struct GetDocument { };
+/// An operator begins or ends the evacuation of a data centre.
+struct EvacuateDataCentre {
+    std::string dataCentre;
+    bool isEvacuated = false;
+};
 /// A call that this product does not serve.
 struct UnservedCall {
     std::string reason;
@@ -28,7 +33,8 @@
 struct UnknownPath { };
 
 /// What an operator asks over HTTP.
-using ControlRequest = std::variant<PutDocument, GetDocument, UnservedCall, UnreadableCall, UnknownPath>;
+using ControlRequest
+    = std::variant<PutDocument, GetDocument, EvacuateDataCentre, UnservedCall, UnreadableCall, UnknownPath>;
 
 /// What an operator's request comes to.
 enum class ControlOutcome : std::uint8_t {
--- a/celeryswitch/State/FleetWatcher.cpp
+++ b/celeryswitch/State/FleetWatcher.cpp
@@ -138,6 +138,7 @@
         return false;
     this->viewVersion = view.viewVersion;
     // Members come first: requests that wait for the document need them.
+    this->evacuationsReceived(view.evacuatedDataCentres);
     this->membersReceived(changes);
     this->routingReceived(view);
     return false;
@@ -177,6 +178,20 @@
         this->handlers.onRouting(std::move(document).value());
 }
 
+void FleetWatcher::evacuationsReceived(const std::vector<std::string>& dataCentres)
+{
+    std::set<std::string> received(dataCentres.begin(), dataCentres.end());
+    if (received == this->evacuated)
+        return;
+    this->evacuated = std::move(received);
+    std::string names;
+    for (const std::string& dataCentre : this->evacuated)
+        names += (names.empty() ? "" : ",") + dataCentre;
+    this->log.write(LogLevel::Info, "evacuations changed", { { "data_centres", names } });
+    if (this->handlers.onEvacuations)
+        this->handlers.onEvacuations(this->evacuated);
+}
+
 void FleetWatcher::registerMember()
 {
     this->memberClient.request(Messages::RegisterMember { *this->settings.registration }, requestTimeout,
@@ -186,6 +201,11 @@
             const bool isDone = reply && reply.value().refusal == StateRefusal::None;
             this->log.write(isDone ? LogLevel::Info : LogLevel::Warning, isDone ? "registered" : "not registered",
                 { { "detail", reply ? reply.value().detail : reply.error().message() } });
+            if (isDone && !this->settings.isWatching && this->handlers.onEvacuations) {
+                // Without watching, only a renewal shows which data centres are evacuated.
+                this->renew();
+                return;
+            }
             this->later(this->memberTimer, isDone ? this->settings.renewalInterval : failurePause,
                 isDone ? &FleetWatcher::renew : &FleetWatcher::registerMember);
         });
@@ -199,6 +219,9 @@
         [this, guard = std::weak_ptr<bool>(this->alive)](const Core::Result<Messages::StateReply>& reply) {
             if (guard.expired())
                 return;
+            const auto* grant = reply ? std::get_if<Messages::LeaseGrant>(&reply.value().body) : nullptr;
+            if (grant && !this->settings.isWatching)
+                this->evacuationsReceived(grant->evacuatedDataCentres);
             if (reply && reply.value().refusal == StateRefusal::UnknownMember)
                 this->registerMember();
             else
--- a/celeryswitch/State/FleetWatcher.h
+++ b/celeryswitch/State/FleetWatcher.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace celeryswitch::State {
 
@@ -39,6 +40,9 @@
         std::function<void(const std::vector<Messages::Member>&)> onMembers;
         /// A newer routing document is in force.
         std::function<void(Configuration::RoutingDocument)> onRouting;
+        /// The evacuated data centres have changed; may be empty. Known from the views, or, of a process that does not
+        /// watch, from the renewals of its registration.
+        std::function<void(const std::set<std::string>&)> onEvacuations;
     };
 
     /// `context`, `transport` and `log` outlive the watcher.
@@ -62,6 +66,7 @@
     bool changesReceived(const Messages::FleetChanges& changes);
     void membersReceived(const Messages::FleetChanges& changes);
     void routingReceived(const Messages::FleetView& view);
+    void evacuationsReceived(const std::vector<std::string>& dataCentres);
     void registerMember();
     void renew();
     void later(boost::asio::steady_timer& timer, Core::Duration span, void (FleetWatcher::*next)());
@@ -78,6 +83,7 @@
     std::vector<std::string> learned;
     ViewFreshness freshness;
     std::map<Core::InstanceId, Messages::Member> members;
+    std::set<std::string> evacuated;
     std::uint64_t viewVersion = 0;
     std::uint64_t knownRoutingVersion = 0;
     bool isFresh = true;
--- a/celeryswitch/State/StateCommand.h
+++ b/celeryswitch/State/StateCommand.h
@@ -12,7 +12,8 @@
     std::int64_t time = 0;
     /// Append only: the index is part of the stored format.
     std::variant<Messages::RegisterMember, Messages::RemoveMember, Membership::GrantPartitions,
-        Messages::ReleasePartitions, Messages::ProposeChange, Messages::AppendReport, Messages::PutRouting>
+        Messages::ReleasePartitions, Messages::ProposeChange, Messages::AppendReport, Messages::PutRouting,
+        Messages::SetEvacuation>
         body;
 
     template <typename Archive> void serialize(Archive& archive) { archive(this->time, this->body); }
--- a/celeryswitch/State/StateCore.cpp
+++ b/celeryswitch/State/StateCore.cpp
@@ -184,6 +184,16 @@
         this->propose(token, StateCommand { this->wallTime, body }, std::nullopt);
 }
 
+void StateCore::request(std::uint64_t token, const Messages::SetEvacuation& body)
+{
+    if (body.dataCentre.empty()) {
+        this->refuse(token, StateRefusal::InvalidChange, "an evacuation names a data centre");
+        return;
+    }
+    // Always a record, also when nothing seems to change: an order before it may not be applied yet.
+    this->propose(token, StateCommand { this->wallTime, body }, std::nullopt);
+}
+
 void StateCore::request(std::uint64_t token, const Messages::QueryReplicaStatus&)
 {
     StateReply reply;
@@ -236,6 +246,13 @@
     return reply;
 }
 
+StateReply StateCore::read(const Messages::QueryEvacuations&)
+{
+    StateReply reply;
+    reply.body = Messages::EvacuationList { this->stateMachine.evacuations() };
+    return reply;
+}
+
 Messages::LeaseGrant StateCore::confirmLeases(const Core::InstanceId& owner, Core::Incarnation incarnation)
 {
     this->leases.recordRenewal(this->now, owner, incarnation);
@@ -245,6 +262,7 @@
     grant.leaseMilliseconds = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(this->settings.leaseTiming.lease).count());
     grant.configurationVersion = this->stateMachine.configuration().version;
+    grant.evacuatedDataCentres = this->stateMachine.evacuatedDataCentres();
     return grant;
 }
 
--- a/celeryswitch/State/StateCore.h
+++ b/celeryswitch/State/StateCore.h
@@ -113,6 +113,11 @@
     void request(std::uint64_t token, const Messages::QueryReplicaStatus& body);
     void request(std::uint64_t token, const Messages::PutRouting& body);
     void request(std::uint64_t token, const Messages::QueryRouting&) { this->stepReplica(Consensus::Read { token }); }
+    void request(std::uint64_t token, const Messages::SetEvacuation& body);
+    void request(std::uint64_t token, const Messages::QueryEvacuations&)
+    {
+        this->stepReplica(Consensus::Read { token });
+    }
     // Requests that are answered from the applied state once the leadership is confirmed.
     void request(std::uint64_t token, const Messages::RenewLeases&) { this->stepReplica(Consensus::Read { token }); }
     void request(std::uint64_t token, const Messages::QueryReport&) { this->stepReplica(Consensus::Read { token }); }
@@ -127,6 +132,7 @@
     Messages::StateReply read(const Messages::QueryReport& body);
     Messages::StateReply read(const Messages::QueryAudit& body);
     Messages::StateReply read(const Messages::QueryRouting& body);
+    Messages::StateReply read(const Messages::QueryEvacuations& body);
     // The other requests are never read.
     template <typename Body> Messages::StateReply read(const Body&) { return {}; }
     // The leases of an owner, which are confirmed for their full length from now on.
--- a/celeryswitch/State/StateMachine.cpp
+++ b/celeryswitch/State/StateMachine.cpp
@@ -64,7 +64,11 @@
 std::string StateMachine::snapshot() const
 {
     // Saving does not change the machine; the archive function is shared with loading.
-    return Network::encodeMessage(StateMachineImage { const_cast<StateMachine&>(*this) });
+    std::string bytes = Network::encodeMessage(StateMachineImage { const_cast<StateMachine&>(*this) });
+    // Left out where there are none: snapshots of builds without evacuations end here.
+    if (!this->evacuatedSince.empty())
+        bytes += Network::encodeMessage(this->evacuatedSince);
+    return bytes;
 }
 
 Core::Result<void> StateMachine::restore(const std::string& bytes)
@@ -75,6 +79,8 @@
         StateMachineImage image { restored };
         try {
             archive(image);
+            if (archive.remaining() > 0)
+                archive(restored.evacuatedSince);
         } catch (const std::exception& failure) {
             return Core::Error(Network::CodecError::Malformed, std::string("state snapshot: ") + failure.what());
         }
@@ -91,6 +97,7 @@
     view.routingVersion = this->routingDocument.version;
     if (view.routingVersion != knownRoutingVersion)
         view.routing = Network::encodeMessage(this->routingDocument);
+    view.evacuatedDataCentres = this->evacuatedDataCentres();
     return view;
 }
 
@@ -110,9 +117,26 @@
     changes.view.routingVersion = this->routingDocument.version;
     if (this->routingDocument.version != knownRoutingVersion)
         changes.view.routing = Network::encodeMessage(this->routingDocument);
+    changes.view.evacuatedDataCentres = this->evacuatedDataCentres();
     return changes;
 }
 
+std::vector<Messages::Evacuation> StateMachine::evacuations() const
+{
+    std::vector<Messages::Evacuation> result;
+    for (const auto& [dataCentre, since] : this->evacuatedSince)
+        result.push_back({ dataCentre, since });
+    return result;
+}
+
+std::vector<std::string> StateMachine::evacuatedDataCentres() const
+{
+    std::vector<std::string> result;
+    for (const auto& [dataCentre, since] : this->evacuatedSince)
+        result.push_back(dataCentre);
+    return result;
+}
+
 bool StateMachine::hasDeletedSince(const std::vector<Messages::Member>& members, std::uint64_t version) const
 {
     const auto isBefore = [](const Messages::Member& member, const Core::InstanceId& instanceId) {
@@ -238,6 +262,19 @@
     return answer(Messages::Done {});
 }
 
+StateReply StateMachine::applyBody(const Messages::SetEvacuation& command)
+{
+    const bool isChange = command.isEvacuated ? this->evacuatedSince.try_emplace(command.dataCentre, this->time).second
+                                              : this->evacuatedSince.erase(command.dataCentre) > 0;
+    if (!isChange)
+        return answer(Messages::Done {});
+    const std::string order = command.isEvacuated ? "evacuation start" : "evacuation end";
+    this->auditTrail.append({ this->time, order + " " + command.dataCentre, command.author, order,
+        this->document.version, this->document.version, "accepted", "", "", "" });
+    this->changedIndex = this->currentIndex;
+    return answer(Messages::Done {});
+}
+
 StateReply StateMachine::applyBody(const Messages::AppendReport& command)
 {
     this->reportTable.append(this->time, command);
--- a/celeryswitch/State/StateMachine.h
+++ b/celeryswitch/State/StateMachine.h
@@ -44,6 +44,9 @@
     /// The routing document in force, and the text that it was read from.
     const Configuration::RoutingDocument& routing() const { return this->routingDocument; }
     const std::string& routingSource() const { return this->routingText; }
+    /// Evacuations in force, in the order of the data centres' names, and the names alone.
+    std::vector<Messages::Evacuation> evacuations() const;
+    std::vector<std::string> evacuatedDataCentres() const;
     /// Members.
     const Membership::MemberTable& members() const { return this->memberTable; }
     /// Partition owners.
@@ -62,6 +65,7 @@
     Reply applyBody(const Messages::ProposeChange& command);
     Reply applyBody(const Messages::AppendReport& command);
     Reply applyBody(const Messages::PutRouting& command);
+    Reply applyBody(const Messages::SetEvacuation& command);
     // Decides a change that was not seen before.
     ChangeMemory::Answer decideChange(const Messages::ProposeChange& command);
 
@@ -95,6 +99,8 @@
     ReportTable reportTable;
     Configuration::RoutingDocument routingDocument;
     std::string routingText;
+    /// Start of each evacuation in force, by data centre, in milliseconds since 1970.
+    std::map<std::string, std::int64_t> evacuatedSince;
 };
 
 }
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -56,6 +56,7 @@
     Result<void> serveControl(const std::string& address, const ControlProtocol& protocol, Logging::StructuredLog& log)
     {
         this->gateway.emplace(this->context, protocol, log, this->identity(), this->settings.authenticationKeys,
+            this->settings.evacuableDataCentres,
             [this](ClientRequest request) { return this->inbound.tryPush(std::move(request)); });
         BOOST_OUTCOME_TRY(this->gateway->listen(address));
         return Core::success();
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -4,6 +4,7 @@
 #include "celeryswitch/Network/PeerTransport.h"
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace celeryswitch::State {
@@ -21,6 +22,8 @@
     /// Replicas of the first group, by name, with their addresses; empty means a single replica. A replica that joins
     /// later lists the others but not itself.
     std::map<std::string, std::string> initialReplicas;
+    /// Data centres that operators may evacuate; without any the call is unknown.
+    std::set<std::string> evacuableDataCentres;
     /// Whether the group follows its replicas by itself: one that appears is added, one that is lost is replaced.
     bool isGroupKept = false;
     Network::AuthenticationKeys authenticationKeys;
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -67,8 +67,8 @@
     if (!this->worker.profile || !this->worker.isRunListKnown || !this->worker.clock.isKnown()
         || this->unansweredCalls >= unansweredCallLimit)
         return RunRefusal::Unhealthy;
-    if (this->worker.isDraining || this->isShuttingDown)
-        return RunRefusal::Draining;
+    if (const RunRefusal block = this->startBlock(); block != RunRefusal::None)
+        return block;
     const Run* known = this->runs.find(task);
     if (known && known->phase != RunPhase::Ended)
         return RunRefusal::TaskBusy;
@@ -230,6 +230,28 @@
 
 void RunSupervisor::drain() { this->isShuttingDown = true; }
 
+void RunSupervisor::setEvacuated(SteadyTime now, bool value)
+{
+    if (std::exchange(this->isEvacuated, value) == value)
+        return;
+    this->log.write(
+        LogLevel::Info, value ? "evacuation begins" : "evacuation ends", { { "runs", this->runs.activeCount() } });
+    if (!value)
+        return;
+    for (auto& [id, entry] : this->entries) {
+        this->reservations.releaseAll(id);
+        entry.isUpdateDue = true;
+    }
+    this->stopExpiredRuns(now);
+}
+
+RunRefusal RunSupervisor::startBlock() const
+{
+    if (this->worker.isDraining || this->isShuttingDown)
+        return RunRefusal::Draining;
+    return this->isEvacuated ? RunRefusal::Evacuated : RunRefusal::None;
+}
+
 std::vector<SupervisorAction> RunSupervisor::poll(SteadyTime now)
 {
     this->stopExpiredRuns(now);
@@ -248,9 +270,10 @@
             this->fire(now, run, RunEvent::StopUnanswered);
         if (run.phase == RunPhase::Ended || run.phase == RunPhase::Stopping)
             continue;
-        if (run.phase == RunPhase::Queued && (now >= run.startBy || this->worker.isDraining || this->isShuttingDown)) {
+        const RunRefusal block = this->startBlock();
+        if (run.phase == RunPhase::Queued && (now >= run.startBy || block != RunRefusal::None)) {
             this->endUnstartedRun(now, run, RunEvent::StopWanted, NoStartProof::NeverOrdered,
-                now >= run.startBy ? RunRefusal::NoRoom : RunRefusal::Draining);
+                now >= run.startBy ? RunRefusal::NoRoom : block);
             continue;
         }
         const auto entry = this->entries.find(run.entry);
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -114,6 +114,9 @@
     void callFinished(Core::SteadyTime now, std::uint64_t callId, CallResult result);
     /// Starts no more runs, because this process is about to exit.
     void drain();
+    /// Sets whether the worker's data centre is evacuated. While it is, nothing starts: queued runs are refused and
+    /// reservations are dropped. Runs that have started may end.
+    void setEvacuated(Core::SteadyTime now, bool value);
     /// Profile of the worker; std::nullopt until it is known.
     std::optional<Messages::WorkerProfile> workerProfile() const;
     /// Performs all due work and returns the actions to execute.
@@ -210,6 +213,8 @@
     Messages::WorkerProfile profile() const;
     Messages::WorkerLoad load(Core::SteadyTime now) const;
     bool isReady() const;
+    // Why nothing starts on the worker for now; None if runs may start.
+    Messages::RunRefusal startBlock() const;
     Messages::Room freeRoom() const;
     void answerClaims(Core::SteadyTime now);
 
@@ -327,6 +332,7 @@
     std::uint32_t unansweredCalls = 0;
     Core::SteadyTime unansweredAt;
     bool isShuttingDown = false;
+    bool isEvacuated = false;
     std::vector<SupervisorAction> actions;
 };
 
--- a/celeryswitch/Workers/RunSupervisorLife.cpp
+++ b/celeryswitch/Workers/RunSupervisorLife.cpp
@@ -159,7 +159,7 @@
 
 bool RunSupervisor::isReady() const
 {
-    return this->worker.profile && this->worker.isRunListKnown && !this->worker.isDraining && !this->isShuttingDown
+    return this->worker.profile && this->worker.isRunListKnown && this->startBlock() == Messages::RunRefusal::None
         && !this->worker.hasLeft && this->unansweredCalls < unansweredCallLimit;
 }
 
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -34,6 +34,7 @@
     State::FleetWatcherSettings result;
     result.identity = identityOf(settings);
     result.isWatching = false;
+    result.renewalInterval = settings.renewalInterval;
     result.registration = Messages::Member { result.identity, settings.peerAddress, "", {}, 0 };
     result.replicas = settings.stateAddresses;
     result.seed = settings.supervisor.incarnation;
@@ -64,7 +65,7 @@
                   return Http::HttpResponse { status, {}, reason };
               },
               {} })
-    , watcher(context, this->transport, log, watcherSettings(this->settings), {})
+    , watcher(context, this->transport, log, watcherSettings(this->settings), this->watcherHandlers())
     , entries(log,
           { [this](std::uint64_t connection, const Messages::Hello& hello) {
                this->supervisor.entryConnected(this->clock.steadyNow(), connection, hello);
@@ -82,6 +83,17 @@
 {
 }
 
+State::FleetWatcher::Handlers WorkerSidecar::watcherHandlers()
+{
+    if (!this->settings.isEvacuable)
+        return {};
+    return { {}, {}, [this](const std::set<std::string>& dataCentres) {
+                this->supervisor.setEvacuated(
+                    this->clock.steadyNow(), dataCentres.count(this->settings.dataCentre) > 0);
+                this->step();
+            } };
+}
+
 Core::Result<void> WorkerSidecar::start()
 {
     this->transport.setConnectLimit(this->settings.connectTimeout);
--- a/celeryswitch/Workers/WorkerSidecar.h
+++ b/celeryswitch/Workers/WorkerSidecar.h
@@ -25,6 +25,10 @@
     Network::AuthenticationKeys authenticationKeys;
     /// Time limit for connecting to another process.
     std::chrono::milliseconds connectTimeout { 2000 };
+    /// Whether the data centre may be evacuated. The sidecar then learns it from its renewals.
+    bool isEvacuable = false;
+    /// Time between two renewals of the sidecar's registration.
+    Core::Duration renewalInterval = std::chrono::seconds(5);
     /// Maximum number of connections to the worker.
     std::size_t workerConnections = 8;
     /// Maximum time for which a graceful shutdown waits for runs to end.
@@ -57,6 +61,7 @@
     void step();
     void perform(SupervisorAction& action);
     void registerWorker();
+    State::FleetWatcher::Handlers watcherHandlers();
     void finishDraining();
 
     boost::asio::io_context& context;
--- a/scripts/test-command-line.sh
+++ b/scripts/test-command-line.sh
@@ -29,7 +29,7 @@
 expect 0 "Commands:" --help
 expect 2 "Commands:"
 expect 2 '"dance"' dance
-for command in entry sidecar state check config drain members job report audit load experiment scenario; do
+for command in entry sidecar state check config drain evacuate members job report audit load experiment scenario; do
     expect 0 "Usage:" "$command" --help
     expect 2 "Usage:" "$command" --no-such-option
 done
@@ -41,6 +41,8 @@
 expect 2 "KEY" config set "${operator[@]}" colour 1 --reason test
 expect 2 "--reason" config set "${operator[@]}" shareWeight 1
 expect 2 "SCOPE" config exceptions add "${operator[@]}" planet x shareWeight 1 --reason test
+expect 2 "Usage:" evacuate start "${operator[@]}"
+expect 4 "stateAddresses" evacuate list "${operator[@]}"
 expect 2 "--from" report "${operator[@]}" --from yesterday
 expect 2 "--format" report "${operator[@]}" --format pdf
 expect 4 "stateAddresses" config show "${operator[@]}"
