Begin the first group from the settings, so that a majority suffices

Cause: the first group was written down only after all three initial replicas had stated their random identities, and that a replica belonged to it was known from `bootstrap` alone, which is false at each later start. Change: at the first start identity and group follow from the seeds (GroupFormation::firstStart) and are one synced write of identity.json before the replica listens. Any majority elects a leader; a replica without the mark gets a random identity, so no voter exists twice. Deployments whose settings carry no such mark form their group as before.

--- a/UnitTests/State/SelfKeptGroupTest.cpp
+++ b/UnitTests/State/SelfKeptGroupTest.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/State/StateGroup.h"
 #include "UnitTests/Storage/RefusingFileSystem.h"
 #include "celeryswitch/Network/MessageCodec.h"
+#include <algorithm>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
@@ -14,13 +15,14 @@
 // Replicas that know three seeds and keep their group by themselves.
 class SelfKeptGroup : public StateGroup {
 public:
-    explicit SelfKeptGroup(std::size_t seedCount)
+    // The first `startedCount` seeds are started.
+    explicit SelfKeptGroup(std::size_t seedCount, std::size_t startedCount = SIZE_MAX)
         : StateGroup(0)
     {
         for (std::size_t index = 0; index < seedCount; ++index)
             this->seeds.push_back(freeAddress());
-        for (const std::string& seed : this->seeds)
-            this->run(seed, true);
+        for (std::size_t index = 0; index < std::min(seedCount, startedCount); ++index)
+            this->run(this->seeds[index], true);
     }
     // The replicas use the disks until they end.
     ~SelfKeptGroup() { this->replicas.clear(); }
@@ -38,6 +40,7 @@
             if (seed != address || isFirstStart)
                 settings.initialReplicas[seed] = seed;
         }
+        settings.isFirstStart = isFirstStart;
         settings.isGroupKept = true;
         settings.connectLimit = std::chrono::milliseconds(250);
         settings.authenticationKeys = this->keys;
@@ -140,6 +143,49 @@
     REQUIRE(group.version() == 3);
 }
 
+// Guards against two of three replicas that wait for ever for the one that was lost at the first start (review case
+// 10), and against one that comes late and forms a group of its own.
+TEST_CASE("a majority of the first replicas forms the group", "[State][threads]")
+{
+    SelfKeptGroup group(3, 2);
+    REQUIRE(group.put(1));
+    SECTION("the third starts late") { group.run(group.seeds[2], true); }
+    SECTION("the third comes back without its disk") { group.run(group.seeds[2], false); }
+    SECTION("an empty replica comes at another address") { group.run(StateGroup::freeAddress(), false); }
+    REQUIRE(StateGroup::waitUntil([&] {
+        const std::vector<std::string> voters = group.voters();
+        return voters.size() == 3
+            && std::all_of(group.replicas.begin(), group.replicas.end(), [&](const auto& replica) {
+                   return std::find(voters.begin(), voters.end(), replica.second->replicaId()) != voters.end();
+               });
+    }));
+    // The group bears another loss.
+    group.end(group.seeds[0]);
+    REQUIRE(group.put(2));
+    REQUIRE(group.version() == 2);
+}
+
+// Guards against replicas that are killed as they start for the first time, come back on their disks and wait to be
+// added to a group that does not exist (review case 9).
+TEST_CASE("replicas that are killed at the first start form the group when they are back", "[State][threads]")
+{
+    SelfKeptGroup group(3, 0);
+    for (std::size_t index = 0; index < 3; ++index) {
+        group.run(group.seeds[index], true);
+        if (index == 0) {
+            // Killed before any other replica has started.
+            group.end(group.seeds[index]);
+            group.run(group.seeds[index], false);
+        }
+    }
+    for (const std::string& seed : group.seeds)
+        group.end(seed);
+    for (const std::string& seed : group.seeds)
+        group.run(seed, false);
+    REQUIRE(group.put(1));
+    REQUIRE(group.version() == 1);
+}
+
 // Guards against a second group beside the first, and against instances that nobody takes in.
 TEST_CASE("further replicas join the group that the seeds formed", "[State][threads]")
 {
--- a/UnitTests/Storage/DataFolderTest.cpp
+++ b/UnitTests/Storage/DataFolderTest.cpp
@@ -33,6 +33,35 @@
     REQUIRE(DataFolder::open(files, "d", "state-0", [] { return "3"; }).error().is(StorageError::Damaged));
 }
 
+// Guards against a replica of the first group that is killed early and forgets that it belongs to it, and against one
+// that lost its disk and takes the identity of the first start again.
+TEST_CASE("identity and group of the first start are durable from the beginning", "[Storage]")
+{
+    const Storage::FirstStart firstStart { "a-first", { { { "a-first", "a" }, { "b-first", "b" } }, {} } };
+    FaultyFileSystem files;
+    {
+        auto folder = DataFolder::open(
+            files, "d", "a", [] { return "1"; }, firstStart);
+        REQUIRE(folder.value().replicaId() == "a-first");
+    }
+    files.crash(0);
+    {
+        // Later starts have no mark; one that has it nevertheless keeps what the disk holds.
+        for (const std::optional<Storage::FirstStart>& mark :
+            { std::optional<Storage::FirstStart>(), std::optional(Storage::FirstStart { "other", {} }) }) {
+            auto folder = DataFolder::open(
+                files, "d", "a", [] { return "1"; }, mark);
+            REQUIRE(folder.value().replicaId() == "a-first");
+            REQUIRE(folder.value().isFormed());
+            REQUIRE(folder.value().initialGroup().hasVoter("b-first"));
+        }
+    }
+    files.files.clear();
+    auto folder = DataFolder::open(files, "d", "a", [] { return "1"; });
+    REQUIRE(folder.value().replicaId() == "a-1");
+    REQUIRE_FALSE(folder.value().isFormed());
+}
+
 // Guards against a crash between the snapshot and the new log segment that mixes old entries with the new snapshot.
 TEST_CASE("a stored log survives a crash at any point of a snapshot", "[Storage][Consensus]")
 {
--- a/celeryswitch/State/GroupFormation.cpp
+++ b/celeryswitch/State/GroupFormation.cpp
@@ -9,6 +9,19 @@
 {
 }
 
+std::optional<Storage::FirstStart> GroupFormation::firstStart(
+    const std::string& name, const std::map<std::string, std::string>& initial)
+{
+    const auto identityOf = [](const std::string& replicaName) { return replicaName + "-first"; };
+    if (initial.count(name) == 0)
+        return std::nullopt;
+    Storage::FirstStart result;
+    result.replicaId = identityOf(name);
+    for (const auto& [replicaName, address] : initial)
+        result.group.voters.push_back({ identityOf(replicaName), address });
+    return result;
+}
+
 GroupFormation::Verdict GroupFormation::received(const Messages::ReplicaAnnouncement& announcement)
 {
     if (announcement.name == this->name || this->initial.count(announcement.name) == 0)
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -395,9 +395,12 @@
 {
     static Storage::SystemFileSystem systemFiles;
     Storage::FileSystem& used = this->files ? *this->files : systemFiles;
+    std::optional<Storage::FirstStart> firstStart;
+    if (this->settings.isFirstStart)
+        firstStart = GroupFormation::firstStart(this->settings.replicaName, this->settings.initialReplicas);
     BOOST_OUTCOME_TRY(Storage::DataFolder folder,
-        Storage::DataFolder::open(
-            used, this->settings.dataFolder, this->settings.replicaName, Storage::DataFolder::systemRandomSuffix));
+        Storage::DataFolder::open(used, this->settings.dataFolder, this->settings.replicaName,
+            Storage::DataFolder::systemRandomSuffix, firstStart));
     Consensus::RecoveredState recovered;
     BOOST_OUTCOME_TRY(
         Consensus::ReplicaStore store, Consensus::ReplicaStore::open(used, this->settings.dataFolder, recovered));
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -21,6 +21,9 @@
     /// Replicas of the first group, by name, with their addresses; empty means a single replica. A replica that joins
     /// later lists the others but not itself.
     std::map<std::string, std::string> initialReplicas;
+    /// Whether this is the first start of the whole system, with empty disks. The replicas in `initialReplicas` then
+    /// begin as one group without waiting for each other. Must be false at every later start, also after a lost disk.
+    bool isFirstStart = false;
     /// Whether the group follows its replicas by itself: one that appears is added, one that is lost is replaced.
     bool isGroupKept = false;
     Network::AuthenticationKeys authenticationKeys;
--- a/celeryswitch/Storage/DataFolder.cpp
+++ b/celeryswitch/Storage/DataFolder.cpp
@@ -26,7 +26,7 @@
 }
 
 Result<DataFolder> DataFolder::open(FileSystem& files, const std::string& path, const std::string& name,
-    const std::function<std::string()>& randomSuffix)
+    const std::function<std::string()>& randomSuffix, const std::optional<FirstStart>& firstStart)
 {
     DataFolder opened(files, path);
     BOOST_OUTCOME_TRY(files.createFolder(path));
@@ -42,7 +42,14 @@
         if (present == "snapshot" || present.starts_with("log-"))
             return Error(StorageError::Damaged, path + "/" + identityName + " is missing, but " + present + " exists");
     }
-    opened.id = name + "-" + randomSuffix();
+    if (firstStart) {
+        // Identity and group are written at once: a crash leaves a member of the first group or an empty folder.
+        opened.id = firstStart->replicaId;
+        opened.hasGroup = true;
+        opened.group = firstStart->group;
+    } else {
+        opened.id = name + "-" + randomSuffix();
+    }
     BOOST_OUTCOME_TRY(opened.save());
     return opened;
 }
--- a/celeryswitch/Storage/DataFolder.h
+++ b/celeryswitch/Storage/DataFolder.h
@@ -3,17 +3,24 @@
 #include "celeryswitch/Messages/ConsensusMessages.h"
 #include "celeryswitch/Storage/FileSystem.h"
 #include <functional>
+#include <optional>
 
 namespace celeryswitch::Storage {
 
+/// Identity and group of a replica that belongs to the first group by its settings.
+struct FirstStart {
+    Messages::ReplicaId replicaId;
+    Messages::ReplicaGroup group;
+};
+
 /// A state replica's data folder: its lock, its identity and the group that it was formed with.
 class DataFolder {
 public:
-    /// Opens a folder and takes its lock. A folder without identity gets a new one: `name`, a hyphen and what
-    /// `randomSuffix` returns. Errors: Locked, Damaged when there is data but no identity, and those of the file
-    /// system.
+    /// Opens a folder and takes its lock. A folder without identity gets a new one, durable on return: `name`, a hyphen
+    /// and what `randomSuffix` returns, or identity and group of `firstStart` if it is set. Errors: Locked, Damaged
+    /// when there is data but no identity, and those of the file system.
     static Core::Result<DataFolder> open(FileSystem& files, const std::string& path, const std::string& name,
-        const std::function<std::string()>& randomSuffix);
+        const std::function<std::string()>& randomSuffix, const std::optional<FirstStart>& firstStart = std::nullopt);
     /// 16 hexadecimal digits from the system's source of random numbers.
     static std::string systemRandomSuffix();
 
