Sync the parents of folders that a replica creates

Cause: the data folder's own entry was never synced, so that a power loss after the first start could take the folder with the synced identity in it. Change: createFolder syncs the parent of each folder that it creates; existing folders cost nothing. Measured: unit cases [Storage] pass; no power loss was played.

--- a/celeryswitch/Storage/SystemFileSystem.cpp
+++ b/celeryswitch/Storage/SystemFileSystem.cpp
@@ -92,9 +92,18 @@
 Result<void> SystemFileSystem::createFolder(const std::string& path)
 {
     std::error_code error;
+    const std::filesystem::path absolute = std::filesystem::absolute(path, error);
+    std::vector<std::string> parents;
+    for (std::filesystem::path part = absolute;
+         !error && !std::filesystem::exists(part, error) && part.has_relative_path(); part = part.parent_path())
+        parents.push_back(part.parent_path().string());
     std::filesystem::create_directories(path, error);
     if (error)
         return Error(StorageError::Failed, "create folder " + path + ": " + error.message());
+    // A folder that its parent forgets in a power loss takes its files with it.
+    for (const std::string& parent : parents) {
+        BOOST_OUTCOME_TRY(this->syncFolder(parent));
+    }
     return Core::success();
 }
 
