Remove voters that are gone from groups of any size

Cause: a silent voter was removed only from a group of an even size. Change: the longest silent voter is removed while the group has more than 2 f + 1 voters, f being `fault_tolerance` of the settings; where it is not stated, from even groups as before and from groups of more than five. A smaller group would keep newly confirmed entries on too few disks while the silent voters may only be out of reach. A voter that has not answered since the leader began has 5 s instead of 2.5 s, as all may be starting again.

--- a/UnitTests/Platform/BootFileTest.cpp
+++ b/UnitTests/Platform/BootFileTest.cpp
@@ -58,6 +58,22 @@
     REQUIRE(load(settings).value().unusableSeeds.empty());
 }
 
+// Guards against a replica that joins a first group twice, and against a group size that is derived from a number that
+// the file does not state.
+TEST_CASE("the first start and the tolerated losses are read from the settings", "[Platform]")
+{
+    REQUIRE(stateSettings(load(settings).value()).isFirstStart);
+    REQUIRE(stateSettings(load(settings).value()).toleratedLosses == 0);
+    REQUIRE_FALSE(
+        stateSettings(load(replaced(settings, "bootstrap = true", "bootstrap = false")).value()).isFirstStart);
+    const auto lossesOf
+        = [](const std::string& line) { return stateSettings(load(line + "\n" + settings).value()).toleratedLosses; };
+    REQUIRE(lossesOf("fault_tolerance = 2") == 2);
+    REQUIRE(lossesOf("fault_tolerance = { machines = 1, zones = 0 }") == 1);
+    for (const char* odd : { "0", "-1", "1.5", "\"2\"", "[2]", "{}", "9223372036854775807" })
+        REQUIRE(lossesOf(std::string("fault_tolerance = ") + odd) == 0);
+}
+
 // Guards against processes that start at an address where nobody looks for them.
 TEST_CASE("settings with an address or a number out of range are refused by name", "[Platform]")
 {
--- a/celeryswitch/State/GroupKeeper.cpp
+++ b/celeryswitch/State/GroupKeeper.cpp
@@ -10,6 +10,9 @@
 
 // Time without an answer after which one of two identities at the same address is taken for the one that is gone.
 constexpr Core::Duration sameAddressSilence = std::chrono::milliseconds(500);
+// Voters of the largest group that deployments intend. Where the tolerated losses are unknown, a larger group has
+// voters that were replaced.
+constexpr std::size_t largestIntendedGroup = 5;
 
 }
 
@@ -24,14 +27,14 @@
         return std::nullopt;
     std::erase_if(
         this->known, [&](const auto& entry) { return now - entry.second.at > this->settings.announcementAge; });
+    if (this->term != leader.term()) {
+        this->term = leader.term();
+        this->termBegin = now;
+    }
     const ReplicaGroup& group = leader.log().group();
-    const auto silence = [&](const ReplicaInfo& replica) {
-        return replica.id == leader.id() ? Core::Duration::zero() : now - leader.lastReplyTime(replica.id);
-    };
-    const auto isSilent = [&](const ReplicaInfo& replica) { return silence(replica) > this->settings.silenceLimit; };
     // A learner that left before it had caught up must not hold up the next change.
     for (const ReplicaInfo& learner : group.learners) {
-        if (isSilent(learner) && this->known.count(learner.id) == 0)
+        if (silence(now, leader, learner) > this->settings.silenceLimit && this->known.count(learner.id) == 0)
             return Replace { 0, learner.id, {} };
     }
     if (leader.isGroupChanging())
@@ -42,37 +45,61 @@
             candidates.push_back(announced.replica);
     }
     for (const ReplicaInfo& candidate : candidates)
-        return Replace { 0, this->placeOf(candidate, group, leader.id(), isSilent), candidate };
+        return Replace { 0, this->placeOf(now, candidate, leader), candidate };
     for (const ReplicaInfo& voter : group.voters) {
+        const Core::Duration voterSilence = silence(now, leader, voter);
         for (const ReplicaInfo& other : group.voters) {
-            if (voter.id != other.id && voter.address == other.address && silence(voter) > sameAddressSilence
-                && silence(voter) > silence(other))
+            if (voter.id != other.id && voter.address == other.address && voterSilence > sameAddressSilence
+                && voterSilence > silence(now, leader, other))
                 return Replace { 0, voter.id, {} };
         }
     }
-    // An even group tolerates no more losses than the next smaller one.
-    if (group.voters.size() % 2 == 0) {
-        for (const ReplicaInfo& voter : group.voters) {
-            if (isSilent(voter))
-                return Replace { 0, voter.id, {} };
-        }
+    if (this->isRemovable(group.voters.size())) {
+        if (const std::optional<Messages::ReplicaId> silent = this->silentVoter(now, leader))
+            return Replace { 0, *silent, {} };
     }
     return std::nullopt;
 }
 
-Messages::ReplicaId GroupKeeper::placeOf(const ReplicaInfo& candidate, const ReplicaGroup& group,
-    const Messages::ReplicaId& leader, const std::function<bool(const ReplicaInfo&)>& isSilent)
+bool GroupKeeper::isRemovable(std::size_t voterCount) const
 {
-    // An address has one disk: another identity there means that the earlier one is gone.
-    for (const ReplicaInfo& voter : group.voters) {
-        if (voter.address == candidate.address && voter.id != leader)
-            return voter.id;
+    if (this->settings.toleratedLosses > 0)
+        return voterCount > 2 * std::size_t(this->settings.toleratedLosses) + 1;
+    // An even group tolerates no more losses than the next smaller one.
+    return voterCount % 2 == 0 || voterCount > largestIntendedGroup;
+}
+
+Core::Duration GroupKeeper::silence(Core::SteadyTime now, const Consensus::Replica& leader, const ReplicaInfo& replica)
+{
+    return replica.id == leader.id() ? Core::Duration::zero() : now - leader.lastReplyTime(replica.id);
+}
+
+std::optional<Messages::ReplicaId> GroupKeeper::silentVoter(
+    Core::SteadyTime now, const Consensus::Replica& leader) const
+{
+    std::optional<Messages::ReplicaId> found;
+    Core::Duration longest = Core::Duration::zero();
+    for (const ReplicaInfo& voter : leader.log().group().voters) {
+        const Core::Duration voterSilence = silence(now, leader, voter);
+        const bool hasAnswered = voterSilence < now - this->termBegin;
+        if (voterSilence <= (hasAnswered ? this->settings.silenceLimit : this->settings.restartLimit)
+            || voterSilence <= longest)
+            continue;
+        longest = voterSilence;
+        found = voter.id;
     }
-    for (const ReplicaInfo& voter : group.voters) {
-        if (isSilent(voter))
+    return found;
+}
+
+Messages::ReplicaId GroupKeeper::placeOf(
+    Core::SteadyTime now, const ReplicaInfo& candidate, const Consensus::Replica& leader) const
+{
+    // An address has one disk: another identity there means that the earlier one is gone.
+    for (const ReplicaInfo& voter : leader.log().group().voters) {
+        if (voter.address == candidate.address && voter.id != leader.id())
             return voter.id;
     }
-    return {};
+    return this->silentVoter(now, leader).value_or(Messages::ReplicaId());
 }
 
 }
--- a/celeryswitch/State/GroupKeeper.h
+++ b/celeryswitch/State/GroupKeeper.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "celeryswitch/Consensus/Replica.h"
-#include <functional>
 #include <map>
 #include <optional>
 
@@ -13,13 +12,23 @@
     bool isEnabled = false;
     /// Time without an answer after which a replica counts as silent.
     Core::Duration silenceLimit = std::chrono::milliseconds(2500);
+    /// The same for a replica that has not answered since this leader began. It is longer because all replicas may be
+    /// starting again, each after a different time.
+    Core::Duration restartLimit = std::chrono::seconds(5);
+    /// Replicas that may be lost at once; 0 if unknown.
+    std::uint32_t toleratedLosses = 0;
     /// Age up to which an announcement counts.
     Core::Duration announcementAge = std::chrono::milliseconds(1500);
 };
 
 /// Decides at the leader how the group follows its replicas: one that announces itself is added, one that lost its disk
 /// takes the place of its earlier identity at the same address, and a silent one is removed when the group does without
-/// it as well as with it. Pure.
+/// it as well as with it.
+///
+/// A silent voter may be gone or merely out of reach, so the group never shrinks below the size that the tolerated
+/// losses require: entries that are confirmed later would otherwise be on too few disks. One change is made at a time,
+/// each after the previous one is committed; a replica that was removed and returns announces itself and is added
+/// again. Pure.
 class GroupKeeper {
 public:
     explicit GroupKeeper(GroupKeeperSettings settings)
@@ -38,13 +47,23 @@
         Core::SteadyTime at;
     };
 
+    // Whether a group of this many voters may lose a silent one.
+    bool isRemovable(std::size_t voterCount) const;
+    // Time since a replica answered; zero for the leader.
+    static Core::Duration silence(
+        Core::SteadyTime now, const Consensus::Replica& leader, const Messages::ReplicaInfo& replica);
+    // The voter that has been silent for the longest time, if it is beyond its limit.
+    std::optional<Messages::ReplicaId> silentVoter(Core::SteadyTime now, const Consensus::Replica& leader) const;
     // The voter whose place a candidate takes; empty when it is added to them.
-    static Messages::ReplicaId placeOf(const Messages::ReplicaInfo& candidate, const Messages::ReplicaGroup& group,
-        const Messages::ReplicaId& leader, const std::function<bool(const Messages::ReplicaInfo&)>& isSilent);
+    Messages::ReplicaId placeOf(
+        Core::SteadyTime now, const Messages::ReplicaInfo& candidate, const Consensus::Replica& leader) const;
 
     // Newest announcement by id.
     std::map<Messages::ReplicaId, Announced> known;
     GroupKeeperSettings settings;
+    /// Term in which this replica led at the last decision, and the time of the first decision in it.
+    Consensus::Term term = 0;
+    Core::SteadyTime termBegin;
 };
 
 }
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -143,6 +143,7 @@
         coreSettings.replica.seed = randomNumber();
         coreSettings.snapshotThreshold = this->settings.snapshotThreshold;
         coreSettings.keeper.isEnabled = this->settings.isGroupKept;
+        coreSettings.keeper.toleratedLosses = this->settings.toleratedLosses;
         this->recovered.initialGroup = this->folder.initialGroup();
         this->formation.reset();
         this->core.emplace(std::move(coreSettings), std::move(this->recovered), Core::BootClock::now());
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -26,6 +26,9 @@
     bool isFirstStart = false;
     /// Whether the group follows its replicas by itself: one that appears is added, one that is lost is replaced.
     bool isGroupKept = false;
+    /// Replicas that may be lost at once; 0 if unknown. Silent voters are removed from a kept group of more than
+    /// 2 * toleratedLosses + 1.
+    std::uint32_t toleratedLosses = 0;
     Network::AuthenticationKeys authenticationKeys;
     /// Applied records after which a snapshot shortens the log; 1 or more.
     std::uint64_t snapshotThreshold = 1000;
