Play random faults within the tolerance on kept groups

Cause: the directed cases of the group keeper cover replacements, but no mixes with partitions, freezes and kills. An always larger shrinking (above three voters) and a limit of 2.5 s at new leaders are not noticed by this case but by the directed ones.

--- a/UnitTests/State/GroupKeeperTest.cpp
+++ b/UnitTests/State/GroupKeeperTest.cpp
@@ -273,3 +273,74 @@
         CHECK(model.violation() == "");
     }
 }
+
+// Guards against confirmed versions that are lost, and groups that never recover, when replicas are killed, frozen, cut
+// off, replaced or lose their disks at random times, never more at once than the group has to tolerate. Each seed ends
+// in the final fault.
+TEST_CASE("a kept group loses nothing under random faults within its tolerance", "[State][keeper][explorer]")
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+        INFO("seed " << seed);
+        const std::uint32_t losses = 1 + static_cast<std::uint32_t>(seed % 2);
+        GroupModel model(modelSettings(losses, seed));
+        Machines machines = startGroup(model, static_cast<int>(2 * losses + 1));
+        int nextNumber = 100;
+        for (int round = 0; round < 6; ++round) {
+            // The first machines are affected; their order changes with each round.
+            for (std::size_t index = machines.size() - 1; index > 0; --index)
+                std::swap(machines[index], machines[model.random(static_cast<std::uint32_t>(index) + 1)]);
+            const std::uint32_t affected = 1 + model.random(losses);
+            const std::uint32_t kind = model.random(6);
+            for (std::uint32_t number = 0; number < affected; ++number) {
+                std::string& machine = machines[number];
+                if (kind == 0) {
+                    model.setPart(machine, 1);
+                } else if (kind == 1) {
+                    model.setFrozen(machine, true);
+                } else if (kind == 2) {
+                    model.loseDisk(machine);
+                    model.run(std::chrono::milliseconds(model.random(1000)));
+                    model.start(machine, false);
+                } else if (kind == 3) {
+                    // Planned or unplanned replacement at another address.
+                    const std::string old = machine;
+                    machine = addressOf(nextNumber++);
+                    model.setSeeds({ machines[0], machines[1], machines[2] });
+                    const bool isPlanned = model.random(2) == 0;
+                    if (isPlanned)
+                        model.start(machine, false);
+                    else
+                        model.loseDisk(old);
+                    model.run(isPlanned ? 6s : 2s);
+                    if (isPlanned)
+                        model.loseDisk(old);
+                    else
+                        model.start(machine, false);
+                } else if (kind == 4) {
+                    model.kill(machine);
+                }
+            }
+            if (kind == 5) {
+                for (const std::string& machine : machines)
+                    model.kill(machine);
+                model.run(downTime);
+                for (const std::string& machine : machines)
+                    model.start(machine, false);
+            }
+            model.run(std::chrono::milliseconds(model.random(8000)));
+            CHECK(model.put());
+            for (const std::string& machine : machines) {
+                model.setPart(machine, 0);
+                model.setFrozen(machine, false);
+                model.start(machine, false);
+            }
+            CHECK(model.runUntil([&] { return model.isWhole(); }, 15s));
+            REQUIRE(model.violation() == "");
+        }
+        REQUIRE(model.put());
+        endInFault(model, machines, Machines(machines.begin(), machines.begin() + losses));
+        CHECK(model.runUntil([&] { return model.versionAtLeader().has_value(); }, recoveryTime));
+        CHECK(model.versionAtLeader().value_or(0) == model.confirmedVersion());
+        REQUIRE(model.violation() == "");
+    }
+}
