--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -144,6 +144,7 @@
         coreSettings.replica.seed = randomNumber();
         coreSettings.snapshotThreshold = this->settings.snapshotThreshold;
         coreSettings.keeper.isEnabled = this->settings.isGroupKept;
+        coreSettings.keeper.toleratedLosses = this->settings.toleratedLosses;
         this->recovered.initialGroup = this->folder.initialGroup();
         this->formation.reset();
         this->core.emplace(std::move(coreSettings), std::move(this->recovered), Core::BootClock::now());
@@ -396,9 +397,12 @@
 {
     static Storage::SystemFileSystem systemFiles;
     Storage::FileSystem& used = this->files ? *this->files : systemFiles;
+    std::optional<Storage::FirstStart> firstStart;
+    if (this->settings.isFirstStart)
+        firstStart = GroupFormation::firstStart(this->settings.replicaName, this->settings.initialReplicas);
     BOOST_OUTCOME_TRY(Storage::DataFolder folder,
-        Storage::DataFolder::open(
-            used, this->settings.dataFolder, this->settings.replicaName, Storage::DataFolder::systemRandomSuffix));
+        Storage::DataFolder::open(used, this->settings.dataFolder, this->settings.replicaName,
+            Storage::DataFolder::systemRandomSuffix, firstStart));
     Consensus::RecoveredState recovered;
     BOOST_OUTCOME_TRY(
         Consensus::ReplicaStore store, Consensus::ReplicaStore::open(used, this->settings.dataFolder, recovered));
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -24,8 +24,14 @@
     std::map<std::string, std::string> initialReplicas;
     /// Data centres that operators may evacuate; without any the call is unknown.
     std::set<std::string> evacuableDataCentres;
+    /// Whether this is the first start of the whole system, with empty disks. The replicas in `initialReplicas` then
+    /// begin as one group without waiting for each other. Must be false at every later start, also after a lost disk.
+    bool isFirstStart = false;
     /// Whether the group follows its replicas by itself: one that appears is added, one that is lost is replaced.
     bool isGroupKept = false;
+    /// Replicas that may be lost at once; 0 if unknown. Silent voters are removed from a kept group of more than
+    /// 2 * toleratedLosses + 1.
+    std::uint32_t toleratedLosses = 0;
     Network::AuthenticationKeys authenticationKeys;
     /// Applied records after which a snapshot shortens the log; 1 or more.
     std::uint64_t snapshotThreshold = 1000;
