Start runs only on the worker incarnation they were ordered for

A sidecar has no call open while nothing runs, so that it does not notice that its worker crashed and is back under its id as another kind or with a smaller capacity. Orders did not name the incarnation that the entry had chosen, and starts on new connections were executed by whichever incarnation answered.

StartRuns now names the incarnation (bornAt), and a sidecar answers an order for another one as not started. WorkerClient writes a start only to a connection whose incarnation a list of runs has identified as the one that the start names; it requests the list first on a new connection, and drops a connection that the worker has closed. Queued runs, reservations and offers end with their incarnation. An entry that connects again is told the profile again, since its orders would be refused for good with an old one. No round trip is added while the connections to one incarnation stay open.

"a start that a restarted worker accepted is not reported as lost while it runs" relied on a start that reaches an unidentified incarnation; the fixture has a flag for that, and the test checks the same as before.

--- a/UnitTests/Scheduling/JobSchedulerOverloadTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerOverloadTest.cpp
@@ -240,3 +240,41 @@
     fixture.advance(100ms);
     CHECK(!fixture.starts.empty());
 }
+
+// Guards against tasks that start on a worker without the label that they need: room was reserved on it, it returned
+// as another kind, and its sidecar offered the room.
+TEST_CASE("room that was reserved on an earlier incarnation of a worker is not used", "[Scheduling]")
+{
+    SchedulerFixture fixture(3);
+    fixture.fillWorkers(3, 300'000);
+    fixture.submit(1, fixture.makeJob(100, 1));
+    REQUIRE(!fixture.reserves.empty());
+    const auto reserve = fixture.reserves[0];
+    SECTION("the worker lives on")
+    {
+        fixture.offer(reserve);
+        REQUIRE(fixture.reservedStarts.size() == 1);
+        CHECK(fixture.reservedStarts[0].second.start.bornAt == 1);
+    }
+    SECTION("another incarnation")
+    {
+        fixture.bornAt = 2;
+        fixture.update(reserve.first, { 0, 65'536, 0 });
+        fixture.offer(reserve);
+        CHECK(fixture.reservedStarts.empty());
+        CHECK(fixture.isReleased(reserve));
+    }
+}
+
+// Guards against a start order that a sidecar can't tell from one for an earlier incarnation of its worker.
+TEST_CASE("a start order names the incarnation of the worker that it was decided on", "[Scheduling]")
+{
+    SchedulerFixture fixture(1);
+    fixture.submit(1, fixture.makeJob(100));
+    fixture.bornAt = 2;
+    fixture.update("side-1", { 32'000, 65'536, 0 });
+    fixture.submit(2, fixture.makeJob(101));
+    REQUIRE(fixture.starts.size() == 2);
+    CHECK(fixture.starts[0].second.bornAt == 1);
+    CHECK(fixture.starts[1].second.bornAt == 2);
+}
--- a/UnitTests/Scheduling/SchedulerFixture.h
+++ b/UnitTests/Scheduling/SchedulerFixture.h
@@ -50,7 +50,8 @@
         update.incarnation = 1;
         update.clockSample = Core::toClockSample(this->now());
         update.handledSequence = 1'000'000;
-        update.profile = { { "w-" + sidecar, 1, "loans", { 32'000, 65'536, 0 }, { "a", "rack-" + sidecar } } };
+        update.profile
+            = { { "w-" + sidecar, this->bornAt, "loans", { 32'000, 65'536, 0 }, { "a", "rack-" + sidecar } } };
         update.load = this->load;
         update.load.free = free;
         update.load.isReady = true;
@@ -184,6 +185,8 @@
     JobScheduler scheduler;
     Configuration::Queue queue;
     Messages::WorkerLoad load;
+    // Incarnation of the workers in the next updates.
+    std::int64_t bornAt = 1;
     std::vector<std::pair<std::string, Messages::StartRuns>> starts;
     std::vector<std::pair<std::string, Messages::StartReserved>> reservedStarts;
     std::vector<std::pair<std::string, Messages::ReserveRoom>> reserves;
--- a/UnitTests/Workers/CallerEndTest.cpp
+++ b/UnitTests/Workers/CallerEndTest.cpp
@@ -196,6 +196,7 @@
     start.rank = 1;
     start.startWithinMicroseconds = 500'000;
     start.deadlineMicroseconds = 5'000'000;
+    start.bornAt = fixture.orderedBornAt;
     start.tasks = { { 0, 1 } };
     fixture.supervisor->messageReceived(fixture.now(), 1, std::move(start));
     fixture.advance(2ms);
--- a/UnitTests/Workers/RunSupervisorProofTest.cpp
+++ b/UnitTests/Workers/RunSupervisorProofTest.cpp
@@ -113,6 +113,7 @@
     ReadySupervisor fixture;
     fixture.advance(100ms);
     fixture.restartWorker(90'000);
+    fixture.areStartsIdentified = false;
     fixture.plan.time = 600ms;
     fixture.startTasks(1, 1);
     fixture.advance(300ms);
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -62,6 +62,7 @@
         start.rank = rank;
         start.startWithinMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(startWithin).count();
         start.deadlineMicroseconds = 5'000'000;
+        start.bornAt = this->orderedBornAt;
         for (std::uint32_t index = 0; index < tasks; ++index)
             start.tasks.emplace_back(index, 1);
         this->supervisor->messageReceived(this->now(), connection, start);
@@ -104,19 +105,20 @@
         start.rank = rank;
         start.startWithinMicroseconds = 30'000;
         start.deadlineMicroseconds = 5'000'000;
+        start.bornAt = this->orderedBornAt;
         start.tasks = { { 0, 1 } };
         this->supervisor->messageReceived(
             this->now(), connection, Messages::StartReserved { reservation, std::move(start) });
     }
     /// Replaces the worker by another incarnation under the same id, which runs nothing and has seen no fencing token.
-    void restartWorker(std::int64_t bornAt)
+    void restartWorker(std::int64_t bornAt, const Room& capacity = { 32'000, 65'536, 0 })
     {
         this->endedHistory.insert(
             this->endedHistory.end(), this->worker.history().begin(), this->worker.history().end());
         this->worker.terminate(this->now());
         this->worker = Experiment::LeasedWorkerModel(
-            { "w1", bornAt, "loans", { 32'000, 65'536, 0 } },
-            [this](const TaskId&, std::uint32_t) { return this->plan; }, this->now());
+            { "w1", bornAt, "loans", capacity }, [this](const TaskId&, std::uint32_t) { return this->plan; },
+            this->now());
     }
     /// Advances the time of the worker alone, as after a crash of the sidecar.
     void advanceWorker(Core::Duration span)
@@ -185,6 +187,8 @@
     Core::ManualClock clock;
     Logging::StructuredLog log;
     Metrics::MetricRegistry registry;
+    /// Incarnation of the worker that start orders name: that of the newest profile that an entry received.
+    std::int64_t orderedBornAt = 77;
     /// Behaviour of the next runs.
     Experiment::RunPlan plan { std::chrono::milliseconds(200), false, { 3000, 64, 0 } };
     Experiment::LeasedWorkerModel worker;
@@ -193,6 +197,9 @@
     std::vector<std::uint64_t> liveConnections;
     /// Whether calls reach the worker; lost calls are kept in `lostCalls`.
     bool isWorkerReachable = true;
+    /// Whether a start reaches no other incarnation of the worker than the one that it names. Without it, a connection
+    /// leads to the next incarnation, as through a relay that stays up.
+    bool areStartsIdentified = true;
     /// Whether every call fails at once without a response, as if the worker reset its connections.
     bool isWorkerResetting = false;
     /// Whether the worker refuses every start because it is unhealthy.
@@ -254,6 +261,8 @@
             for (const Messages::RunReport& report : send->update.reports)
                 this->reports.push_back(report);
             this->load = send->update.load;
+            for (const Messages::WorkerProfile& profile : send->update.profile)
+                this->orderedBornAt = profile.workerId.empty() ? this->orderedBornAt : profile.bornAt;
             if (this->onUpdate)
                 this->onUpdate(send->connection, send->update);
         } else if (const auto* offer = std::get_if<SendOffer>(&action)) {
@@ -270,6 +279,16 @@
                 this->supervisor->callFinished(this->now(), call->callId, std::move(refusal));
                 return;
             }
+            const auto* start = std::get_if<StartCall>(&call->call);
+            if (start && this->areStartsIdentified && this->isWorkerReachable
+                && start->workerStartedAt != this->worker.settings().bornAt) {
+                // As WorkerClient does: the connection to the earlier incarnation broke, and a new one is identified.
+                CallResult unsent;
+                unsent.status = CallStatus::NotIdentified;
+                unsent.workerStartedAt = this->worker.settings().bornAt;
+                this->supervisor->callFinished(this->now(), call->callId, std::move(unsent));
+                return;
+            }
             const auto* hold = std::get_if<RenewLeaseCall>(&call->call);
             const bool isLost = !this->isWorkerReachable
                 || (std::holds_alternative<StartCall>(call->call) && std::exchange(this->isNextStartLost, false))
--- a/celeryswitch/Http/HttpConnection.cpp
+++ b/celeryswitch/Http/HttpConnection.cpp
@@ -7,8 +7,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <charconv>
 #include <optional>
+#include <sys/socket.h>
 
 namespace celeryswitch::Http {
 
@@ -50,6 +52,17 @@
             this->context, [self = this->shared_from_this()] { self->isReused ? self->write() : self->connect(); });
     }
 
+    bool isOpen()
+    {
+        if (!this->stream || !this->stream->socket().is_open())
+            return false;
+        // No answer is awaited: what can be read is the end of the connection, or bytes that belong to no request.
+        char byte = 0;
+        const ssize_t received
+            = ::recv(this->stream->socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
     void close()
     {
         this->handler = {};
@@ -172,6 +185,8 @@
     this->implementation->request(std::move(request), timeout, std::move(handler));
 }
 
+bool HttpConnection::isOpen() const { return this->implementation->isOpen(); }
+
 const std::string& HttpConnection::address() const { return this->implementation->address; }
 
 Core::Result<HttpResponse> httpCall(
--- a/celeryswitch/Http/HttpConnection.h
+++ b/celeryswitch/Http/HttpConnection.h
@@ -44,6 +44,8 @@
 
     /// Sends a request; none may be waiting.
     void request(HttpRequest request, Core::Duration timeout, Handler handler);
+    /// Whether the connection is established and the other side has not closed it. To be called between requests.
+    bool isOpen() const;
     /// Address that the connection leads to.
     const std::string& address() const;
 
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -79,6 +79,8 @@
     Unanswered,
     /// The worker refused the order for another reason.
     Rejected,
+    /// The worker is another incarnation than the one that the order names.
+    OtherIncarnation,
 };
 
 /// State of a run as the sidecar reports it.
@@ -124,6 +126,8 @@
     std::int64_t startWithinMicroseconds = 0;
     /// Time left until the job's deadline; what still runs then is stopped. 0 means none.
     std::int64_t deadlineMicroseconds = 0;
+    /// Incarnation of the worker that the order was decided on, see WorkerProfile::bornAt. The runs start on no other.
+    std::int64_t bornAt = 0;
     /// Index and run number of each task.
     std::vector<std::pair<std::uint32_t, std::uint32_t>> tasks;
 
@@ -131,7 +135,7 @@
     {
         archive(this->sequence, this->order, this->clockEcho, this->job, this->occurrence, this->step, this->content,
             this->need, this->expectedMilliseconds, this->rank, this->startWithinMicroseconds,
-            this->deadlineMicroseconds, this->tasks);
+            this->deadlineMicroseconds, this->bornAt, this->tasks);
     }
 };
 
@@ -331,7 +335,7 @@
 
 template <> struct EnumTable<Messages::RunRefusal> {
     static constexpr std::string_view type = "RunRefusal";
-    static constexpr std::array<std::pair<Messages::RunRefusal, std::string_view>, 8> names { {
+    static constexpr std::array<std::pair<Messages::RunRefusal, std::string_view>, 9> names { {
         { Messages::RunRefusal::None, "none" },
         { Messages::RunRefusal::NoRoom, "no-room" },
         { Messages::RunRefusal::Draining, "draining" },
@@ -340,6 +344,7 @@
         { Messages::RunRefusal::Late, "late" },
         { Messages::RunRefusal::Unanswered, "unanswered" },
         { Messages::RunRefusal::Rejected, "rejected" },
+        { Messages::RunRefusal::OtherIncarnation, "other-life" },
     } };
 };
 
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -173,6 +173,8 @@
         /// Time at which the sidecar drops it.
         Core::SteadyTime until;
         float rank = 0;
+        /// Incarnation of the worker that the reservation was decided on.
+        std::int64_t bornAt = 0;
     };
     struct Job {
         JobSpecification specification;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -237,6 +237,7 @@
     start.startWithinMicroseconds = static_cast<std::int64_t>(startWindowSeconds * 1e6);
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.expiresAt) * 1e6));
+    start.bornAt = worker.profile.bornAt;
     for (std::uint32_t index = 0; index < step.tasks.size() && start.tasks.size() < count; ++index) {
         Task& task = step.tasks[index];
         if (task.phase != TaskPhase::Waiting)
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -78,9 +78,13 @@
     worker.incarnation = update.incarnation;
     worker.clockSample = update.clockSample;
     worker.lastReceivedAt = now;
-    if (!update.profile.empty())
-        worker.profile = std::move(update.profile.front());
     const bool wasUsable = worker.isUsable();
+    if (!update.profile.empty()) {
+        // Reservations on another incarnation may be on the wrong kind of worker.
+        if (worker.profile.bornAt != update.profile.front().bornAt)
+            this->forgetReservationsAt(sidecar);
+        worker.profile = std::move(update.profile.front());
+    }
     worker.load = std::move(update.load);
     this->noteChange(worker);
     if (wasUsable && !worker.isUsable())
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -28,7 +28,7 @@
     worker.uncountedOrders.push_back({ reserve.sequence, expectedUse, now });
     this->lastSentAt[placement.sidecar] = now;
     job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex, placement.count,
-        addSeconds(now, request.maximumWaitSeconds), request.rank });
+        addSeconds(now, request.maximumWaitSeconds), request.rank, worker.profile.bornAt });
     this->noteDue(job);
     this->reservationJobs[reserve.reservation] = job.specification.id;
     job.trace.add(now, "room reserved",
@@ -63,7 +63,8 @@
                                  : std::vector<Reservation>::iterator {};
     // A sidecar that took the address of another one may be reached as both of them.
     if (!job || reservation->sidecar != sidecar || reservation->units == 0 || now >= reservation->until
-        || !worker.isUsable() || job->steps[reservation->step].waiting == 0) {
+        || !worker.isUsable() || reservation->bornAt != worker.profile.bornAt
+        || job->steps[reservation->step].waiting == 0) {
         this->actions.push_back(SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockEcho, { number } } });
         return;
     }
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -69,6 +69,9 @@
         return RunRefusal::Unhealthy;
     if (this->worker.isDraining || this->isShuttingDown)
         return RunRefusal::Draining;
+    // The entry chose another incarnation, whose labels and capacity may have been others.
+    if (request.bornAt != this->worker.profile->workerStartedAt)
+        return RunRefusal::OtherIncarnation;
     const Run* known = this->runs.find(task);
     if (known && known->phase != RunPhase::Ended)
         return RunRefusal::TaskBusy;
@@ -164,6 +167,7 @@
         run.entry = id;
         run.entryIncarnation = entry.incarnation;
         run.order = request.order;
+        run.bornAt = request.bornAt;
         run.need = request.need;
         run.rank = request.rank;
         run.content = content;
--- a/celeryswitch/Workers/RunSupervisor.h
+++ b/celeryswitch/Workers/RunSupervisor.h
@@ -213,6 +213,8 @@
     Messages::Room freeRoom() const;
     void answerClaims(Core::SteadyTime now);
 
+    // Refuses the runs and drops the reservations that wait for an incarnation of the worker that has ended.
+    void refuseQueued(Core::SteadyTime now);
     // Ends all runs, because the worker is replaced by one with another id.
     void endWorkerIncarnation(Core::SteadyTime now, std::string_view reason);
     // Recognizes another incarnation of the worker by its own response. Returns false if the response is of an earlier
--- a/celeryswitch/Workers/RunSupervisorCalls.cpp
+++ b/celeryswitch/Workers/RunSupervisorCalls.cpp
@@ -48,11 +48,11 @@
 void RunSupervisor::sendStart(SteadyTime now, Run& run)
 {
     run.startToken = this->fencingToken;
-    run.orderedIncarnation = this->worker.workerStartedAt;
+    run.orderedIncarnation = run.bornAt;
     if (run.orderedAt == SteadyTime {})
         run.orderedAt = now;
     const std::int64_t leaseEnd = this->extendLease(now).value_or(this->worker.leaseEnd);
-    this->sendCall(now, StartCall { run.task, run.number, *run.content, leaseEnd, this->fencingToken },
+    this->sendCall(now, StartCall { run.task, run.number, *run.content, leaseEnd, this->fencingToken, run.bornAt },
         this->currentTimeouts(now).startTimeout);
 }
 
@@ -157,8 +157,12 @@
         this->endWorkerIncarnation(now, "another life answered");
         return;
     }
-    if (!this->identifyWorker(now, call, result))
+    if (!this->identifyWorker(now, call, result)) {
+        // The start was not sent, whichever incarnation runs now.
+        if (result.status == CallStatus::NotIdentified)
+            this->startAnswered(now, call, result);
         return;
+    }
     const bool wasDoubtful = this->hasDoubtfulCalls();
     this->recordTokens(call, result);
     if (wasDoubtful && !this->hasDoubtfulCalls())
@@ -241,6 +245,9 @@
     case CallStatus::NotSent:
         this->endUnstartedRun(now, *run, RunEvent::StartRefused, NoStartProof::NotSent, RunRefusal::Unhealthy);
         break;
+    case CallStatus::NotIdentified:
+        this->endUnstartedRun(now, *run, RunEvent::StartRefused, NoStartProof::NotSent, RunRefusal::OtherIncarnation);
+        break;
     case CallStatus::OtherIncarnation:
         break;
     case CallStatus::Unreadable:
--- a/celeryswitch/Workers/RunSupervisorEntries.cpp
+++ b/celeryswitch/Workers/RunSupervisorEntries.cpp
@@ -41,6 +41,8 @@
     entry.connection = connection;
     entry.handledSequence = 0;
     entry.sequenceSent = 0;
+    // An update with a newer profile may have been lost with the connection.
+    entry.profileSent = {};
     entry.isUpdateDue = true;
     // The greeting may have waited in the network for longer than the entry lived; only a clock sample proves its life.
     // A new entry has the time of a reconnection to return the first one.
--- a/celeryswitch/Workers/RunSupervisorLife.cpp
+++ b/celeryswitch/Workers/RunSupervisorLife.cpp
@@ -87,6 +87,8 @@
                 { "runs", static_cast<std::uint64_t>(this->runs.activeCount()) } });
         this->worker = {};
         this->health = {};
+        this->nextListPollAt = now;
+        this->refuseQueued(now);
     }
     if (this->worker.identifiedAt == SteadyTime {}) {
         // The clock of an announcement may be old, or of another writer.
@@ -112,6 +114,15 @@
     return true;
 }
 
+void RunSupervisor::refuseQueued(SteadyTime now)
+{
+    this->reservations = {};
+    for (auto& [task, run] : this->runs.all()) {
+        if (run.phase == RunPhase::Queued)
+            this->endUnstartedRun(now, run, RunEvent::Lost, NoStartProof::NeverOrdered, RunRefusal::OtherIncarnation);
+    }
+}
+
 void RunSupervisor::endWorkerIncarnation(SteadyTime now, std::string_view reason)
 {
     this->log.write(LogLevel::Info, "worker life ended",
@@ -126,10 +137,9 @@
     this->unansweredCalls = 0;
     this->nextListPollAt = now;
     this->health = {};
+    this->refuseQueued(now);
     for (auto& [task, run] : this->runs.all()) {
-        if (run.phase == RunPhase::Queued)
-            this->endUnstartedRun(now, run, RunEvent::Lost, NoStartProof::NeverOrdered, RunRefusal::Unhealthy);
-        else if (run.phase != RunPhase::Ended)
+        if (run.phase != RunPhase::Ended)
             this->endRun(now, run, RunEvent::Lost, RunEnd::Lost);
     }
     if (const std::optional<WorkerAnnouncement> successor = std::exchange(this->announcedSuccessor, std::nullopt))
--- a/celeryswitch/Workers/RunTable.h
+++ b/celeryswitch/Workers/RunTable.h
@@ -59,7 +59,7 @@
     NeverOrdered,
     /// The worker refused the start.
     Refused,
-    /// No connection for the start was established.
+    /// No connection to the incarnation of the worker that the start names was established.
     NotSent,
     /// The incarnation of the worker that the start was sent to does not list the run and can't execute the start any
     /// more.
@@ -86,6 +86,8 @@
     Core::Incarnation entryIncarnation = 0;
     /// Start order of the entry that the run was queued for; 0 while no entry owns it.
     std::uint64_t order = 0;
+    /// Incarnation of the worker that the order names, by its start time.
+    std::int64_t bornAt = 0;
     Room need;
     std::shared_ptr<const std::string> content;
     RunPhase phase = RunPhase::Queued;
--- a/celeryswitch/Workers/WorkerClient.h
+++ b/celeryswitch/Workers/WorkerClient.h
@@ -9,8 +9,10 @@
 
 namespace celeryswitch::Workers {
 
-/// Sends calls to a worker over persistent HTTP connections, one call per connection at a time. All functions run on
-/// the thread of the io_context.
+/// Sends calls to a worker over persistent HTTP connections, one call per connection at a time. A connection leads to
+/// one incarnation of the worker. A start is only sent on a connection whose incarnation a response has identified as
+/// the one that the start names; a list of runs is requested first on a connection that is not identified. All
+/// functions run on the thread of the io_context.
 class WorkerClient {
 public:
     using ResultHandler = std::function<void(std::uint64_t callId, CallResult)>;
@@ -26,9 +28,19 @@
     std::uint64_t openedConnections() const { return this->openedCount; }
 
 private:
-    using Connection = std::shared_ptr<Http::HttpConnection>;
-
+    struct Connection {
+        std::shared_ptr<Http::HttpConnection> http;
+        /// Start of the worker at the other end, in milliseconds since 1970; std::nullopt until a response names it.
+        std::optional<std::int64_t> workerStartedAt;
+    };
+
+    // An idle connection for a call; without one, its `http` is null.
+    Connection takeIdle(const WorkerCall& call);
+    // Sends a call, and a list of runs before it if the call is a start and the connection is not identified.
     void send(Connection connection, CallWorker action);
+    void transmit(Connection connection, CallWorker action);
+    // Requests a list of runs, which names the incarnation of the worker, and then sends the start or gives it up.
+    void identify(Connection connection, CallWorker action);
     void released(Connection connection, bool isUsable);
 
     boost::asio::io_context& context;
--- a/celeryswitch/Workers/WorkerTypes.h
+++ b/celeryswitch/Workers/WorkerTypes.h
@@ -39,6 +39,8 @@
     /// End of the lease that covers all runs on the worker, on the worker's clock, in milliseconds.
     std::int64_t leaseEnd = 0;
     std::uint64_t fencingToken = 0;
+    /// Incarnation of the worker that the run was ordered for, by its start time. The call is sent to no other.
+    std::int64_t workerStartedAt = 0;
 };
 
 /// Stops a run.
@@ -78,6 +80,8 @@
     Unanswered,
     /// No connection: the call was not sent.
     NotSent,
+    /// Another incarnation of the worker than the one that the call names answers: the call was not sent.
+    NotIdentified,
 };
 
 /// Why a worker refused a call.
@@ -134,7 +138,7 @@
 
 template <> struct EnumTable<Workers::CallStatus> {
     static constexpr std::string_view type = "CallStatus";
-    static constexpr std::array<std::pair<Workers::CallStatus, std::string_view>, 7> names { {
+    static constexpr std::array<std::pair<Workers::CallStatus, std::string_view>, 8> names { {
         { Workers::CallStatus::Accepted, "accepted" },
         { Workers::CallStatus::Refused, "refused" },
         { Workers::CallStatus::Unhealthy, "unhealthy" },
@@ -142,6 +146,7 @@
         { Workers::CallStatus::Unreadable, "unreadable" },
         { Workers::CallStatus::Unanswered, "unanswered" },
         { Workers::CallStatus::NotSent, "not-sent" },
+        { Workers::CallStatus::NotIdentified, "not-identified" },
     } };
 };
 
