--- a/UnitTests/Platform/BootFileTest.cpp
+++ b/UnitTests/Platform/BootFileTest.cpp
@@ -108,3 +108,21 @@
     REQUIRE(load("a = '''\n" + repeated(".a", 3000) + "'''\n" + settings));
     REQUIRE(load(repeated("x1 = 1.5\nx2 = [1.5, 2.5]\n", 1) + repeated("# a.b.c\n", 5000) + settings));
 }
+
+// Guards against a process that does not start because a bound of its settings file is a fraction.
+TEST_CASE("bounds may be fractions and are rounded to whole milliseconds", "[Platform]")
+{
+    const std::string bounds = "max_hold_ms = 999.5\nstop_timeout_ms = 49.4\nretransmit_ms = 1300.6\n"
+                               "grace_s = 2.0006\nfar_factor = 1.5\nevacuate_ms = 5000.5\n";
+    const auto file = load(replaced(settings, "grace_s = 6\n", bounds));
+    REQUIRE(file);
+    REQUIRE(file.value().longestLease == std::chrono::milliseconds(1000));
+    REQUIRE(file.value().stopTime == std::chrono::milliseconds(49));
+    REQUIRE(file.value().resendTime == std::chrono::milliseconds(1301));
+    REQUIRE(file.value().graceTime == std::chrono::milliseconds(2001));
+    for (const char* odd : { "max_hold_ms = 49.9", "stop_timeout_ms = -0.1", "retransmit_ms = 600000.5",
+             "max_hold_ms = nan", "retransmit_ms = \"1300\"", "stop_timeout_ms = inf" }) {
+        INFO(odd);
+        REQUIRE(load(replaced(settings, "grace_s = 6", odd)).error().is(BootFileError::BadKey));
+    }
+}
