Handle deferred requests before later ones

Requests that arrive during a stall are deferred until the backlog has been read, and were taken up at the next tick. A request that arrived between the end of the backlog and that tick, up to 50 ms, was handled first: a DELETE found no job and the job ran. The queue of deferred requests is a class of its own, which handles all of them before a later arrival.

--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -100,6 +100,11 @@
               [this](Configuration::RoutingDocument document) { this->routingReceived(std::move(document)); } })
     , timer(context)
     , tickTimer(context)
+    , deferredRequests(maximumDeferredRequests, [this](const DeferredRequests<ReceivedRequest>::Arrival& arrival) {
+        const ReceivedRequest& next = arrival.request;
+        if (!arrival.isDeferred || !next.session->isClosedByCaller())
+            this->handle(next.session, next.request, arrival.arrivedAt);
+    })
 {
 }
 
@@ -147,27 +152,16 @@
     if (this->onDrained)
         session->closeAfterResponse();
     const Core::SteadyTime now = this->observeTime();
-    if (this->routing.version > 0 && !this->stallGuard.isReadingBacklog(now))
-        this->handle(session, request, now);
-    else if (this->deferredRequests.size() < maximumDeferredRequests)
-        this->deferredRequests.push_back({ session, std::move(request), now });
-    else
+    const bool isHandling = this->routing.version > 0 && !this->stallGuard.isReadingBacklog(now);
+    if (!this->deferredRequests.receive(now, isHandling, { session, std::move(request) }))
         this->respond(session, { AnswerKind::NotRun, {}, 0, startupRetryDelay, "no routing document yet" });
 }
 
-void SchedulingEntry::processDeferred(bool isRoutingKnown)
+void SchedulingEntry::refuseOverdue()
 {
     // After a restart the routing document arrives within milliseconds unless no state replica is reachable.
-    const Core::SteadyTime now = this->clock.steadyNow();
-    while (!this->deferredRequests.empty()
-        && (isRoutingKnown || now >= this->deferredRequests.front().arrivedAt + maximumDeferral)) {
-        const DeferredRequest next = std::move(this->deferredRequests.front());
-        this->deferredRequests.pop_front();
-        if (next.session->isClosedByCaller())
-            continue;
-        if (isRoutingKnown)
-            this->handle(next.session, next.request, next.arrivedAt);
-        else
+    for (const ReceivedRequest& next : this->deferredRequests.takeUntil(this->clock.steadyNow() - maximumDeferral)) {
+        if (!next.session->isClosedByCaller())
             this->respond(next.session, { AnswerKind::NotRun, {}, 0, startupRetryDelay, "no routing document yet" });
     }
 }
@@ -221,8 +215,7 @@
 {
     const auto found = this->requestNumbers.find(session.get());
     if (found == this->requestNumbers.end()) {
-        std::erase_if(
-            this->deferredRequests, [&](const DeferredRequest& deferred) { return deferred.session == session; });
+        this->deferredRequests.eraseIf([&](const ReceivedRequest& deferred) { return deferred.session == session; });
         return;
     }
     this->abandonRequest(this->observeTime(), found->second);
@@ -262,7 +255,7 @@
     this->routing = std::move(document);
     this->callers.setLimits(limitsOf(this->routing.limits));
     if (!this->stallGuard.isReadingBacklog(this->observeTime()))
-        this->processDeferred(true);
+        this->deferredRequests.handleAll();
 }
 
 void SchedulingEntry::membersReceived(const std::vector<Messages::Member>& members)
@@ -351,7 +344,7 @@
     // After a stall requests wait, and what sidecars have sent meanwhile may be unread.
     const bool isReadingBacklog = this->stallGuard.isReadingBacklog(this->observeTime());
     if (!isReadingBacklog && this->routing.version > 0)
-        this->processDeferred(true);
+        this->deferredRequests.handleAll();
     if (!isReadingBacklog)
         this->links.closeUnresponsive();
     for (const Core::InstanceId& sidecar : this->links.unassigned()) {
@@ -361,7 +354,7 @@
         this->links.removeLink(sidecar);
         this->scheduler.removeSidecar(sidecar);
     }
-    this->processDeferred(false);
+    this->refuseOverdue();
     this->finishDraining();
     this->runScheduler();
 }
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -4,13 +4,13 @@
 #include "celeryswitch/Network/PeerTransport.h"
 #include "celeryswitch/Scheduling/CallerProtocol.h"
 #include "celeryswitch/Scheduling/DecisionPacer.h"
+#include "celeryswitch/Scheduling/DeferredRequests.h"
 #include "celeryswitch/Scheduling/JobScheduler.h"
 #include "celeryswitch/Scheduling/LinkSubset.h"
 #include "celeryswitch/Scheduling/OverloadGuard.h"
 #include "celeryswitch/Scheduling/SidecarLinks.h"
 #include "celeryswitch/Scheduling/StallGuard.h"
 #include "celeryswitch/State/FleetWatcher.h"
-#include <deque>
 #include <unordered_map>
 
 namespace celeryswitch::Scheduling {
@@ -62,7 +62,8 @@
     void requestReceived(const Http::HttpSession::Pointer& session, Http::HttpRequest request);
     void handle(
         const Http::HttpSession::Pointer& session, const Http::HttpRequest& request, Core::SteadyTime arrivedAt);
-    void processDeferred(bool isRoutingKnown);
+    // Refuses requests that have waited for the routing document for too long.
+    void refuseOverdue();
     void readinessRequested(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request);
     void routingReceived(Configuration::RoutingDocument document);
     void respond(const Http::HttpSession::Pointer& session, const CallerAnswer& answer);
@@ -111,13 +112,12 @@
     std::uint64_t surplusRecorded = 0;
     Core::SteadyTime loopRecordedAt;
     Configuration::RoutingDocument routing;
-    /// A request received before the first routing document.
-    struct DeferredRequest {
+    struct ReceivedRequest {
         Http::HttpSession::Pointer session;
         Http::HttpRequest request;
-        Core::SteadyTime arrivedAt;
     };
-    std::deque<DeferredRequest> deferredRequests;
+    /// Requests received before the first routing document, or while the backlog of a stall is read.
+    DeferredRequests<ReceivedRequest> deferredRequests;
     RequestNumber lastRequest = 0;
     /// Open requests by number, and their numbers by session.
     std::unordered_map<RequestNumber, Http::HttpSession::Pointer> openRequests;
