Link one sidecar per address

A sidecar whose machine was replaced stays a member for a while, beside the new one at the same address. An entry connected to both, and the process closed each connection for the other one, again and again. The newest member is linked, and the link to the other is closed and not opened again.

A member does not state when it registered. The newest is the one with the latest of its worker's start and of the times at which its own earlier incarnations were replaced; with equal times the greater instance id, so that all entries decide alike.

--- a/UnitTests/Scheduling/LinkSubsetTest.cpp
+++ b/UnitTests/Scheduling/LinkSubsetTest.cpp
@@ -109,3 +109,32 @@
         REQUIRE(idsOf(subset.select(members)) == idsOf(LinkSubset("entry-1", {}).select(members)));
     }
 }
+
+// Guards against two connections of an entry to one process, each of which makes the other one close.
+TEST_CASE("of the sidecars at one address the newest is linked", "[Scheduling]")
+{
+    auto members = makeMembers(2, 4);
+    const auto sidecar = [&](std::size_t number) -> Messages::Member& { return members.at(2 + number); };
+    for (std::size_t number = 0; number < 4; ++number) {
+        sidecar(number).peerAddress = "10.0.0." + std::to_string(number) + ":7001";
+        sidecar(number).worker.bornAt = 1000;
+    }
+    const auto linked = [&] {
+        std::set<std::string> ids;
+        for (const Messages::Member& member : LinkSubset("entry-0", {}).select(members))
+            ids.insert(member.identity.instanceId);
+        return ids;
+    };
+    REQUIRE(linked().size() == 4);
+    sidecar(1).peerAddress = sidecar(3).peerAddress;
+    // Its worker began later.
+    sidecar(1).worker.bornAt = 2000;
+    CHECK(linked() == std::set<std::string> { "side-0", "side-1", "side-2" });
+    // The other one replaced an earlier incarnation of itself since.
+    sidecar(3).replacedIncarnations[7] = 3000;
+    CHECK(linked() == std::set<std::string> { "side-0", "side-2", "side-3" });
+    // All entries decide equally between sidecars of which nothing tells the order.
+    sidecar(3).replacedIncarnations.clear();
+    sidecar(1).worker.bornAt = 1000;
+    CHECK(linked() == std::set<std::string> { "side-0", "side-2", "side-3" });
+}
--- a/celeryswitch/Scheduling/LinkSubset.cpp
+++ b/celeryswitch/Scheduling/LinkSubset.cpp
@@ -1,6 +1,7 @@
 #include "celeryswitch/Scheduling/LinkSubset.h"
 
 #include <algorithm>
+#include <set>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -18,6 +19,39 @@
     return XXH3_64bits_withSeed(sidecar.data(), sidecar.size(), seed);
 }
 
+// When a sidecar registered at the earliest, in milliseconds since 1970. Its registration does not state the time, but
+// its worker began before it, and the times at which earlier incarnations of the sidecar were replaced are known.
+std::int64_t earliestRegistration(const Member& sidecar)
+{
+    std::int64_t time = sidecar.worker.bornAt;
+    for (const auto& [incarnation, replacedAt] : sidecar.replacedIncarnations)
+        time = std::max(time, replacedAt);
+    return time;
+}
+
+// Removes the sidecars whose address a newer one has taken: a second connection to the address would reach the same
+// process, which closes the first one.
+void removeReplaced(std::vector<Member>& sidecars)
+{
+    const auto isNewer = [](const Member& left, const Member& right) {
+        return std::pair(earliestRegistration(left), left.identity.instanceId)
+            > std::pair(earliestRegistration(right), right.identity.instanceId);
+    };
+    std::map<std::string, const Member*> newest;
+    for (const Member& sidecar : sidecars) {
+        const Member*& known = newest[sidecar.peerAddress];
+        if (!known || isNewer(sidecar, *known))
+            known = &sidecar;
+    }
+    std::set<Core::InstanceId> replaced;
+    for (const Member& sidecar : sidecars) {
+        if (!sidecar.peerAddress.empty() && newest.at(sidecar.peerAddress) != &sidecar)
+            replaced.insert(sidecar.identity.instanceId);
+    }
+    if (!replaced.empty())
+        std::erase_if(sidecars, [&](const Member& sidecar) { return replaced.count(sidecar.identity.instanceId) > 0; });
+}
+
 }
 
 std::vector<Member> LinkSubset::select(const std::vector<Member>& members)
@@ -31,6 +65,7 @@
         } else if (member.identity.role == Role::Entry && member.identity.instanceId != this->entry)
             entries.push_back(member.identity.instanceId);
     }
+    removeReplaced(sidecars);
     if (entries != this->others) {
         this->others = std::move(entries);
         this->ranks.clear();
--- a/celeryswitch/Scheduling/SidecarLinks.cpp
+++ b/celeryswitch/Scheduling/SidecarLinks.cpp
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Network/MessageCodec.h"
 #include <algorithm>
+#include <set>
 
 namespace celeryswitch::Scheduling {
 
@@ -43,6 +44,29 @@
         else if (!link.connection && !link.isConnecting && !link.retryTimer)
             this->connect(id);
     }
+    this->closeReplaced();
+}
+
+void SidecarLinks::closeReplaced()
+{
+    std::set<std::string> addresses;
+    for (const auto& [id, link] : this->links) {
+        if (!link.isUnassigned)
+            addresses.insert(link.member.peerAddress);
+    }
+    std::vector<Core::InstanceId> disconnected;
+    for (auto& [id, link] : this->links) {
+        if (!link.isUnassigned || addresses.count(link.member.peerAddress) == 0)
+            continue;
+        if (link.connection)
+            disconnected.push_back(id);
+        this->close(link);
+    }
+    for (const Core::InstanceId& id : disconnected) {
+        this->log.write(
+            LogLevel::Info, "sidecar disconnected", { { "sidecar", id }, { "reason", "address taken by another" } });
+        this->handlers.onDisconnected(id);
+    }
 }
 
 std::vector<Core::InstanceId> SidecarLinks::unassigned() const
--- a/celeryswitch/Scheduling/SidecarLinks.h
+++ b/celeryswitch/Scheduling/SidecarLinks.h
@@ -28,7 +28,8 @@
     SidecarLinks(boost::asio::io_context& context, Network::PeerTransport& transport, const Core::Clock& clock,
         Logging::StructuredLog& log, Messages::Hello identity, Handlers handlers);
 
-    /// Sets the sidecars to connect to. Links to others stay open for their remaining runs until `removeLink`.
+    /// Sets the sidecars to connect to. Links to others stay open for their remaining runs until `removeLink`, except
+    /// for those to an address that one of the sidecars has taken: these are closed and not opened again.
     void setMembers(const std::vector<Messages::Member>& sidecars);
     /// Sidecars with a link that `setMembers` no longer names.
     std::vector<Core::InstanceId> unassigned() const;
@@ -55,6 +56,8 @@
     };
 
     void connect(const Core::InstanceId& sidecar);
+    // Closes the links of sidecars that are no longer set, and whose address another one has.
+    void closeReplaced();
     void connectionOpened(const Core::InstanceId& sidecar, Network::PeerConnectionPointer connection);
     void connectionLost(const Core::InstanceId& sidecar, const std::string& reason);
     void close(Link& link);
