Keep the case of job ids

Job ids were read as 64-bit numbers and written with small letters, so that the tasks of "A31D..." started as "a31d...", and both ids were one job. StepJobId holds the number and which digits are capital letters. It is the key of jobs and tasks in entries and sidecars, goes through their messages, and is written as it was read to workers and logs. A number converts into the id with small letters, so that hashes, order and placement of such jobs are the same as before.

--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -126,7 +126,7 @@
 
 Experiment::RunPlan SoakRun::planOf(std::size_t worker, const Messages::TaskId& task)
 {
-    const auto found = this->jobs.find(task.job);
+    const auto found = this->jobs.find(task.job.number);
     if (found == this->jobs.end() || task.index >= found->second.taskTimes.size()) {
         this->violation("a worker was told to start a task that no caller sent");
         return { std::chrono::milliseconds(1), true, {} };
@@ -319,10 +319,10 @@
         this->result.runs += runs.size();
         std::sort(runs.begin(), runs.end(),
             [](const auto& left, const auto& right) { return left.startedAt < right.startedAt; });
-        started.insert(task.job);
+        started.insert(task.job.number);
         for (std::size_t index = 0; index < runs.size(); ++index) {
             if (runs[index].end == Messages::RunEnd::Done)
-                done[task.job].insert(task.index);
+                done[task.job.number].insert(task.index);
             if (index > 0 && runs[index].startedAt < runs[index - 1].endedAt)
                 this->result.violations.push_back("task " + Messages::jobText(task.job) + "."
                     + std::to_string(task.index) + " ran twice, " + textOf(runs[index].startedAt - this->startedAt)
--- a/UnitTests/Platform/WireTest.cpp
+++ b/UnitTests/Platform/WireTest.cpp
@@ -67,6 +67,30 @@
         REQUIRE_FALSE(parseTaskName(wrong));
 }
 
+// Guards against tasks that start under an id that no client sent, and against two jobs that count as one.
+TEST_CASE("job ids keep the case of their letters", "[Platform]")
+{
+    for (const char* id : { "A31D0000000000fF", "a31d0000000000ff", "ABCDEFABCDEFABCD", "0123456789abcdEF" }) {
+        INFO(id);
+        const std::optional<Messages::StepJobId> job = parseJobName(id);
+        REQUIRE(job);
+        CHECK(jobName(*job) == id);
+        CHECK(Messages::jobText(*job) == id);
+        const std::string task = std::string(id) + ".0.1.17";
+        REQUIRE(parseTaskName(task));
+        CHECK(taskName(*parseTaskName(task)) == task);
+        CHECK(parseTaskName(task)->job == *job);
+    }
+    CHECK_FALSE(*parseJobName("A31D0000000000fF") == *parseJobName("a31d0000000000ff"));
+    const ClientApi api;
+    const auto decoded = api.decode(post("/a/A31D0000000000fF", jobBody), "A31D0000000000fF");
+    CHECK(Messages::jobText(std::get<Scheduling::SubmitJob>(decoded).job.id) == "A31D0000000000fF");
+    const WorkerApi workers;
+    const Http::HttpRequest start
+        = workers.encode(Workers::StartCall { *parseTaskName("A31D0000000000fF.0.0.0") }, "i-1");
+    CHECK(json::parse(start.body).at("task") == "A31D0000000000fF.0.0.0");
+}
+
 // Guards against jobs that run with other content, room or order than their client asked for.
 TEST_CASE("a client's job is read as it was written", "[Platform]")
 {
--- a/UnitTests/Scheduling/JobSchedulerTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerTest.cpp
@@ -326,3 +326,20 @@
     REQUIRE_FALSE(fixture.scheduler.hasRuns(sidecar));
     fixture.scheduler.removeSidecar(sidecar);
 }
+
+// Guards against two jobs of different callers that are taken for one because their ids differ only in case.
+TEST_CASE("jobs whose ids differ in the case of a letter are different", "[Scheduling]")
+{
+    SchedulerFixture fixture;
+    const StepJobId small { 0xa31d000000000001 };
+    const StepJobId capital { 0xa31d000000000001, 0x8000 };
+    fixture.submit(1, fixture.makeJob(small));
+    fixture.submit(2, fixture.makeJob(capital));
+    REQUIRE(fixture.starts.size() == 2);
+    CHECK(fixture.starts[0].second.job == small);
+    CHECK(fixture.starts[1].second.job == capital);
+    fixture.report(fixture.orderOf(capital, 0).first, capital, 0, RunEnd::Done);
+    CHECK(fixture.answers.count(1) == 0);
+    REQUIRE(fixture.answers.count(2) == 1);
+    CHECK(fixture.answers.at(2).state == JobState::Completed);
+}
--- a/UnitTests/Scheduling/SchedulerFixture.h
+++ b/UnitTests/Scheduling/SchedulerFixture.h
@@ -59,20 +59,20 @@
         this->scheduler.updateReceived(this->now(), sidecar, std::move(update));
         this->pollScheduler();
     }
-    void report(const std::string& sidecar, std::uint64_t job, std::uint32_t index, RunEnd end,
+    void report(const std::string& sidecar, const StepJobId& job, std::uint32_t index, RunEnd end,
         RunRefusal refusal = RunRefusal::None, std::uint32_t run = 0)
     {
         this->update(sidecar, { 32'000, 65'536, 0 },
             { { this->orderedTask(job, index), run ? run : this->runOf(job, index), RunState::Ended, end, refusal,
                 60'000, 0 } });
     }
-    void reportStarted(const std::string& sidecar, std::uint64_t job, std::uint32_t index)
+    void reportStarted(const std::string& sidecar, const StepJobId& job, std::uint32_t index)
     {
         this->update(sidecar, { 32'000, 65'536, 0 },
             { { this->orderedTask(job, index), this->runOf(job, index), RunState::Running, RunEnd::NotStarted,
                 RunRefusal::None, 0, 0 } });
     }
-    SubmitJob makeJob(std::uint64_t id, std::uint32_t tasks = 1, std::int64_t milliCores = 3000) const
+    SubmitJob makeJob(const StepJobId& id, std::uint32_t tasks = 1, std::int64_t milliCores = 3000) const
     {
         SubmitJob submission;
         submission.job.id = id;
@@ -92,7 +92,7 @@
         this->pollScheduler();
     }
     // Number of tasks of a job that were ordered in reserved room.
-    std::size_t reservedTasks(std::uint64_t job) const
+    std::size_t reservedTasks(const StepJobId& job) const
     {
         std::size_t tasks = 0;
         for (const auto& [sidecar, reserved] : this->reservedStarts)
@@ -152,7 +152,7 @@
         }
     }
     // Sidecar and run number of the latest start order for a task.
-    std::pair<std::string, std::uint32_t> orderOf(std::uint64_t job, std::uint32_t index) const
+    std::pair<std::string, std::uint32_t> orderOf(const StepJobId& job, std::uint32_t index) const
     {
         for (auto order = this->starts.rbegin(); order != this->starts.rend(); ++order) {
             for (const auto& [taskIndex, run] : order->second.tasks) {
@@ -163,7 +163,7 @@
         return { "", 0 };
     }
     // A task with the number of its latest start order.
-    Messages::OrderedTask orderedTask(std::uint64_t job, std::uint32_t index) const
+    Messages::OrderedTask orderedTask(const StepJobId& job, std::uint32_t index) const
     {
         Messages::OrderedTask ordered { { job, 0, 0, index }, 0 };
         const auto add = [&](const Messages::StartRuns& start) {
@@ -177,7 +177,7 @@
             add(reserved.start);
         return ordered;
     }
-    std::uint32_t runOf(std::uint64_t job, std::uint32_t index) const { return this->orderOf(job, index).second; }
+    std::uint32_t runOf(const StepJobId& job, std::uint32_t index) const { return this->orderOf(job, index).second; }
 
     Core::ManualClock clock;
     Logging::StructuredLog log;
--- a/UnitTests/Workers/RunSupervisorTest.cpp
+++ b/UnitTests/Workers/RunSupervisorTest.cpp
@@ -401,3 +401,20 @@
     REQUIRE(fixture.reportsOf(2).back().state == Messages::RunState::Ended);
     REQUIRE(fixture.reportsOf(2).back().end == Messages::RunEnd::Done);
 }
+
+// Guards against a run that is refused or stopped because another job, whose id differs only in case, runs.
+TEST_CASE("runs of jobs whose ids differ in the case of a letter are different", "[Workers]")
+{
+    ReadySupervisor fixture;
+    const Messages::StepJobId small { 0xa31d000000000001 };
+    const Messages::StepJobId capital { 0xa31d000000000001, 0x8000 };
+    fixture.startTasks(1, small);
+    fixture.startTasks(1, capital);
+    fixture.advance(20ms);
+    CHECK(fixture.isRunning(small));
+    CHECK(fixture.isRunning(capital));
+    fixture.stop(1, fixture.orderedTask(small));
+    fixture.advance(20ms);
+    CHECK_FALSE(fixture.isRunning(small));
+    CHECK(fixture.isRunning(capital));
+}
--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -48,7 +48,7 @@
         this->advance(std::chrono::milliseconds(5));
     }
     /// Requests one run of each task of a job.
-    void startTasks(std::uint64_t connection, std::uint64_t job, std::uint32_t tasks = 1,
+    void startTasks(std::uint64_t connection, const Messages::StepJobId& job, std::uint32_t tasks = 1,
         std::int64_t milliCores = 3000, float rank = 1, Core::Duration startWithin = std::chrono::milliseconds(500))
     {
         Messages::StartRuns start;
@@ -68,7 +68,10 @@
         this->supervisor->messageReceived(this->now(), connection, start);
     }
     /// The first task of a job with the number of its latest start order.
-    Messages::OrderedTask orderedTask(std::uint64_t job) const { return { { job, 0, 0, 0 }, this->orders.at(job) }; }
+    Messages::OrderedTask orderedTask(const Messages::StepJobId& job) const
+    {
+        return { { job, 0, 0, 0 }, this->orders.at(job) };
+    }
     /// Claims a run of the first task of each job for its latest order.
     void claim(std::uint64_t connection, const std::vector<std::uint64_t>& jobs, std::uint32_t run = 1)
     {
@@ -93,7 +96,8 @@
                 std::chrono::duration_cast<std::chrono::microseconds>(startWithin).count() });
     }
     /// Requests one run of a job in reserved room.
-    void startReserved(std::uint64_t connection, std::uint64_t reservation, std::uint64_t job, float rank = 1)
+    void startReserved(
+        std::uint64_t connection, std::uint64_t reservation, const Messages::StepJobId& job, float rank = 1)
     {
         Messages::StartRuns start;
         start.sequence = ++this->sequence;
@@ -149,7 +153,7 @@
         }
     }
     /// All reports for a job so far, to any entry.
-    std::vector<Messages::RunReport> reportsOf(std::uint64_t job) const
+    std::vector<Messages::RunReport> reportsOf(const Messages::StepJobId& job) const
     {
         std::vector<Messages::RunReport> found;
         for (const Messages::RunReport& report : this->reports) {
@@ -159,7 +163,7 @@
         return found;
     }
     /// Runs of a job on the worker so far.
-    std::vector<Experiment::RunRecord> historyOf(std::uint64_t job) const
+    std::vector<Experiment::RunRecord> historyOf(const Messages::StepJobId& job) const
     {
         std::vector<Experiment::RunRecord> found;
         for (const Experiment::RunRecord& run : this->worker.history()) {
@@ -170,14 +174,14 @@
     }
 
     /// Whether any run of a job was reported as ended.
-    bool isReportedEnded(std::uint64_t job) const
+    bool isReportedEnded(const Messages::StepJobId& job) const
     {
         const auto reports = this->reportsOf(job);
         return std::any_of(reports.begin(), reports.end(),
             [](const Messages::RunReport& report) { return report.state == Messages::RunState::Ended; });
     }
     /// Whether the worker executes a run of a job.
-    bool isRunning(std::uint64_t job) const
+    bool isRunning(const Messages::StepJobId& job) const
     {
         const auto history = this->historyOf(job);
         return std::any_of(history.begin(), history.end(),
@@ -225,7 +229,7 @@
     std::function<void(std::uint64_t, const Messages::WorkerUpdate&)> onUpdate;
 
 private:
-    std::uint64_t nextOrder(std::uint64_t job) { return this->orders[job] = ++this->lastOrder; }
+    std::uint64_t nextOrder(const Messages::StepJobId& job) { return this->orders[job] = ++this->lastOrder; }
     static Logging::LogSettings logSettings()
     {
         Logging::LogSettings settings;
@@ -309,7 +313,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t lastOrder = 0;
     /// Latest start order of each job.
-    std::map<std::uint64_t, std::uint64_t> orders;
+    std::map<Messages::StepJobId, std::uint64_t> orders;
     std::vector<std::pair<std::uint64_t, SteadyTime>> timeouts;
 };
 
--- a/celeryswitch/Experiment/LeasedFleetChecks.cpp
+++ b/celeryswitch/Experiment/LeasedFleetChecks.cpp
@@ -30,9 +30,9 @@
     const RunRecord* last = nullptr;
     for (const RunRecord* run : runs) {
         if (last && run->startedAt < last->endedAt) {
-            std::string text = "task " + std::to_string(run->task.job) + "." + std::to_string(run->task.index)
+            std::string text = "task " + std::to_string(run->task.job.number) + "." + std::to_string(run->task.index)
                 + " ran twice: " + describe(*last) + ", " + describe(*run) + "; requests:";
-            for (const auto& [time, entry] : this->jobs.at(run->task.job).requests)
+            for (const auto& [time, entry] : this->jobs.at(run->task.job.number).requests)
                 text += " entry-" + std::to_string(entry) + " at " + at(time);
             result.violations.push_back(std::move(text));
         }
@@ -49,10 +49,10 @@
     std::map<std::uint64_t, std::set<std::uint32_t>> done;
     std::set<std::uint64_t> started;
     for (const auto& [task, runs] : byTask) {
-        started.insert(task.job);
+        started.insert(task.job.number);
         for (const RunRecord* run : runs) {
             if (run->end == Messages::RunEnd::Done)
-                done[task.job].insert(task.index);
+                done[task.job.number].insert(task.index);
         }
         this->checkRunsOfTask(runs, result);
     }
--- a/celeryswitch/Experiment/LeasedFleetFaults.cpp
+++ b/celeryswitch/Experiment/LeasedFleetFaults.cpp
@@ -101,7 +101,7 @@
 RunPlan LeasedFleet::planRun(std::size_t worker, const Messages::TaskId& task, std::uint32_t)
 {
     const Sidecar& sidecar = *this->sidecars[worker];
-    const Job& job = this->jobs.at(task.job);
+    const Job& job = this->jobs.at(task.job.number);
     const auto& classes = this->options.workerClasses;
     const double speed = classes.empty() ? 1 : classes[worker % classes.size()].speed;
     RunPlan plan { seconds(job.taskSeconds.at(task.index) / speed), job.isFailing,
--- a/celeryswitch/Messages/WorkMessages.h
+++ b/celeryswitch/Messages/WorkMessages.h
@@ -13,20 +13,44 @@
 
 namespace celeryswitch::Messages {
 
-/// The number of a step job as people and logs write it: 16 hexadecimal digits.
-inline std::string jobText(std::uint64_t job)
+/// Id of a step job: 16 hexadecimal digits that its caller chose. Ids that differ in the case of a letter are
+/// different.
+struct StepJobId {
+    /// Value of the digits.
+    std::uint64_t number = 0;
+    /// Bit i is set if the digit of place i, counted from the last one, is a capital letter.
+    std::uint16_t capitals = 0;
+
+    constexpr StepJobId() = default;
+    /// The id that is written with small letters.
+    constexpr StepJobId(std::uint64_t number, std::uint16_t capitals = 0)
+        : number(number)
+        , capitals(capitals)
+    {
+    }
+    friend bool operator==(const StepJobId&, const StepJobId&) = default;
+    friend bool operator<(const StepJobId& left, const StepJobId& right)
+    {
+        return std::tie(left.number, left.capitals) < std::tie(right.number, right.capitals);
+    }
+    template <typename Archive> void serialize(Archive& archive) { archive(this->number, this->capitals); }
+};
+
+/// The id of a step job as its caller wrote it.
+inline std::string jobText(const StepJobId& job)
 {
-    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr std::string_view smallDigits = "0123456789abcdef";
+    constexpr std::string_view capitalDigits = "0123456789ABCDEF";
     std::string text(16, '0');
-    for (auto place = text.rbegin(); job != 0; job >>= 4)
-        *place++ = digits[job & 15];
+    for (std::size_t place = 0; place < text.size(); ++place)
+        text[text.size() - 1 - place]
+            = ((job.capitals >> place) & 1 ? capitalDigits : smallDigits)[(job.number >> (4 * place)) & 15];
     return text;
 }
 
 /// Identity of a task of a step job.
 struct TaskId {
-    /// Number that the caller chose for the job.
-    std::uint64_t job = 0;
+    StepJobId job;
     /// Repetition of the job, from 0.
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
@@ -111,7 +135,7 @@
     std::uint64_t order = 0;
     /// Newest clock sample received from this sidecar incarnation.
     std::int64_t clockEcho = 0;
-    std::uint64_t job = 0;
+    StepJobId job;
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     /// Content of the job for the worker.
@@ -358,10 +382,18 @@
 
 }
 
+template <> struct std::hash<celeryswitch::Messages::StepJobId> {
+    std::size_t operator()(const celeryswitch::Messages::StepJobId& job) const noexcept
+    {
+        return static_cast<std::size_t>(job.number ^ (0xc2b2ae3d27d4eb4fULL * job.capitals));
+    }
+};
+
 template <> struct std::hash<celeryswitch::Messages::TaskId> {
     std::size_t operator()(const celeryswitch::Messages::TaskId& task) const noexcept
     {
-        return static_cast<std::size_t>(task.job ^ (0x9e3779b97f4a7c15ULL * (task.index + 1))
-            ^ (static_cast<std::uint64_t>(task.step) << 40) ^ (static_cast<std::uint64_t>(task.occurrence) << 20));
+        return static_cast<std::size_t>(std::hash<celeryswitch::Messages::StepJobId> {}(task.job)
+            ^ (0x9e3779b97f4a7c15ULL * (task.index + 1)) ^ (static_cast<std::uint64_t>(task.step) << 40)
+            ^ (static_cast<std::uint64_t>(task.occurrence) << 20));
     }
 };
--- a/celeryswitch/Scheduling/CallerProtocol.h
+++ b/celeryswitch/Scheduling/CallerProtocol.h
@@ -17,8 +17,7 @@
     /// InvalidRequest.
     virtual CallerRequest decode(const Http::HttpRequest& request, std::string_view rest) const = 0;
     /// Id of the job that a request submits, without reading its body; none for other requests.
-    virtual std::optional<std::uint64_t> submittedJob(
-        const Http::HttpRequest& request, std::string_view rest) const = 0;
+    virtual std::optional<StepJobId> submittedJob(const Http::HttpRequest& request, std::string_view rest) const = 0;
     /// Encodes an answer as an HTTP response.
     virtual Http::HttpResponse encode(const CallerAnswer& answer) const = 0;
 };
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -166,7 +166,7 @@
 void JobScheduler::submit(
     SteadyTime now, SteadyTime arrivedAt, RequestNumber request, const Queue& queue, SubmitJob submission)
 {
-    const std::uint64_t id = submission.job.id;
+    const StepJobId id = submission.job.id;
     if (const auto known = this->outcomes.find(id); known != this->outcomes.end()) {
         this->sendAnswer(request, known->second.answer);
         return;
@@ -228,7 +228,7 @@
     for (std::uint32_t step = 0; step < job.steps.size(); ++step)
         waitSeconds
             = std::max(waitSeconds, predictSharedWait(this->workerTable, this->placementRequest(now, job, step)));
-    return { AnswerKind::NotRun, {}, 0, retryDelay(waitSeconds, job.specification.id), reason };
+    return { AnswerKind::NotRun, {}, 0, retryDelay(waitSeconds, job.specification.id.number), reason };
 }
 
 void JobScheduler::query(RequestNumber request, const QueryJob& query)
@@ -351,7 +351,7 @@
     this->releaseReservations(found->second, std::nullopt);
     Job job = std::move(found->second);
     this->jobs.erase(found);
-    const std::uint64_t id = job.specification.id;
+    const StepJobId id = job.specification.id;
     std::map<Core::InstanceId, Messages::StopRuns> stops;
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -85,7 +85,7 @@
     void submit(Core::SteadyTime now, Core::SteadyTime arrivedAt, RequestNumber request,
         const Configuration::Queue& queue, SubmitJob submission);
     /// Whether a job is open here, or its outcome is kept.
-    bool isKnown(std::uint64_t job) const { return this->jobs.count(job) > 0 || this->outcomes.count(job) > 0; }
+    bool isKnown(const StepJobId& job) const { return this->jobs.count(job) > 0 || this->outcomes.count(job) > 0; }
     /// Answers the query for a job's state, the cancellation of a job and the query for a queue's length.
     void query(RequestNumber request, const QueryJob& query);
     void cancel(Core::SteadyTime now, RequestNumber request, const CancelJob& cancellation);
@@ -213,7 +213,7 @@
         CallerAnswer answer;
         Core::SteadyTime endedAt;
     };
-    using Jobs = std::map<std::uint64_t, Job>;
+    using Jobs = std::map<StepJobId, Job>;
 
     // Value of a queue's work per core-second relative to that of all queues. The jobs of each queue are worth the same
     // in sum, so queues with a small demand rank above those with a large one.
@@ -313,11 +313,11 @@
     /// Sidecars and reservations of offers that have not been answered.
     std::vector<std::pair<Core::InstanceId, std::uint64_t>> offers;
     /// Ids of the jobs by the numbers of their reservations.
-    std::unordered_map<std::uint64_t, std::uint64_t> reservationJobs;
+    std::unordered_map<std::uint64_t, StepJobId> reservationJobs;
     /// Ids of the jobs with tasks that wait for placement.
-    std::vector<std::uint64_t> waitingJobs;
-    std::unordered_map<std::uint64_t, Outcome> outcomes;
-    std::deque<std::pair<Core::SteadyTime, std::uint64_t>> outcomesByAge;
+    std::vector<StepJobId> waitingJobs;
+    std::unordered_map<StepJobId, Outcome> outcomes;
+    std::deque<std::pair<Core::SteadyTime, StepJobId>> outcomesByAge;
     bool isPlacementDue = false;
     /// Number of the latest change of a worker, and of the latest one that waiting jobs were placed after.
     std::uint64_t lastChange = 0;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -37,8 +37,8 @@
 {
     if (!std::exchange(this->isPlacementDue, false) || this->waitingJobs.empty())
         return;
-    std::vector<std::pair<float, std::uint64_t>> order;
-    for (const std::uint64_t id : std::exchange(this->waitingJobs, {})) {
+    std::vector<std::pair<float, StepJobId>> order;
+    for (const StepJobId& id : std::exchange(this->waitingJobs, {})) {
         if (const auto found = this->jobs.find(id); found != this->jobs.end())
             order.emplace_back(-found->second.rank, id);
     }
@@ -72,7 +72,7 @@
 void JobScheduler::placeBeforeRefusal(SteadyTime now)
 {
     this->workDone.jobsVisited += this->waitingJobs.size();
-    for (const std::uint64_t id : this->waitingJobs) {
+    for (const StepJobId& id : this->waitingJobs) {
         const auto found = this->jobs.find(id);
         if (found == this->jobs.end() || found->second.hasBegun || now < found->second.refuseAt)
             continue;
@@ -162,7 +162,7 @@
     request.time = this->modelOf(now, job.queue).stepTime(specification.declaredMilliseconds / 1000.0);
     request.rank = rankOfWaiting(job, step);
     request.stretch = job.queue.stretch;
-    request.salt = job.specification.id;
+    request.salt = job.specification.id.number;
     request.now = now;
     request.slackSeconds = secondsUntil(now, this->goalTime(job, 0, 1));
     request.callerTimeoutSeconds = secondsUntil(now, job.callerDeadline);
--- a/celeryswitch/Scheduling/JobSchedulerRecords.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerRecords.cpp
@@ -45,7 +45,7 @@
         this->goalTime(job, job.longestRunSeconds, 1) - job.arrivedAt, job.orders });
     const bool isCompleted = answer.kind == AnswerKind::State && answer.state == JobState::Completed;
     const bool isLate = now > this->goalTime(job, job.longestRunSeconds, 1);
-    const std::uint64_t id = job.specification.id;
+    const StepJobId id = job.specification.id;
     this->log.write(LogLevel::Info, "job ended",
         { { "job", Messages::jobText(id) }, { "queue", job.queue.name },
             { "answer", std::string(Core::enumName(answer.kind)) },
@@ -56,7 +56,7 @@
             { "tasks", static_cast<std::uint64_t>(job.steps.front().tasks.size()) },
             { "millicores", job.specification.steps.front().need.milliCores },
             { "declared_ms", job.specification.steps.front().declaredMilliseconds } });
-    if (!isCompleted || isLate || id % traceSampleInterval == 0)
+    if (!isCompleted || isLate || id.number % traceSampleInterval == 0)
         job.trace.write(this->log, now);
 }
 
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -172,7 +172,7 @@
     const TaskId& taskId = report.ordered.task;
     Step& step = job.steps[taskId.step];
     Task& task = step.tasks[taskId.index];
-    const std::uint64_t id = found->first;
+    const StepJobId id = found->first;
     task.phase = TaskPhase::Done;
     ++step.done;
     job.longestRunSeconds = std::max(job.longestRunSeconds, static_cast<double>(report.runMicroseconds) / 1e6);
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -117,7 +117,7 @@
 void JobScheduler::forgetExpiredReservations(SteadyTime now)
 {
     this->workDone.jobsVisited += this->waitingJobs.size();
-    for (const std::uint64_t id : this->waitingJobs) {
+    for (const StepJobId& id : this->waitingJobs) {
         const auto found = this->jobs.find(id);
         if (found == this->jobs.end() || found->second.reservations.empty())
             continue;
@@ -130,7 +130,7 @@
 
 void JobScheduler::forgetReservationsAt(const Core::InstanceId& sidecar)
 {
-    for (const std::uint64_t id : this->waitingJobs) {
+    for (const StepJobId& id : this->waitingJobs) {
         if (const auto found = this->jobs.find(id); found != this->jobs.end())
             this->forgetReservations(
                 found->second, [&](const Reservation& reservation) { return reservation.sidecar == sidecar; });
--- a/celeryswitch/Scheduling/JobTypes.h
+++ b/celeryswitch/Scheduling/JobTypes.h
@@ -10,6 +10,7 @@
 namespace celeryswitch::Scheduling {
 
 using Messages::Room;
+using Messages::StepJobId;
 using Messages::TaskId;
 
 /// Identifies a caller's pending request within one entry; 0 means none.
@@ -41,7 +42,7 @@
 
 /// A job as submitted by its caller.
 struct JobSpecification {
-    std::uint64_t id = 0;
+    StepJobId id;
     /// Opaque content that the worker receives with each task.
     std::string content;
     std::vector<StepSpecification> steps;
@@ -61,11 +62,11 @@
 };
 /// Asks for a job's state.
 struct QueryJob {
-    std::uint64_t id = 0;
+    StepJobId id;
 };
 /// Cancels a job.
 struct CancelJob {
-    std::uint64_t id = 0;
+    StepJobId id;
 };
 /// Asks for the number of a queue's jobs that have not begun.
 struct QueryQueue { };
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -202,7 +202,7 @@
     const Http::HttpRequest& request, const Configuration::Queue& queue, std::string_view rest)
 {
     // A job that is known may have run, so that a repeated request for it can't be refused as not run.
-    const std::optional<std::uint64_t> job = this->protocol.submittedJob(request, rest);
+    const std::optional<StepJobId> job = this->protocol.submittedJob(request, rest);
     return job && !this->overloadGuard.admits(this->clock.steadyNow(), queue.name) && !this->scheduler.isKnown(*job);
 }
 
