--- a/UnitTests/Workers/SupervisorFixture.h
+++ b/UnitTests/Workers/SupervisorFixture.h
@@ -48,7 +48,7 @@
         this->advance(std::chrono::milliseconds(5));
     }
     /// Requests one run of each task of a job.
-    void startTasks(std::uint64_t connection, std::uint64_t job, std::uint32_t tasks = 1,
+    void startTasks(std::uint64_t connection, const Messages::StepJobId& job, std::uint32_t tasks = 1,
         std::int64_t milliCores = 3000, float rank = 1, Core::Duration startWithin = std::chrono::milliseconds(500))
     {
         Messages::StartRuns start;
@@ -62,12 +62,16 @@
         start.rank = rank;
         start.startWithinMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(startWithin).count();
         start.deadlineMicroseconds = 5'000'000;
+        start.bornAt = this->orderedBornAt;
         for (std::uint32_t index = 0; index < tasks; ++index)
             start.tasks.emplace_back(index, 1);
         this->supervisor->messageReceived(this->now(), connection, start);
     }
     /// The first task of a job with the number of its latest start order.
-    Messages::OrderedTask orderedTask(std::uint64_t job) const { return { { job, 0, 0, 0 }, this->orders.at(job) }; }
+    Messages::OrderedTask orderedTask(const Messages::StepJobId& job) const
+    {
+        return { { job, 0, 0, 0 }, this->orders.at(job) };
+    }
     /// Claims a run of the first task of each job for its latest order.
     void claim(std::uint64_t connection, const std::vector<std::uint64_t>& jobs, std::uint32_t run = 1)
     {
@@ -92,7 +96,8 @@
                 std::chrono::duration_cast<std::chrono::microseconds>(startWithin).count() });
     }
     /// Requests one run of a job in reserved room.
-    void startReserved(std::uint64_t connection, std::uint64_t reservation, std::uint64_t job, float rank = 1)
+    void startReserved(
+        std::uint64_t connection, std::uint64_t reservation, const Messages::StepJobId& job, float rank = 1)
     {
         Messages::StartRuns start;
         start.sequence = ++this->sequence;
@@ -104,19 +109,20 @@
         start.rank = rank;
         start.startWithinMicroseconds = 30'000;
         start.deadlineMicroseconds = 5'000'000;
+        start.bornAt = this->orderedBornAt;
         start.tasks = { { 0, 1 } };
         this->supervisor->messageReceived(
             this->now(), connection, Messages::StartReserved { reservation, std::move(start) });
     }
     /// Replaces the worker by another incarnation under the same id, which runs nothing and has seen no fencing token.
-    void restartWorker(std::int64_t bornAt)
+    void restartWorker(std::int64_t bornAt, const Room& capacity = { 32'000, 65'536, 0 })
     {
         this->endedHistory.insert(
             this->endedHistory.end(), this->worker.history().begin(), this->worker.history().end());
         this->worker.terminate(this->now());
         this->worker = Experiment::LeasedWorkerModel(
-            { "w1", bornAt, "loans", { 32'000, 65'536, 0 } },
-            [this](const TaskId&, std::uint32_t) { return this->plan; }, this->now());
+            { "w1", bornAt, "loans", capacity }, [this](const TaskId&, std::uint32_t) { return this->plan; },
+            this->now());
     }
     /// Advances the time of the worker alone, as after a crash of the sidecar.
     void advanceWorker(Core::Duration span)
@@ -147,7 +153,7 @@
         }
     }
     /// All reports for a job so far, to any entry.
-    std::vector<Messages::RunReport> reportsOf(std::uint64_t job) const
+    std::vector<Messages::RunReport> reportsOf(const Messages::StepJobId& job) const
     {
         std::vector<Messages::RunReport> found;
         for (const Messages::RunReport& report : this->reports) {
@@ -157,7 +163,7 @@
         return found;
     }
     /// Runs of a job on the worker so far.
-    std::vector<Experiment::RunRecord> historyOf(std::uint64_t job) const
+    std::vector<Experiment::RunRecord> historyOf(const Messages::StepJobId& job) const
     {
         std::vector<Experiment::RunRecord> found;
         for (const Experiment::RunRecord& run : this->worker.history()) {
@@ -168,14 +174,14 @@
     }
 
     /// Whether any run of a job was reported as ended.
-    bool isReportedEnded(std::uint64_t job) const
+    bool isReportedEnded(const Messages::StepJobId& job) const
     {
         const auto reports = this->reportsOf(job);
         return std::any_of(reports.begin(), reports.end(),
             [](const Messages::RunReport& report) { return report.state == Messages::RunState::Ended; });
     }
     /// Whether the worker executes a run of a job.
-    bool isRunning(std::uint64_t job) const
+    bool isRunning(const Messages::StepJobId& job) const
     {
         const auto history = this->historyOf(job);
         return std::any_of(history.begin(), history.end(),
@@ -185,6 +191,8 @@
     Core::ManualClock clock;
     Logging::StructuredLog log;
     Metrics::MetricRegistry registry;
+    /// Incarnation of the worker that start orders name: that of the newest profile that an entry received.
+    std::int64_t orderedBornAt = 77;
     /// Behaviour of the next runs.
     Experiment::RunPlan plan { std::chrono::milliseconds(200), false, { 3000, 64, 0 } };
     Experiment::LeasedWorkerModel worker;
@@ -193,6 +201,9 @@
     std::vector<std::uint64_t> liveConnections;
     /// Whether calls reach the worker; lost calls are kept in `lostCalls`.
     bool isWorkerReachable = true;
+    /// Whether a start reaches no other incarnation of the worker than the one that it names. Without it, a connection
+    /// leads to the next incarnation, as through a relay that stays up.
+    bool areStartsIdentified = true;
     /// Whether every call fails at once without a response, as if the worker reset its connections.
     bool isWorkerResetting = false;
     /// Whether the worker refuses every start because it is unhealthy.
@@ -218,7 +229,7 @@
     std::function<void(std::uint64_t, const Messages::WorkerUpdate&)> onUpdate;
 
 private:
-    std::uint64_t nextOrder(std::uint64_t job) { return this->orders[job] = ++this->lastOrder; }
+    std::uint64_t nextOrder(const Messages::StepJobId& job) { return this->orders[job] = ++this->lastOrder; }
     static Logging::LogSettings logSettings()
     {
         Logging::LogSettings settings;
@@ -254,6 +265,8 @@
             for (const Messages::RunReport& report : send->update.reports)
                 this->reports.push_back(report);
             this->load = send->update.load;
+            for (const Messages::WorkerProfile& profile : send->update.profile)
+                this->orderedBornAt = profile.workerId.empty() ? this->orderedBornAt : profile.bornAt;
             if (this->onUpdate)
                 this->onUpdate(send->connection, send->update);
         } else if (const auto* offer = std::get_if<SendOffer>(&action)) {
@@ -270,6 +283,16 @@
                 this->supervisor->callFinished(this->now(), call->callId, std::move(refusal));
                 return;
             }
+            const auto* start = std::get_if<StartCall>(&call->call);
+            if (start && this->areStartsIdentified && this->isWorkerReachable
+                && start->workerStartedAt != this->worker.settings().bornAt) {
+                // As WorkerClient does: the connection to the earlier incarnation broke, and a new one is identified.
+                CallResult unsent;
+                unsent.status = CallStatus::NotIdentified;
+                unsent.workerStartedAt = this->worker.settings().bornAt;
+                this->supervisor->callFinished(this->now(), call->callId, std::move(unsent));
+                return;
+            }
             const auto* hold = std::get_if<RenewLeaseCall>(&call->call);
             const bool isLost = !this->isWorkerReachable
                 || (std::holds_alternative<StartCall>(call->call) && std::exchange(this->isNextStartLost, false))
@@ -290,7 +313,7 @@
     std::uint64_t sequence = 0;
     std::uint64_t lastOrder = 0;
     /// Latest start order of each job.
-    std::map<std::uint64_t, std::uint64_t> orders;
+    std::map<Messages::StepJobId, std::uint64_t> orders;
     std::vector<std::pair<std::uint64_t, SteadyTime>> timeouts;
 };
 
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -79,9 +79,13 @@
     worker.incarnation = update.incarnation;
     worker.clockSample = update.clockSample;
     worker.lastReceivedAt = now;
-    if (!update.profile.empty())
-        worker.profile = std::move(update.profile.front());
     const bool wasUsable = worker.isUsable();
+    if (!update.profile.empty()) {
+        // Reservations on another incarnation may be on the wrong kind of worker.
+        if (worker.profile.bornAt != update.profile.front().bornAt)
+            this->forgetReservationsAt(sidecar);
+        worker.profile = std::move(update.profile.front());
+    }
     worker.load = std::move(update.load);
     this->noteChange(worker);
     if (wasUsable && !worker.isUsable())
@@ -169,7 +173,7 @@
     const TaskId& taskId = report.ordered.task;
     Step& step = job.steps[taskId.step];
     Task& task = step.tasks[taskId.index];
-    const std::uint64_t id = found->first;
+    const StepJobId id = found->first;
     task.phase = TaskPhase::Done;
     ++step.done;
     job.longestRunSeconds = std::max(job.longestRunSeconds, static_cast<double>(report.runMicroseconds) / 1e6);
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -28,7 +28,7 @@
     worker.uncountedOrders.push_back({ reserve.sequence, expectedUse, now });
     this->lastSentAt[placement.sidecar] = now;
     job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex, placement.count,
-        addSeconds(now, request.maximumWaitSeconds), request.rank });
+        addSeconds(now, request.maximumWaitSeconds), request.rank, worker.profile.bornAt });
     this->noteDue(job);
     this->reservationJobs[reserve.reservation] = job.specification.id;
     job.trace.add(now, "room reserved",
@@ -63,7 +63,8 @@
                                  : std::vector<Reservation>::iterator {};
     // A sidecar that took the address of another one may be reached as both of them.
     if (!job || reservation->sidecar != sidecar || reservation->units == 0 || now >= reservation->until
-        || !worker.isUsable() || job->steps[reservation->step].waiting == 0) {
+        || !worker.isUsable() || reservation->bornAt != worker.profile.bornAt
+        || job->steps[reservation->step].waiting == 0) {
         this->actions.push_back(SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockEcho, { number } } });
         return;
     }
@@ -116,7 +117,7 @@
 void JobScheduler::forgetExpiredReservations(SteadyTime now)
 {
     this->workDone.jobsVisited += this->waitingJobs.size();
-    for (const std::uint64_t id : this->waitingJobs) {
+    for (const StepJobId& id : this->waitingJobs) {
         const auto found = this->jobs.find(id);
         if (found == this->jobs.end() || found->second.reservations.empty())
             continue;
@@ -129,7 +130,7 @@
 
 void JobScheduler::forgetReservationsAt(const Core::InstanceId& sidecar)
 {
-    for (const std::uint64_t id : this->waitingJobs) {
+    for (const StepJobId& id : this->waitingJobs) {
         if (const auto found = this->jobs.find(id); found != this->jobs.end())
             this->forgetReservations(
                 found->second, [&](const Reservation& reservation) { return reservation.sidecar == sidecar; });
