Let a step wait for its rack while that pays off

Placement added one constant to the cost of workers without the rack that a step names, whatever the task's length and the deployment's far factor, and never waited for the rack while there was room elsewhere.

SchedulerSettings::farFactor, read from far_factor in [bounds], says how much longer tasks run far. Above 1 it enters the probabilities of lateness and of the caller's timeout instead of the constant, and decidePlacementWait decides for the step whether and until when to wait. Times of far runs are divided by the factor before they are learned or compared with a restart. Metrics and two records in the job's trace show the waits.

With a factor of 1, or for steps without a rack, nothing changes.

--- a/UnitTests/Platform/BootFileTest.cpp
+++ b/UnitTests/Platform/BootFileTest.cpp
@@ -108,3 +108,21 @@
     REQUIRE(load("a = '''\n" + repeated(".a", 3000) + "'''\n" + settings));
     REQUIRE(load(repeated("x1 = 1.5\nx2 = [1.5, 2.5]\n", 1) + repeated("# a.b.c\n", 5000) + settings));
 }
+
+// Guards against entries that ignore how much longer tasks run far from their data, or that take a factor below 1,
+// which would make far workers preferred.
+TEST_CASE("the far factor of the bounds reaches the entries' scheduler", "[Platform]")
+{
+    const auto factorOf = [](const std::string& line) {
+        const auto file = load(replaced(settings, "grace_s = 6\n", "grace_s = 6\n" + line));
+        return file ? entrySettings(file.value(), 1).scheduler.farFactor : -1.0;
+    };
+    REQUIRE(factorOf("") == 1);
+    REQUIRE(factorOf("far_factor = 1.5\n") == 1.5);
+    REQUIRE(factorOf("far_factor = 3\n") == 3);
+    REQUIRE(factorOf("far_factor = 100\n") == 100);
+    for (const char* refused : { "0.9", "100.5", "-2", "\"two\"", "nan" }) {
+        INFO(refused);
+        REQUIRE(factorOf("far_factor = " + std::string(refused) + "\n") == -1);
+    }
+}
--- a/UnitTests/Scheduling/SchedulerFixture.h
+++ b/UnitTests/Scheduling/SchedulerFixture.h
@@ -13,9 +13,9 @@
 /// A scheduler whose sidecars and callers are played by the test.
 class SchedulerFixture {
 public:
-    explicit SchedulerFixture(std::size_t workers = 2)
+    explicit SchedulerFixture(std::size_t workers = 2, SchedulerSettings schedulerSettings = settings())
         : log(logSettings(), this->clock)
-        , scheduler(settings(), this->log, this->registry)
+        , scheduler(std::move(schedulerSettings), this->log, this->registry)
     {
         this->queue.name = "checkout";
         this->queue.service = "loans";
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -45,6 +45,11 @@
     double discoveryWaitShare = 0.45;
     /// Number of workers on which room is reserved for each task that has to wait.
     std::uint32_t reservationsPerTask = 3;
+    /// Run time of a task with a rack preference on a worker without the label of the rack / run time with it, 1 to
+    /// 100.
+    double farFactor = 1;
+    /// Decides whether a step waits for workers of its rack; asked where `farFactor` is above 1.
+    PlacementWaitPolicy placementWait = decidePlacementWait;
     /// Retention period of the outcomes of ended jobs; a repeated request within it gets the same answer instead of a
     /// second run.
     Core::Duration outcomeRetention = std::chrono::seconds(10);
@@ -155,6 +160,13 @@
         /// Sidecars whose workers failed or stalled this task.
         std::vector<Core::InstanceId> avoidedSidecars;
     };
+    /// Wait of a step for workers of the rack that it prefers.
+    struct RackWait {
+        Core::SteadyTime begunAt;
+        NearQueue queue;
+        /// Time at which waiting no longer pays.
+        Core::SteadyTime until;
+    };
     struct Step {
         std::vector<Task> tasks;
         std::uint32_t waiting = 0;
@@ -162,6 +174,9 @@
         /// Times of the completed tasks, scaled to a worker of median speed, in seconds.
         double longestSeconds = 0;
         double sumSeconds = 0;
+        std::optional<RackWait> rackWait;
+        /// Whether it waited for its rack and then took other workers; it does not wait again.
+        bool hasLeftRack = false;
     };
     /// Room that a step's waiting tasks have reserved on a worker.
     struct Reservation {
@@ -237,6 +252,13 @@
     bool hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers) const;
     // Time from which on placing a job on all workers may find more than placing it on those that change.
     Core::SteadyTime nextFullPlacement(Core::SteadyTime now, const Job& job) const;
+    // Lets a step that prefers a rack wait for it, or ends its wait. While it waits, `request` is bound to the rack.
+    void decideRackWait(
+        Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex, PlacementRequest& request);
+    void traceRackWait(Core::SteadyTime now, Job& job, std::string_view message, const PlacementWaitDecision& decision,
+        const PlacementWaitQuery& query) const;
+    // How much longer a step's tasks run far from their data.
+    FarRuns farRuns(const StepSpecification& step) const { return { step.dataRack, this->settings.farFactor }; }
     bool placeStep(Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex);
     std::map<Core::InstanceId, std::uint32_t> tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const;
     PlacementRequest placementRequest(Core::SteadyTime now, const Job& job, std::uint32_t stepIndex);
@@ -264,7 +286,7 @@
     // Stops a run that a sidecar reports although its job has ended or its task was ordered elsewhere.
     void stopUnwantedRun(const Core::InstanceId& sidecar, const Messages::RunReport& report);
     void handleReport(Core::SteadyTime now, const Core::InstanceId& sidecar, const Messages::RunReport& report);
-    void completeTask(Core::SteadyTime now, Jobs::iterator found, const Messages::RunReport& report, double speed);
+    void completeTask(Core::SteadyTime now, Jobs::iterator found, const Messages::RunReport& report);
     // Predicts a run's end, and restarts the task elsewhere or ends the job if the goal can't be met.
     void handleProgress(Core::SteadyTime now, Jobs::iterator found, const Messages::RunReport& report);
     void restartElsewhere(Core::SteadyTime now, Job& job, const TaskId& id, Task& task);
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -124,11 +124,15 @@
 
 SteadyTime JobScheduler::nextFullPlacement(SteadyTime now, const Job& job) const
 {
+    SteadyTime next = SteadyTime::max();
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         if (job.steps[step].waiting > 0 && !this->hasReservations(job, step))
             return now + fullPlacementInterval;
+        // A wait is decided again even if no worker reports a change: its sidecars may have gone silent.
+        if (job.steps[step].waiting > 0 && job.steps[step].rackWait)
+            next = std::min({ next, now + fullPlacementInterval, job.steps[step].rackWait->until });
     }
-    return SteadyTime::max();
+    return next;
 }
 
 std::map<Core::InstanceId, std::uint32_t> JobScheduler::tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const
@@ -154,7 +158,7 @@
     request.need = specification.need;
     request.count = step.waiting;
     request.requiredLabel = specification.requiredLabel;
-    request.dataRack = specification.dataRack;
+    request.farRuns = this->farRuns(specification);
     request.tasksPerWorker = specification.tasksPerWorker;
     if (specification.tasksPerWorker > 0)
         request.tasksAtSidecar = this->tasksAtSidecar(job, stepIndex);
@@ -205,16 +209,27 @@
     }
     PlacementRequest request = this->placementRequest(now, job, stepIndex);
     request.reservationsPerTask = this->hasReservations(job, stepIndex) ? 0 : this->settings.reservationsPerTask;
-    const std::vector<Placement> placements
+    if (request.farRuns.isEffective())
+        this->decideRackWait(now, referenceSpeed, job, stepIndex, request);
+    std::vector<Placement> placements
         = choosePlacements(this->workerTable, referenceSpeed, request, this->workDone.candidatesEvaluated);
+    if (placements.empty() && request.isNearOnly && !this->hasReservations(job, stepIndex)) {
+        // No room can be reserved near, for example because of a limit of tasks on a worker.
+        step.rackWait.reset();
+        request = this->placementRequest(now, job, stepIndex);
+        request.reservationsPerTask = this->settings.reservationsPerTask;
+        placements = choosePlacements(this->workerTable, referenceSpeed, request, this->workDone.candidatesEvaluated);
+    }
     for (const Placement& placement : placements) {
         if (placement.waitSeconds > 0)
             this->reserveRoom(now, job, stepIndex, placement, request);
         else
             this->orderRuns(now, job, stepIndex, placement, request);
     }
-    if (step.waiting == 0)
+    if (step.waiting == 0) {
         this->releaseReservations(job, stepIndex);
+        step.rackWait.reset();
+    }
     return step.waiting == 0;
 }
 
@@ -231,8 +246,10 @@
     start.step = stepIndex;
     start.content = job.specification.content;
     start.need = specification.need;
+    // The sidecar derives the worker's speed from it, which a far run must not lower.
     start.expectedMilliseconds = static_cast<std::uint32_t>(
-        this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000);
+        this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000
+        * this->farRuns(specification).factorOn(worker));
     // An order whose room was taken meanwhile is returned by the sidecar and placed again.
     start.startWithinMicroseconds = static_cast<std::int64_t>(startWindowSeconds * 1e6);
     start.deadlineMicroseconds
@@ -260,6 +277,9 @@
         job.firstOrderAt = now;
     job.orders += static_cast<std::uint32_t>(start.tasks.size());
     this->metrics.runsOrdered(start.tasks.size());
+    const FarRuns farRuns = this->farRuns(job.specification.steps[start.step]);
+    if (farRuns.isEffective())
+        this->metrics.tasksPlaced(start.tasks.size(), farRuns.factorOn(worker) > 1);
     job.trace.add(now, "tasks placed",
         { { "job", Messages::jobText(job.specification.id) }, { "sidecar", worker.sidecar },
             { "worker", worker.profile.workerId }, { "order", start.order },
--- a/celeryswitch/Scheduling/JobSchedulerRecords.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerRecords.cpp
@@ -85,6 +85,16 @@
     set("celeryswitch_workers_on_probation", "Workers that get one run at a time.", probation);
     set("celeryswitch_free_millicores", "Room that no run uses, as last reported.", free);
     set("celeryswitch_queued_millicores", "Room that queued runs need, as last reported.", queued);
+    if (this->settings.farFactor <= 1)
+        return;
+    for (const auto& [queue, model] : this->models) {
+        for (const bool isFar : { false, true })
+            registry
+                .gauge("celeryswitch_place_run_seconds",
+                    "Mean of the recent run times of tasks with a rack preference, by place.",
+                    { { "queue", queue }, { "place", isFar ? "far" : "near" } })
+                .set(model.placeSeconds(isFar));
+    }
 }
 
 }
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -143,8 +143,7 @@
     ++task.run;
     this->metrics.runEnded(report.end);
     if (report.end == RunEnd::Done) {
-        const WorkerView& worker = this->workerTable.at(sidecar);
-        this->completeTask(now, found, report, worker.speed());
+        this->completeTask(now, found, report);
         return;
     }
     job.trace.add(now, "run ended without success",
@@ -162,7 +161,7 @@
     this->requeueTask(job, id.step, task);
 }
 
-void JobScheduler::completeTask(SteadyTime now, Jobs::iterator found, const Messages::RunReport& report, double speed)
+void JobScheduler::completeTask(SteadyTime now, Jobs::iterator found, const Messages::RunReport& report)
 {
     Job& job = found->second;
     const TaskId& taskId = report.ordered.task;
@@ -171,9 +170,17 @@
     const std::uint64_t id = found->first;
     task.phase = TaskPhase::Done;
     ++step.done;
-    job.longestRunSeconds = std::max(job.longestRunSeconds, static_cast<double>(report.runMicroseconds) / 1e6);
+    const WorkerView& worker = this->workerTable.at(task.sidecar);
+    job.longestRunSeconds = std::max(job.longestRunSeconds,
+        static_cast<double>(report.runMicroseconds) / 1e6
+            / this->farRuns(job.specification.steps[taskId.step]).factorOn(worker));
     this->workDone.workersVisited += this->workerTable.size();
-    const double seconds = static_cast<double>(report.runMicroseconds) / 1e6 * speed / medianSpeed(this->workerTable);
+    const FarRuns farRuns = this->farRuns(job.specification.steps[taskId.step]);
+    const double factor = farRuns.factorOn(worker);
+    const double seconds
+        = static_cast<double>(report.runMicroseconds) / 1e6 * worker.speed() / medianSpeed(this->workerTable) / factor;
+    if (farRuns.isEffective())
+        this->modelOf(now, job.queue).recordPlace(now, static_cast<double>(report.runMicroseconds) / 1e6, factor > 1);
     step.longestSeconds = std::max(step.longestSeconds, seconds);
     step.sumSeconds += seconds;
     if (step.done < step.tasks.size())
@@ -198,28 +205,31 @@
         return;
     const double elapsed = static_cast<double>(report.runMicroseconds) / 1e6;
     const double declared = job.specification.steps[id.step].declaredMilliseconds / 1000.0;
+    const WorkerView& worker = this->workerTable.at(task.sidecar);
+    const FarRuns farRuns = this->farRuns(job.specification.steps[id.step]);
+    const double factor = farRuns.factorOn(worker);
+    // Times on a near worker of median speed; the response goal refers to it as well.
     double newRunSeconds = this->modelOf(now, job.queue).taskSeconds(declared);
     double remainingSeconds = 0;
     const bool hasProgress = report.percent >= minimumReliablePercent;
     if (hasProgress) {
         remainingSeconds = elapsed * (100.0 - report.percent) / (report.percent + meanRoundingPercent);
         // A long task takes as long on another worker; a restart only helps when this worker is slow.
-        newRunSeconds = (elapsed + remainingSeconds) * this->workerTable.at(task.sidecar).speed()
-            / medianSpeed(this->workerTable);
-    } else if (elapsed > stalledShare * newRunSeconds + stalledSeconds) {
-        remainingSeconds = stalledTimeFactor * newRunSeconds + elapsed;
+        newRunSeconds = (elapsed + remainingSeconds) * worker.speed() / medianSpeed(this->workerTable) / factor;
+    } else if (elapsed > stalledShare * newRunSeconds * factor + stalledSeconds) {
+        remainingSeconds = stalledTimeFactor * newRunSeconds * factor + elapsed;
     } else {
         return;
     }
     task.expectedEnd = addSeconds(now, remainingSeconds);
     this->workDone.workersVisited += (hasProgress ? 3 : 2) * this->workerTable.size();
     if (hasProgress)
-        job.longestRunSeconds = std::max(job.longestRunSeconds, elapsed + remainingSeconds);
+        job.longestRunSeconds = std::max(job.longestRunSeconds, (elapsed + remainingSeconds) / factor);
     // Percentages are whole numbers, so early extrapolations are imprecise.
     const double errorSeconds
         = hasProgress ? (elapsed + remainingSeconds) * (extrapolationError + roundingError / (report.percent + 1)) : 0;
     const double speed
-        = fastestSpeed(this->workerTable, job.queue.service, job.specification.steps[id.step].need, job.rank);
+        = fastestSpeed(this->workerTable, job.queue.service, job.specification.steps[id.step].need, job.rank, farRuns);
     const double restartedSeconds = std::chrono::duration<double>(this->settings.restartOverhead).count()
         + newRunSeconds * medianSpeed(this->workerTable) / std::max(0.01, speed);
     const SteadyTime goal = this->goalTime(job, newRunSeconds, 1);
--- a/celeryswitch/Scheduling/QueueModel.cpp
+++ b/celeryswitch/Scheduling/QueueModel.cpp
@@ -32,9 +32,24 @@
     : since(now)
     , arrivals(demandWindow)
     , work(demandWindow)
+    , placeRuns { Core::FadingSum(demandWindow), Core::FadingSum(demandWindow) }
+    , placeTimes { Core::FadingSum(demandWindow), Core::FadingSum(demandWindow) }
 {
 }
 
+void QueueModel::recordPlace(Core::SteadyTime now, double seconds, bool isFar)
+{
+    this->placeRuns[isFar].add(now, 1);
+    this->placeTimes[isFar].add(now, seconds);
+}
+
+double QueueModel::placeSeconds(bool isFar) const
+{
+    // Both sums fade alike, so that their ratio only changes with new runs.
+    const double runs = this->placeRuns[isFar].at({});
+    return runs > 0 ? this->placeTimes[isFar].at({}) / runs : 0;
+}
+
 void QueueModel::recordArrival(Core::SteadyTime now, double coreSeconds)
 {
     this->arrivals.add(now, 1);
--- a/celeryswitch/Scheduling/QueueModel.h
+++ b/celeryswitch/Scheduling/QueueModel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Core/FadingSum.h"
+#include <array>
 #include <cstdint>
 
 namespace celeryswitch::Scheduling {
@@ -32,6 +33,11 @@
     /// scaled to a worker of median speed.
     void recordStep(double declaredSeconds, double longest, double mean);
 
+    /// Records the run time of a task that prefers a rack, on a worker with the label of the rack or far from it.
+    void recordPlace(Core::SteadyTime now, double seconds, bool isFar);
+    /// Mean of the recent run times near or far, in seconds; 0 when there are none.
+    double placeSeconds(bool isFar) const;
+
     /// Estimated time of a step's longest task on a worker of median speed.
     TimeEstimate stepTime(double declaredSeconds) const;
     /// Estimated time of a single task of such a step, in seconds.
@@ -59,6 +65,9 @@
     double sumYY = 0;
     /// Mean of log(mean task time / longest task time) over the steps.
     double logTaskShare = -0.1;
+    /// Number and sum of the run times near and far.
+    std::array<Core::FadingSum, 2> placeRuns;
+    std::array<Core::FadingSum, 2> placeTimes;
 };
 
 }
--- a/celeryswitch/Scheduling/SchedulerMetrics.cpp
+++ b/celeryswitch/Scheduling/SchedulerMetrics.cpp
@@ -26,7 +26,14 @@
     , orders(registry.counter("celeryswitch_runs_ordered_total", "Orders to start a run."))
     , restarts(
           registry.counter("celeryswitch_runs_restarted_total", "Runs stopped so that their task can run elsewhere."))
+    , rackWaits(registry.counter(
+          "celeryswitch_rack_waits_total", "Steps that began to wait for a worker of the rack that they prefer."))
+    , rackWaitFallbacks(registry.counter(
+          "celeryswitch_rack_wait_fallbacks_total", "Steps that ended such a wait for workers elsewhere."))
 {
+    for (const bool isFar : { false, true })
+        this->places[isFar] = &registry.counter("celeryswitch_tasks_placed_total",
+            "Tasks with a rack preference that were placed, by place.", { { "place", isFar ? "far" : "near" } });
     for (const auto& [end, name] : Core::EnumTable<Messages::RunEnd>::names)
         this->runs[static_cast<std::size_t>(end)] = &registry.counter("celeryswitch_runs_ended_total",
             "Ends of runs as sidecars reported them.", { { "end", std::string(name) } });
--- a/celeryswitch/Scheduling/SchedulerMetrics.h
+++ b/celeryswitch/Scheduling/SchedulerMetrics.h
@@ -37,6 +37,12 @@
     /// Records that a run is stopped so that its task can run on another worker.
     void runRestarted() { this->restarts.add(); }
 
+    /// Records tasks with a rack preference that were placed on workers with the label of the rack, or far from it.
+    void tasksPlaced(std::uint64_t count, bool isFar) { this->places[isFar]->add(count); }
+    /// Records that a step begins to wait for workers of its rack, or gives up the wait for other workers.
+    void rackWaitBegun() { this->rackWaits.add(); }
+    void rackWaitFellBack() { this->rackWaitFallbacks.add(); }
+
 private:
     /// Metrics of one queue; created when first used.
     struct QueueSeries {
@@ -50,6 +56,9 @@
     Metrics::MetricRegistry& registry;
     Metrics::Counter& orders;
     Metrics::Counter& restarts;
+    Metrics::Counter& rackWaits;
+    Metrics::Counter& rackWaitFallbacks;
+    std::array<Metrics::Counter*, 2> places {};
     std::array<Metrics::Counter*, Core::EnumTable<Messages::RunEnd>::names.size()> runs {};
     std::map<std::string, QueueSeries> queues;
 };
--- a/celeryswitch/Scheduling/WorkerTable.cpp
+++ b/celeryswitch/Scheduling/WorkerTable.cpp
@@ -1,7 +1,9 @@
 #include "celeryswitch/Scheduling/WorkerTable.h"
 
+#include "celeryswitch/Scheduling/SchedulerTime.h"
 #include <algorithm>
 #include <limits>
+#include <tuple>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -39,6 +41,9 @@
 // Range of the hash-based tie-break by which jobs choose different ones of similar workers.
 constexpr double tieBreakCost = 0.02;
 
+// Share of the room in use from which on room counts as scarce.
+constexpr double scarceShare = 0.7;
+
 /// A worker that can run some of the tasks.
 struct Candidate {
     const WorkerView* worker = nullptr;
@@ -68,6 +73,9 @@
 {
     const double shortfall = candidate.waitSeconds - request.slackSeconds;
     const double gain = request.stretch - 1 / candidate.speed;
+    // With a far factor the run may take just `stretch` times as long, so that only the wait counts.
+    if (gain == 0 && request.farRuns.isEffective())
+        return shortfall > 0 ? 1 : 0;
     if (gain > 0)
         return shortfall <= 0 ? 0 : 1 - request.time.probabilityAbove(shortfall / gain);
     return shortfall >= 0 ? 1 : request.time.probabilityAbove(shortfall / gain);
@@ -102,6 +110,12 @@
             && worker.load.free == worker.profile.capacity);
 }
 
+// Whether a worker carries the label of the rack that the tasks prefer, if they prefer one.
+bool isNear(const WorkerView& worker, const PlacementRequest& request)
+{
+    return request.farRuns.dataRack.empty() || worker.hasLabel(request.farRuns.dataRack);
+}
+
 Candidate makeCandidate(const WorkerView& worker, double referenceSpeed, const PlacementRequest& request)
 {
     Candidate candidate;
@@ -112,13 +126,13 @@
         candidate.maximumTasks -= std::min(candidate.maximumTasks, there->second);
     if (worker.load.isOnProbation)
         candidate.maximumTasks = std::min(candidate.maximumTasks, 1U);
-    candidate.speed = std::max(0.01, worker.speed() / referenceSpeed);
+    candidate.speed = std::max(0.01, worker.speed() / referenceSpeed) / request.farRuns.factorOn(worker);
     const bool isAvoidedSidecar
         = std::find(request.avoidedSidecars.begin(), request.avoidedSidecars.end(), worker.sidecar)
         != request.avoidedSidecars.end();
     candidate.fixedCost = (isAvoidedSidecar ? avoidedCost : 0)
         + (worker.dataCentre == request.dataCentre ? 0 : remoteCost)
-        + (request.dataRack.empty() || worker.hasLabel(request.dataRack) ? 0 : remoteDataCost)
+        + (request.farRuns.isEffective() || isNear(worker, request) ? 0 : remoteDataCost)
         + (request.isLastAttempt ? finalFailureCost : failureCost) * worker.load.failurePercent / 100
         + tieBreakCost * tieBreak(request.salt, worker.sidecar);
     return candidate;
@@ -157,13 +171,14 @@
     return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-double fastestSpeed(const WorkerTable& workers, const std::string& service, const Messages::Room& need, float rank)
+double fastestSpeed(const WorkerTable& workers, const std::string& service, const Messages::Room& need, float rank,
+    const FarRuns& farRuns)
 {
     double fastest = 0;
     for (const auto& [sidecar, worker] : workers) {
         if (worker.isUsable() && worker.profile.service == service && !worker.load.isOnProbation
             && need.fits(worker.roomFor(rank)))
-            fastest = std::max(fastest, worker.speed());
+            fastest = std::max(fastest, worker.speed() / farRuns.factorOn(worker));
     }
     return fastest;
 }
@@ -219,19 +234,65 @@
     return best;
 }
 
-// Predicted wait, in seconds, until room for a number of tasks has been released on any candidate: they reserve room on
-// several workers and take what is released first.
-double sharedWait(const std::vector<Candidate>& candidates, const PlacementRequest& request, std::uint32_t tasks)
-{
-    std::int64_t shortfall = request.need.milliCores * tasks;
+// Room that has to be released on some candidates together, and its rate.
+struct SharedQueue {
+    std::int64_t shortfall = 0;
     std::int64_t rate = 0;
+
+    double waitSeconds() const
+    {
+        return this->rate > 0 ? static_cast<double>(this->shortfall) / static_cast<double>(this->rate) : unbounded;
+    }
+};
+
+// Queue of a number of tasks on the candidates: they reserve room on several workers and take what is released first.
+SharedQueue sharedQueue(const std::vector<Candidate>& candidates, const PlacementRequest& request, std::uint32_t tasks)
+{
+    SharedQueue queue { request.need.milliCores * tasks, 0 };
     for (const Candidate& candidate : candidates) {
         if (candidate.worker->load.isOnProbation)
             continue;
-        shortfall += std::max<std::int64_t>(0, -candidate.room.milliCores);
-        rate += candidate.worker->load.freedMilliCoresPerSecond;
+        queue.shortfall += std::max<std::int64_t>(0, -candidate.room.milliCores);
+        queue.rate += candidate.worker->load.freedMilliCoresPerSecond;
     }
-    return rate > 0 ? static_cast<double>(shortfall) / static_cast<double>(rate) : unbounded;
+    return queue;
+}
+
+// Predicted wait, in seconds, until room for a number of tasks has been released on any candidate.
+double sharedWait(const std::vector<Candidate>& candidates, const PlacementRequest& request, std::uint32_t tasks)
+{
+    return sharedQueue(candidates, request, tasks).waitSeconds();
+}
+
+// Number of tasks that fit on the candidates now, and the mean speed of those that have room, or of all if none has.
+std::pair<std::uint32_t, double> fittingTasks(
+    const std::vector<Candidate>& candidates, double referenceSpeed, const PlacementRequest& request)
+{
+    std::uint32_t fitting = 0;
+    double speeds[2] = {};
+    std::size_t counts[2] = {};
+    for (const Candidate& candidate : candidates) {
+        const std::int64_t room = std::max<std::int64_t>(0, request.need.countIn(candidate.room));
+        const auto tasks = static_cast<std::uint32_t>(std::min<std::int64_t>(room, candidate.maximumTasks));
+        fitting += tasks;
+        speeds[tasks > 0] += std::max(0.01, candidate.worker->speed() / referenceSpeed);
+        ++counts[tasks > 0];
+    }
+    const bool hasRoom = counts[1] > 0;
+    return { fitting, counts[hasRoom] > 0 ? speeds[hasRoom] / static_cast<double>(counts[hasRoom]) : 1 };
+}
+
+// Scarcity of room on the candidates, from 0 below `scarceShare` in use to 1 when all is in use.
+double scarcity(const std::vector<Candidate>& candidates)
+{
+    double free = 0;
+    double capacity = 0;
+    for (const Candidate& candidate : candidates) {
+        free += static_cast<double>(std::max<std::int64_t>(0, candidate.room.milliCores));
+        capacity += static_cast<double>(candidate.worker->profile.capacity.milliCores);
+    }
+    const double used = capacity > 0 ? 1 - free / capacity : 1;
+    return std::max(0.0, (used - scarceShare) / (1 - scarceShare));
 }
 
 // Assigns tasks to a candidate and adds them to its placement.
@@ -257,10 +318,44 @@
     return sharedWait(makeCandidates(workers, 1, request), request, request.count);
 }
 
+PlaceForecast forecastPlaces(const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request,
+    const std::optional<NearQueue>& queue)
+{
+    const std::vector<Candidate> all = makeCandidates(workers, referenceSpeed, request);
+    std::vector<Candidate> near;
+    std::vector<Candidate> far;
+    for (const Candidate& candidate : all)
+        (isNear(*candidate.worker, request) ? near : far).push_back(candidate);
+    PlaceForecast forecast;
+    std::uint32_t nearTasks = 0;
+    std::uint32_t farTasks = 0;
+    std::tie(nearTasks, forecast.nearSpeed) = fittingTasks(near, referenceSpeed, request);
+    std::tie(farTasks, forecast.farSpeed) = fittingTasks(far, referenceSpeed, request);
+    if (nearTasks >= request.count)
+        return forecast;
+    const std::uint32_t missing = request.count - nearTasks;
+    const SharedQueue nearQueue = sharedQueue(near, request, queue ? 0 : missing);
+    forecast.aheadMilliCores = static_cast<double>(nearQueue.shortfall);
+    if (queue) {
+        const double released = static_cast<double>(nearQueue.rate) * secondsUntil(queue->evaluatedAt, request.now);
+        forecast.aheadMilliCores = std::max(static_cast<double>(request.need.milliCores * missing),
+            std::min(forecast.aheadMilliCores, queue->aheadMilliCores - released));
+    }
+    forecast.nearWaitSeconds
+        = nearQueue.rate > 0 ? forecast.aheadMilliCores / static_cast<double>(nearQueue.rate) : unbounded;
+    if (farTasks < missing)
+        forecast.farWaitSeconds = far.empty() ? unbounded : sharedWait(all, request, missing - farTasks);
+    // The additional time of a far run delays other work by as much when there is no room to spare.
+    forecast.farWaitSeconds += scarcity(all) * (request.farRuns.factor - 1) * request.time.medianSeconds;
+    return forecast;
+}
+
 std::vector<Placement> choosePlacements(
     const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request, std::uint64_t& evaluated)
 {
     std::vector<Candidate> candidates = makeCandidates(workers, referenceSpeed, request);
+    if (request.isNearOnly)
+        std::erase_if(candidates, [&](const Candidate& candidate) { return !isNear(*candidate.worker, request); });
     evaluated += workers.size();
     std::vector<Placement> placements;
     std::uint32_t remaining = request.count;
@@ -278,7 +373,7 @@
     }
     if (remaining == 0 || request.reservationsPerTask == 0)
         return placements;
-    if (sharedWait(candidates, request, remaining) > request.maximumWaitSeconds)
+    if (!request.isNearOnly && sharedWait(candidates, request, remaining) > request.maximumWaitSeconds)
         return {};
     for (std::uint32_t units = remaining * request.reservationsPerTask; units > 0; --units) {
         Candidate* best = chooseCandidate(candidates, request, minimumReservationWait, unbounded);
--- a/celeryswitch/Scheduling/WorkerTable.h
+++ b/celeryswitch/Scheduling/WorkerTable.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "celeryswitch/Messages/WorkMessages.h"
+#include "celeryswitch/Scheduling/PlacementWait.h"
 #include "celeryswitch/Scheduling/QueueModel.h"
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,8 +66,24 @@
 /// Median speed of the usable workers; 1 when there are none.
 double medianSpeed(const WorkerTable& workers);
 
-/// Speed of the fastest worker of a service with room at present; 0 when there is none.
-double fastestSpeed(const WorkerTable& workers, const std::string& service, const Messages::Room& need, float rank);
+/// How much longer tasks that prefer a rack run on workers without its label.
+struct FarRuns {
+    /// Label of the rack; empty when tasks prefer none.
+    std::string dataRack;
+    double factor = 1;
+
+    /// Whether run times differ between workers.
+    bool isEffective() const { return this->factor > 1 && !this->dataRack.empty(); }
+    /// Factor of the run time on a worker.
+    double factorOn(const WorkerView& worker) const
+    {
+        return this->isEffective() && !worker.hasLabel(this->dataRack) ? this->factor : 1;
+    }
+};
+
+/// Speed of the fastest worker of a service with room at present, for tasks with these far runs; 0 when there is none.
+double fastestSpeed(const WorkerTable& workers, const std::string& service, const Messages::Room& need, float rank,
+    const FarRuns& farRuns);
 
 /// Requirements and costs of a step's waiting tasks.
 struct PlacementRequest {
@@ -73,7 +91,9 @@
     Messages::Room need;
     std::uint32_t count = 0;
     std::string requiredLabel;
-    std::string dataRack;
+    FarRuns farRuns;
+    /// Whether only workers with the label of the rack are used.
+    bool isNearOnly = false;
     /// 0 means no limit.
     std::uint32_t tasksPerWorker = 0;
     /// With a limit: tasks of the step that are at a sidecar's worker or have room reserved there.
@@ -116,6 +136,17 @@
 /// the work of higher rank; infinite when none is being released.
 double predictSharedWait(const WorkerTable& workers, const PlacementRequest& request);
 
+/// Room that a step which waits for near workers needs to be released before its tasks have theirs.
+struct NearQueue {
+    double aheadMilliCores = 0;
+    Core::SteadyTime evaluatedAt;
+};
+
+/// Predicts the places of a request that prefers a rack. `queue` is what an earlier forecast gave if room has been
+/// reserved near since: work that came later is behind it.
+PlaceForecast forecastPlaces(const WorkerTable& workers, double referenceSpeed, const PlacementRequest& request,
+    const std::optional<NearQueue>& queue);
+
 /// Chooses workers for all tasks of a request; returns none if a task's predicted wait is too long everywhere. With
 /// `reservationsPerTask` 0 it chooses workers for the tasks that fit now. `referenceSpeed` is the speed of the worker
 /// that `request.time` refers to. The workers examined are added to `evaluated`, once for each choice.
