--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -69,7 +69,7 @@
     this->maintainLinks();
     const SteadyTime begin = this->events.now() + std::chrono::seconds(2);
     this->firstArrivalAt = begin;
-    if (this->options.cutOffShare > 0)
+    if (this->options.cutOffShare > 0 || !this->options.cutOffRack.empty())
         this->events.scheduleAt(begin + std::chrono::duration_cast<SteadyTime::duration>(this->options.cutOff.from),
             [this] { this->cutOffSidecars(); });
     this->events.scheduleAt(begin, [this] {
@@ -92,6 +92,13 @@
     result.orders = this->registry.counter("celeryswitch_runs_ordered_total", "").value();
     result.ordersReturned
         = this->registry.counter("celeryswitch_runs_ended_total", "", { { "end", "not-started" } }).value();
+    const auto count = [this](const char* name, const Metrics::Labels& labels = {}) {
+        return this->registry.counter(name, "", labels).value();
+    };
+    result.tasksNear = count("celeryswitch_tasks_placed_total", { { "place", "near" } });
+    result.tasksFar = count("celeryswitch_tasks_placed_total", { { "place", "far" } });
+    result.rackWaits = count("celeryswitch_rack_waits_total");
+    result.rackWaitFallbacks = count("celeryswitch_rack_wait_fallbacks_total");
     this->checkInvariants(result);
     return result;
 }
@@ -113,6 +120,8 @@
     Scheduling::SchedulerSettings settings;
     settings.dataCentre = "dc-" + std::to_string(index % 3);
     settings.reservationsPerTask = this->options.reservationsPerTask;
+    settings.farFactor = this->options.knownFarFactor;
+    settings.placementWait = this->options.placementWait;
     if (!this->options.mechanisms.isUnreachableTimeoutEnabled)
         settings.unreachableRunsTimeout = std::chrono::milliseconds(1);
     entry.scheduler = std::make_unique<Scheduling::JobScheduler>(
@@ -158,6 +167,8 @@
 
 void LeasedFleet::carryOut(std::size_t index, Scheduling::SchedulerAction action)
 {
+    if (this->options.actionObserver)
+        this->options.actionObserver(this->events.now(), index, action);
     if (auto* answer = std::get_if<Scheduling::AnswerRequest>(&action)) {
         auto node = this->entries[index]->requests.extract(answer->request);
         if (!node.empty())
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -44,6 +44,8 @@
     /// Factor of the arrival rate during a flood.
     double floodFactor = 1;
     LeasedPeriod flood;
+    /// Rack that holds the data of the jobs; empty when they prefer none.
+    std::string dataRack;
 };
 
 /// Size and speed of a worker.
@@ -68,6 +70,17 @@
     /// Share of the workers' sidecars that are cut off from all entries during a period.
     double cutOffShare = 0;
     LeasedPeriod cutOff;
+    /// Rack whose sidecars are cut off instead, if it is not empty.
+    std::string cutOffRack;
+    /// Number of racks, "rack-0" and so on, which the workers take in turn; 0 when workers carry no labels.
+    std::size_t racks = 0;
+    /// Run time of tasks outside of the rack that they prefer / run time in it.
+    double farFactor = 1;
+    /// As in SchedulerSettings: what the entries know of `farFactor`, and their decision to wait.
+    double knownFarFactor = 1;
+    Scheduling::PlacementWaitPolicy placementWait = Scheduling::decidePlacementWait;
+    /// Receives each action of an entry; may be empty.
+    std::function<void(Core::SteadyTime, std::size_t entry, const Scheduling::SchedulerAction&)> actionObserver;
     /// As in SchedulerSettings.
     std::uint32_t reservationsPerTask = Scheduling::SchedulerSettings {}.reservationsPerTask;
     Core::Duration duration = std::chrono::seconds(30);
@@ -94,6 +107,8 @@
     std::uint64_t late = 0;
     std::uint64_t refused = 0;
     std::uint64_t failed = 0;
+    /// Response times of the jobs that were completed, in seconds.
+    std::vector<double> responses;
     /// Value of the jobs by the second in which they were submitted.
     std::vector<LeasedValue> seconds;
 
@@ -118,6 +133,11 @@
     /// Start orders, and those that were returned without a start.
     std::uint64_t orders = 0;
     std::uint64_t ordersReturned = 0;
+    /// Tasks with a rack preference by place, and steps that waited for their rack and that gave it up.
+    std::uint64_t tasksNear = 0;
+    std::uint64_t tasksFar = 0;
+    std::uint64_t rackWaits = 0;
+    std::uint64_t rackWaitFallbacks = 0;
     std::uint64_t messages = 0;
     /// Invariant violations, each with the task or job and what was observed.
     std::vector<std::string> violations;
@@ -159,6 +179,11 @@
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
     double lognormal(double mean, double logDeviation);
     Core::Duration delay(std::size_t entry, std::size_t worker) const;
+    // Rack of a worker; empty when workers carry no labels.
+    std::string rackOf(std::size_t worker) const
+    {
+        return this->options.racks > 0 ? "rack-" + std::to_string(worker % this->options.racks) : std::string();
+    }
     // Time at which a message that is sent now arrives.
     Core::SteadyTime arrivalTime(
         const Link& link, std::size_t entry, std::size_t worker, Core::SteadyTime& lastArrivalAt) const;
--- a/celeryswitch/Experiment/LeasedFleetCallers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetCallers.cpp
@@ -77,6 +77,7 @@
     step.count = tasks;
     step.need = { static_cast<std::int64_t>(this->lognormal(description.milliCores, 0.2)), 64, 0 };
     step.declaredMilliseconds = static_cast<std::uint32_t>(std::max(1.0, this->lognormal(longest, 0.4) * 1000));
+    step.dataRack = description.dataRack;
     job.specification = { id, "content", { step }, true, 0, 0, 0 };
     const double relativeWork = longest * tasks * static_cast<double>(step.need.milliCores)
         / (description.meanSeconds * description.meanTasks * description.milliCores);
@@ -278,6 +279,7 @@
         = answer.kind == AnswerKind::State && answer.state == JobState::Failed && job.isFailing;
     if (job.isCompleted || isExpectedFailure) {
         ++(response <= goal ? kindResult.inTime : kindResult.late);
+        kindResult.responses.push_back(response);
         LeasedEntryResult& entryResult = this->entryResults[job.firstEntry];
         entryResult.inTime += response <= goal ? 1 : 0;
         if (response <= goal * expiryFactor) {
--- a/celeryswitch/Experiment/LeasedFleetFaults.cpp
+++ b/celeryswitch/Experiment/LeasedFleetFaults.cpp
@@ -104,8 +104,10 @@
     const Job& job = this->jobs.at(task.job);
     const auto& classes = this->options.workerClasses;
     const double speed = classes.empty() ? 1 : classes[worker % classes.size()].speed;
-    RunPlan plan { seconds(job.taskSeconds.at(task.index) / speed), job.isFailing,
-        job.specification.steps.front().need };
+    const Scheduling::StepSpecification& step = job.specification.steps.front();
+    const bool isFar = !step.dataRack.empty() && step.dataRack != this->rackOf(worker);
+    RunPlan plan { seconds(job.taskSeconds.at(task.index) / speed * (isFar ? this->options.farFactor : 1)),
+        job.isFailing, step.need };
     if (this->events.now() >= sidecar.degradedUntil)
         return plan;
     if (sidecar.degradation == Sidecar::Degradation::Fails)
--- a/celeryswitch/Experiment/LeasedFleetLinks.cpp
+++ b/celeryswitch/Experiment/LeasedFleetLinks.cpp
@@ -157,7 +157,10 @@
     for (std::size_t worker = 0; worker < this->sidecars.size(); ++worker) {
         // Spread evenly, so that all classes of workers lose the same share.
         const double share = this->options.cutOffShare;
-        if (std::floor(static_cast<double>(worker + 1) * share) <= std::floor(static_cast<double>(worker) * share))
+        const bool isCutOff = this->options.cutOffRack.empty()
+            ? std::floor(static_cast<double>(worker + 1) * share) > std::floor(static_cast<double>(worker) * share)
+            : this->rackOf(worker) == this->options.cutOffRack;
+        if (!isCutOff)
             continue;
         for (std::size_t entry = 0; entry < this->entries.size(); ++entry)
             this->links[{ entry, worker }].cutUntil = until;
--- a/celeryswitch/Experiment/LeasedFleetWorkers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetWorkers.cpp
@@ -31,6 +31,8 @@
     const auto& classes = this->options.workerClasses;
     settings.capacity
         = { classes.empty() ? this->options.workerMilliCores : classes[index % classes.size()].milliCores, 262'144, 0 };
+    if (this->options.racks > 0)
+        settings.labels = { this->rackOf(index) };
     settings.clockRate = 0.98 + 0.02 * this->uniform();
     sidecar.worker = std::make_unique<LeasedWorkerModel>(
         settings,
