--- a/celeryswitch/Workers/WorkerTypes.h
+++ b/celeryswitch/Workers/WorkerTypes.h
@@ -142,7 +142,7 @@
         { Workers::CallStatus::Accepted, "accepted" },
         { Workers::CallStatus::Refused, "refused" },
         { Workers::CallStatus::Unhealthy, "unhealthy" },
-        { Workers::CallStatus::OtherIncarnation, "other-life" },
+        { Workers::CallStatus::OtherIncarnation, "other-incarnation" },
         { Workers::CallStatus::Unreadable, "unreadable" },
         { Workers::CallStatus::Unanswered, "unanswered" },
         { Workers::CallStatus::NotSent, "not-sent" },
