--- a/UnitTests/Scheduling/PlacementWaitReplayTest.cpp
+++ b/UnitTests/Scheduling/PlacementWaitReplayTest.cpp
@@ -194,7 +194,7 @@
             const auto& send = std::get<SendToSidecar>(action);
             text += send.sidecar + " message " + std::to_string(send.message.index());
             const auto add = [&text](const Messages::StartRuns& start) {
-                text += " order " + std::to_string(start.order) + " job " + std::to_string(start.job) + " rank "
+                text += " order " + std::to_string(start.order) + " job " + Messages::jobText(start.job) + " rank "
                     + std::to_string(start.rank) + " expected " + std::to_string(start.expectedMilliseconds);
                 for (const auto& [index, run] : start.tasks)
                     text += " " + std::to_string(index) + "/" + std::to_string(run);
