Add tests of clients outside the limits on real processes

Callers, workers and operators that keep to no limit could end a process: trailers without end behind a chunked body, large bodies that stop just short of their end, silent connections, and a last chunk that arrives byte by byte.

--- a/Soak/Main.cpp
+++ b/Soak/Main.cpp
@@ -1,3 +1,4 @@
+#include "Soak/CrowdRun.h"
 #include "Soak/SoakRun.h"
 #include <csignal>
 #include <cstdio>
@@ -23,6 +24,7 @@
   --workers=N      Workers, each with a sidecar [default: 4].
   --entries=N      Entries [default: 2].
   --states=N       State replicas [default: 3].
+  --crowd=ROLE     Instead: a crowd of clients outside the limits against an entry, a sidecar or a state replica.
   --calm           No faults: the whole path on a calm day.
   --keep=FOLDER    Keeps settings, logs and data of each run that breaks a promise there.
 )";
@@ -62,6 +64,19 @@
     return result.violations.empty();
 }
 
+// Plays a crowd against a process of `role`; returns whether the process withstood it.
+bool playCrowd(const std::string& program, const std::string& role)
+{
+    char pattern[] = "/tmp/celeryswitch-crowd-XXXXXX";
+    const std::string folder = ::mkdtemp(pattern);
+    const std::string network = std::to_string(16 + ::getpid() % 200) + ".251";
+    const std::vector<std::string> violations = Soak::CrowdRun({ program, folder, network, role }).play();
+    for (const std::string& violation : violations)
+        std::printf("  violation: %s\n", violation.c_str());
+    std::filesystem::remove_all(folder);
+    return violations.empty();
+}
+
 }
 
 int main(int argumentCount, char** argumentValues)
@@ -70,6 +85,8 @@
     const auto number
         = [&](const char* name) { return std::strtoull(arguments[name].asString().c_str(), nullptr, 10); };
     std::signal(SIGPIPE, SIG_IGN);
+    if (arguments["--crowd"])
+        return playCrowd(arguments["--program"].asString(), arguments["--crowd"].asString()) ? 0 : 1;
     Soak::SoakSettings settings;
     settings.program = arguments["--program"].asString();
     settings.duration = std::chrono::seconds(number("--seconds"));
--- a/Soak/SoakFleet.cpp
+++ b/Soak/SoakFleet.cpp
@@ -41,6 +41,12 @@
     this->workerAddresses["sidecar-" + std::to_string(number)] = address;
 }
 
+void SoakFleet::setLimits(std::size_t memoryMegabytes, std::size_t descriptors)
+{
+    this->limits = "[limits]\nmemory_mb = " + std::to_string(memoryMegabytes)
+        + "\nmax_fds = " + std::to_string(descriptors) + "\n";
+}
+
 void SoakFleet::writeSettings(const std::string& process) const
 {
     const std::string role = roleOf(process);
@@ -61,7 +67,7 @@
              << "\nreadiness_address = " << quoted(this->readinessAddress(process)) << "\n";
     else
         file << "control = " << quoted(this->controlAddress(process)) << "\n";
-    file << "[bounds]\nmax_hold_ms = 1000\nstop_timeout_ms = 50\nretransmit_ms = 1300\ngrace_s = 6\n";
+    file << this->limits << "[bounds]\nmax_hold_ms = 1000\nstop_timeout_ms = 50\nretransmit_ms = 1300\ngrace_s = 6\n";
 }
 
 Core::Result<void> SoakFleet::start(const std::string& process)
--- a/Soak/SoakFleet.h
+++ b/Soak/SoakFleet.h
@@ -25,12 +25,16 @@
 
     /// Writes the settings of every process; worker `number` is reached at `address`.
     void setWorkerAddress(std::uint32_t number, const std::string& address);
+    /// Writes `[limits]` into the settings of every process; without it, the settings name none.
+    void setLimits(std::size_t memoryMegabytes, std::size_t descriptors);
     /// Starts a process, "state-1", "entry-1", "sidecar-1"; nothing happens while it runs.
     Core::Result<void> start(const std::string& process);
     /// Sends a signal to a process that runs.
     void signal(const std::string& process, int number);
     /// Whether a process runs.
     bool isRunning(const std::string& process);
+    /// Process id of a process that runs.
+    pid_t processId(const std::string& process) const { return this->children.at(process)->id(); }
     /// Waits for the end of a process.
     bool waitEnd(const std::string& process, Core::Duration span);
     /// Deletes the data of a process that does not run, which is no first start any more.
@@ -57,6 +61,7 @@
     std::map<std::string, std::string> numbers;
     std::map<std::string, std::string> workerAddresses;
     std::vector<std::string> seeds;
+    std::string limits;
     std::map<std::string, std::unique_ptr<Scenario::ChildProcess>> children;
     /// Processes that were started before.
     std::map<std::string, bool> wasStarted;
--- a/celeryswitch/Scenario/ChildProcess.h
+++ b/celeryswitch/Scenario/ChildProcess.h
@@ -39,6 +39,8 @@
     bool waitEnd(Core::Duration span);
     /// Whether the process has been started and has not ended.
     bool isRunning();
+    /// Process id.
+    pid_t id() const { return this->processId; }
 
 private:
     friend CommandOutput runCommand(const std::vector<std::string>& command, const std::string& logFile);
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -120,6 +120,12 @@
     finish_case "soak, seed $seed"
 done
 
+echo "== crowds"
+# Each runs alone: the crowd takes the memory and the connections that other cases need.
+for role in entry sidecar state; do
+    run_case "crowd against a process, $role" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--crowd=$role"
+done
+
 echo "== scenarios"
 # Scenarios mostly wait; their processes listen on addresses that the system or their own runner chose.
 for file in scenarios/*.toml; do
