Hold each request to the limits in force and connections to the budget

The server now shares its limits with its sessions, which take them over when the first bytes of a header arrive.

Sessions read through RequestReader and account for what they hold, until the request is answered, and for answers that the client does not read. A connection beyond the limit replaces a silent or stalled one instead of being refused behind them. A body has to arrive within its time and at a minimum rate; each piece moves the one deadline, without a further timer. The rest of a refused request is read into one place for all connections instead of 64 KB each.

--- a/celeryswitch/Http/HttpServer.cpp
+++ b/celeryswitch/Http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "celeryswitch/Http/HttpServer.h"
 
 #include "celeryswitch/Core/SocketAddress.h"
+#include "celeryswitch/Http/ProcessLimits.h"
 
 namespace celeryswitch::Http {
 
@@ -21,9 +22,11 @@
 
 }
 
-HttpServer::HttpServer(
-    boost::asio::io_context& context, HttpLimits limits, std::size_t connectionsLimit, Handlers handlers)
-    : limits(limits)
+HttpServer::HttpServer(boost::asio::io_context& context, HttpLimits limits, std::size_t connectionsLimit,
+    Handlers handlers, std::shared_ptr<ReceiveBudget> budget)
+    : limits(std::make_shared<HttpLimits>(limits))
+    , budget(budget ? std::move(budget)
+                    : std::make_shared<ReceiveBudget>(std::max(machineMemoryBytes() / 8, 4 * limits.bodyBytes)))
     , connectionsLimit(connectionsLimit)
     , handlers(std::move(handlers))
     , acceptor(context)
@@ -39,6 +42,9 @@
     this->acceptor.open(endpoint.protocol(), error);
     if (!error)
         this->acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    // Accepted connections inherit it.
+    if (!error)
+        this->acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
     if (!error)
         this->acceptor.bind(endpoint, error);
     if (!error)
@@ -71,7 +77,7 @@
 
 void HttpServer::accepted(tcp::socket socket)
 {
-    if (this->sessions->size() >= this->connectionsLimit)
+    if (this->sessions->size() >= this->connectionsLimit && !this->makeRoom())
         return;
     const std::uint64_t number = ++this->lastSession;
     (*this->sessions)[number] = {};
@@ -81,7 +87,31 @@
                 known->erase(number);
         },
         this->handlers.onAbandoned };
-    (*this->sessions)[number] = HttpSession::start(std::move(socket), this->limits, std::move(sessionHandlers));
+    (*this->sessions)[number]
+        = HttpSession::start(std::move(socket), this->limits, this->budget, std::move(sessionHandlers));
+}
+
+bool HttpServer::makeRoom()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<ConnectionState> states;
+    std::size_t openCount = 0;
+    for (const auto& [number, session] : *this->sessions) {
+        const HttpSession::Pointer open = session.lock();
+        if (!open)
+            continue;
+        states.push_back(open->state(now));
+        states.back().number = number;
+        openCount += states.back().phase != ConnectionPhase::Closed ? 1 : 0;
+    }
+    if (openCount < this->connectionsLimit)
+        return true;
+    const std::optional<std::uint64_t> number = connectionToReplace(states);
+    if (number)
+        this->sessions->at(*number).lock()->closeFor(CloseReason::ConnectionLimit);
+    else
+        this->budget->countClosed(CloseReason::ConnectionLimit);
+    return number.has_value();
 }
 
 void HttpServer::stopAccepting()
--- a/celeryswitch/Http/HttpServer.h
+++ b/celeryswitch/Http/HttpServer.h
@@ -26,13 +26,15 @@
         std::function<void(const HttpSession::Pointer&)> onAbandoned;
     };
 
-    /// Connections beyond `connectionsLimit` are closed at once.
-    HttpServer(boost::asio::io_context& context, HttpLimits limits, std::size_t connectionsLimit, Handlers handlers);
+    /// A connection beyond `connectionsLimit` replaces one that makes no progress, or is closed at once. `budget` is
+    /// that of the process; without one the server has one of its own, derived from the machine's memory.
+    HttpServer(boost::asio::io_context& context, HttpLimits limits, std::size_t connectionsLimit, Handlers handlers,
+        std::shared_ptr<ReceiveBudget> budget = nullptr);
 
     /// Starts listening on "address:port"; returns the bound "address:port".
     Core::Result<std::string> listen(const std::string& address);
-    /// Limits of the connections that are accepted from now on.
-    void setLimits(const HttpLimits& value) { this->limits = value; }
+    /// Limits of the requests whose header begins from now on, also on open connections.
+    void setLimits(const HttpLimits& value) { *this->limits = value; }
     /// Stops accepting; open connections stay.
     void stopAccepting();
     /// Stops accepting and ends each connection after its request in progress.
@@ -46,8 +48,12 @@
 
     void accept();
     void accepted(boost::asio::ip::tcp::socket socket);
+    // Closes a connection in favour of a new one; false when none can be spared.
+    bool makeRoom();
 
-    HttpLimits limits;
+    // Shared with the sessions, which may outlive this object.
+    std::shared_ptr<HttpLimits> limits;
+    std::shared_ptr<ReceiveBudget> budget;
     std::size_t connectionsLimit;
     Handlers handlers;
     boost::asio::ip::tcp::acceptor acceptor;
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -1,5 +1,7 @@
 #include "celeryswitch/Http/HttpSession.h"
 
+#include "celeryswitch/Http/RequestReader.h"
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -21,8 +23,6 @@
 // Time for which the rest of a refused request is read, and the bytes that are read at once.
 constexpr std::chrono::seconds drainTime { 2 };
 constexpr std::size_t drainBytes = 64 * 1024;
-// Bytes that are read at once of a new request.
-constexpr std::size_t firstReadBytes = 4096;
 // Status of a request whose handling failed unexpectedly.
 constexpr std::uint16_t internalErrorStatus = 500;
 // Unlike an attempt to read, this also finds the end of a connection behind bytes of a next request.
@@ -34,14 +34,23 @@
     static constexpr Timer::time_point never = Timer::time_point::max();
 
 public:
-    StreamSession(boost::asio::ip::tcp::socket socket, const HttpLimits& limits, Handlers handlers)
+    StreamSession(boost::asio::ip::tcp::socket socket, std::shared_ptr<const HttpLimits> currentLimits,
+        std::shared_ptr<ReceiveBudget> budget, Handlers handlers)
         : socket(std::move(socket))
         , timer(this->socket.get_executor())
-        , limits(limits)
+        , currentLimits(std::move(currentLimits))
+        , limits(*this->currentLimits)
+        , budget(std::move(budget))
+        , budgetNumber(this->budget->add(*this))
         , handlers(std::move(handlers))
     {
     }
-    ~StreamSession() override { this->handlers.onClose(); }
+    ~StreamSession() override
+    {
+        this->hold(0);
+        this->budget->remove(this->budgetNumber);
+        this->handlers.onClose();
+    }
     StreamSession(const StreamSession&) = delete;
     StreamSession& operator=(const StreamSession&) = delete;
 
@@ -54,20 +63,16 @@
             this->shutDown();
             return;
         }
-        this->parser.emplace();
-        this->parser->body_limit(this->limits.bodyBytes);
-        this->parser->header_limit(static_cast<std::uint32_t>(this->limits.headerBytes));
-        // Takes the body as well when it has arrived with the header.
-        this->parser->eager(true);
-        this->expireAfter(this->limits.idleTime);
-        if (this->buffer.size() > 0) {
+        this->progressAt = Timer::clock_type::now();
+        this->expireAt(this->progressAt + this->currentLimits->idleTime);
+        if (this->reader.hasBytes()) {
             boost::asio::post(
                 this->socket.get_executor(), [self = this->shared_from_this()] { self->firstBytesRead({}); });
             return;
         }
-        this->socket.async_read_some(this->buffer.prepare(firstReadBytes),
-            [self = this->shared_from_this()](error_code error, std::size_t count) {
-                self->buffer.commit(count);
+        this->socket.async_read_some(
+            this->reader.prepare(), [self = this->shared_from_this()](error_code error, std::size_t count) {
+                self->reader.commit(count);
                 self->firstBytesRead(error);
             });
     }
@@ -85,6 +90,8 @@
         this->response.body() = std::move(answer.body);
         this->response.prepare_payload();
         this->isAnswered = true;
+        this->enter(ConnectionPhase::Idle);
+        this->hold(0);
         // The socket nearly always takes the whole; an asynchronous write would cost another turn of the event loop.
         this->serializer.emplace(this->response);
         error_code error;
@@ -94,7 +101,11 @@
             this->written(error);
             return;
         }
-        this->expireAfter(this->limits.bodyTime);
+        this->enter(ConnectionPhase::Answering);
+        this->progressAt = Timer::clock_type::now();
+        this->expireAt(this->progressAt + this->limits.bodyTime);
+        if (!this->hold(this->response.body().size()))
+            return;
         http::async_write(this->socket, *this->serializer,
             [self = this->shared_from_this()](error_code failure, std::size_t) { self->written(failure); });
     }
@@ -116,15 +127,28 @@
 
     void closeAfterResponse() override { this->isKeptAlive = false; }
 
+    ConnectionState state(Timer::time_point now) const override
+    {
+        return { 0, this->phase, this->heldBytes, now - this->progressAt };
+    }
+
+    void closeFor(CloseReason reason) override
+    {
+        this->budget->countClosed(reason);
+        this->close();
+    }
+
 protected:
     int descriptor() override { return this->socket.native_handle(); }
 
 private:
     // Closes the connection at a deadline unless it is moved. One wait serves the deadlines of many requests:
     // cancelling one for each would cost another turn of the event loop.
-    void expireAfter(Core::Duration time)
+    void expireAfter(Core::Duration time) { this->expireAt(Timer::clock_type::now() + time); }
+
+    void expireAt(Timer::time_point time)
     {
-        this->deadline = Timer::clock_type::now() + std::chrono::duration_cast<Timer::duration>(time);
+        this->deadline = time;
         if (this->deadline < this->waitEnd)
             this->awaitDeadline();
     }
@@ -143,47 +167,125 @@
                     self->awaitDeadline();
                 return;
             }
-            error_code ignored;
-            self->socket.close(ignored);
+            self->timeOut();
         });
     }
 
-    // Parses what has arrived of a request; the read functions of Beast would wait for its whole header.
+    void timeOut()
+    {
+        if (this->phase == ConnectionPhase::Header)
+            this->budget->countClosed(CloseReason::HeaderTime);
+        else if (this->phase == ConnectionPhase::Body)
+            this->budget->countClosed(CloseReason::BodyTime);
+        else if (this->phase == ConnectionPhase::Answering)
+            this->budget->countClosed(CloseReason::AnswerTime);
+        this->close();
+    }
+
+    void close()
+    {
+        this->phase = ConnectionPhase::Closed;
+        this->hold(0);
+        this->deadline = never;
+        error_code ignored;
+        this->socket.close(ignored);
+    }
+
+    void enter(ConnectionPhase next)
+    {
+        this->phase = next;
+        this->markedBytes = 0;
+    }
+
+    // Accounts for the bytes that this connection holds; false when that closed it.
+    bool hold(std::size_t bytes)
+    {
+        this->budget->change(std::exchange(this->heldBytes, bytes), bytes);
+        return this->phase != ConnectionPhase::Closed;
+    }
+
+    // Progress is a doubling of the bytes, so that single bytes at long intervals are none.
+    void noteProgress(std::size_t bytes)
+    {
+        if (bytes < 2 * this->markedBytes)
+            return;
+        this->markedBytes = bytes;
+        this->progressAt = Timer::clock_type::now();
+    }
+
     void firstBytesRead(error_code error)
     {
-        if (!error)
-            this->buffer.consume(this->parser->put(this->buffer.data(), error));
-        if (error == http::error::need_more)
-            error = {};
+        if (this->phase == ConnectionPhase::Closed)
+            return;
         if (error) {
             this->refuseMalformed(error);
             return;
         }
+        this->limits = *this->currentLimits;
+        this->reader.begin(this->limits.headerBytes, this->limits.bodyBytes);
         this->isBusy = true;
-        if (this->parser->is_done()) {
-            this->requestRead(error);
+        this->isHeaderTimed = false;
+        this->enter(ConnectionPhase::Header);
+        this->parse();
+    }
+
+    void parse()
+    {
+        error_code error;
+        const RequestReader::Progress progress = this->reader.parse(error);
+        if (progress == RequestReader::Progress::Failed) {
+            this->refuseMalformed(error);
             return;
         }
-        if (this->parser->is_header_done()) {
-            this->readBody();
+        if (progress == RequestReader::Progress::Complete) {
+            this->phase = ConnectionPhase::Waiting;
+            this->hold(this->reader.heldBytes());
+            this->requestRead();
             return;
         }
-        this->expireAfter(this->limits.headerTime);
-        http::async_read_header(this->socket, this->buffer, *this->parser,
-            [self = this->shared_from_this()](error_code failure, std::size_t) {
-                if (failure)
-                    self->refuseMalformed(failure);
-                else
-                    self->readBody();
+        const std::size_t bytes = this->reader.heldBytes();
+        this->noteProgress(bytes);
+        if (!this->hold(bytes))
+            return;
+        if (progress == RequestReader::Progress::HeaderMissing) {
+            if (!std::exchange(this->isHeaderTimed, true))
+                this->expireAfter(this->limits.headerTime);
+            this->readMore();
+        } else {
+            this->readBody();
+        }
+    }
+
+    void readMore()
+    {
+        this->socket.async_read_some(
+            this->reader.prepare(), [self = this->shared_from_this()](error_code error, std::size_t count) {
+                if (self->phase == ConnectionPhase::Closed)
+                    return;
+                if (error) {
+                    self->refuseMalformed(error);
+                    return;
+                }
+                self->reader.commit(count);
+                self->parse();
             });
     }
 
-    // Reads the body, after the interim response that the caller may wait for.
+    // Reads the body, at first after the interim response that the caller may wait for.
     void readBody()
     {
-        this->expireAfter(this->limits.bodyTime);
-        if (!beast::iequals(this->parser->get()[http::field::expect], "100-continue")) {
-            this->readRest();
+        const bool isFirst = this->phase == ConnectionPhase::Header;
+        if (isFirst) {
+            this->phase = ConnectionPhase::Body;
+            this->bodyBeganAt = Timer::clock_type::now();
+        }
+        const std::chrono::duration<double> earned(static_cast<double>(this->reader.bodyBytes())
+            / static_cast<double>(std::max<std::size_t>(1, this->limits.bodyBytesPerSecond)));
+        this->expireAt(this->bodyBeganAt
+            + std::min<Core::Duration>(
+                this->limits.bodyTime, this->limits.idleTime + std::chrono::duration_cast<Core::Duration>(earned)));
+        if (!isFirst || !this->reader.expectsContinue()) {
+            this->readMore();
             return;
         }
         this->interim = {};
@@ -191,36 +293,21 @@
         this->interim.result(http::status::continue_);
         http::async_write(
             this->socket, this->interim, [self = this->shared_from_this()](error_code error, std::size_t) {
-                if (!error)
-                    self->readRest();
+                if (!error && self->phase != ConnectionPhase::Closed)
+                    self->readMore();
             });
     }
 
-    void readRest()
+    void requestRead()
     {
-        http::async_read(this->socket, this->buffer, *this->parser,
-            [self = this->shared_from_this()](error_code error, std::size_t) { self->requestRead(error); });
-    }
-
-    void requestRead(error_code error)
-    {
-        if (error) {
-            this->refuseMalformed(error);
-            return;
-        }
         // Bytes that were held up may arrive together with the end of the connection: nobody waits for the answer.
         if (this->handlers.onAbandoned && this->isClosedByCaller()) {
             this->shutDown();
             return;
         }
-        http::request<http::string_body> message = this->parser->release();
-        this->isKeptAlive = message.keep_alive();
+        HttpRequest request = this->reader.release(this->isKeptAlive);
         // No time limit while the request waits for its answer.
         this->deadline = never;
-        HttpRequest request { std::string(message.method_string()), std::string(message.target()), {},
-            std::move(message.body()) };
-        for (const auto& field : message)
-            request.headers[std::string(field.name_string())] = std::string(field.value());
         this->isAnswered = false;
         // An unexpected error ends this connection, not the process.
         try {
@@ -289,19 +376,23 @@
     {
         error_code ignored;
         this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-        if (!this->isMalformed)
+        if (!this->isMalformed || this->phase == ConnectionPhase::Closed)
             return;
         // Closing with unread bytes would reset the connection and could destroy the response on its way.
-        this->expireAfter(drainTime);
+        this->enter(ConnectionPhase::Draining);
+        this->progressAt = Timer::clock_type::now();
+        this->expireAt(this->progressAt + drainTime);
         this->drain();
     }
 
     // Reads and discards what the caller still sends.
     void drain()
     {
-        this->buffer.clear();
+        // Nobody looks at the bytes, so that all connections of the thread share one place for them.
+        static thread_local std::array<char, drainBytes> discarded;
+        this->reader.discard();
         this->socket.async_read_some(
-            this->buffer.prepare(drainBytes), [self = this->shared_from_this()](error_code error, std::size_t) {
+            boost::asio::buffer(discarded), [self = this->shared_from_this()](error_code error, std::size_t) {
                 if (!error)
                     self->drain();
             });
@@ -312,14 +403,24 @@
     Timer::time_point deadline = never;
     // Moment at which the wait in progress ends.
     Timer::time_point waitEnd = never;
+    // Limits in force, and those of the request in progress.
+    std::shared_ptr<const HttpLimits> currentLimits;
     HttpLimits limits;
+    std::shared_ptr<ReceiveBudget> budget;
+    std::uint64_t budgetNumber;
     Handlers handlers;
-    beast::flat_buffer buffer;
-    std::optional<http::request_parser<http::string_body>> parser;
+    RequestReader reader;
+    ConnectionPhase phase = ConnectionPhase::Silent;
+    std::size_t heldBytes = 0;
+    // Bytes at the latest progress and its time.
+    std::size_t markedBytes = 0;
+    Timer::time_point progressAt = Timer::clock_type::now();
+    Timer::time_point bodyBeganAt {};
     http::response<http::string_body> response;
     std::optional<http::response_serializer<http::string_body>> serializer;
     http::response<http::empty_body> interim;
     bool isBusy = false;
+    bool isHeaderTimed = false;
     bool isMalformed = false;
     bool isKeptAlive = false;
     bool isFinishing = false;
@@ -329,14 +430,15 @@
 
 }
 
-HttpSession::Pointer HttpSession::start(
-    boost::asio::ip::tcp::socket socket, const HttpLimits& limits, Handlers handlers)
+HttpSession::Pointer HttpSession::start(boost::asio::ip::tcp::socket socket, std::shared_ptr<const HttpLimits> limits,
+    std::shared_ptr<ReceiveBudget> budget, Handlers handlers)
 {
     error_code ignored;
     socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     // Lets `respond` send without waiting.
     socket.non_blocking(true, ignored);
-    auto session = std::make_shared<StreamSession>(std::move(socket), limits, std::move(handlers));
+    auto session
+        = std::make_shared<StreamSession>(std::move(socket), std::move(limits), std::move(budget), std::move(handlers));
     session->readNext();
     return session;
 }
--- a/celeryswitch/Http/HttpSession.h
+++ b/celeryswitch/Http/HttpSession.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Core/Clock.h"
 #include "celeryswitch/Http/HttpMessage.h"
+#include "celeryswitch/Http/ReceiveBudget.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
@@ -12,14 +13,19 @@
 /// Limits of one HTTP connection.
 struct HttpLimits {
     std::size_t bodyBytes = 0;
+    /// Of the header, of the trailers and of the chunk extensions of a request, each.
     std::size_t headerBytes = 0;
     Core::Duration headerTime {};
+    /// Time in which a body has to arrive, and in which a client has to read its answer.
     Core::Duration bodyTime {};
+    /// Time between requests, and without regard to the rate of a body.
     Core::Duration idleTime {};
+    /// Bytes a second that a body has to arrive with, once it takes longer than `idleTime`; not 0.
+    std::size_t bodyBytesPerSecond = 16 * 1024;
 };
 
 /// One HTTP/1.1 connection with keep-alive, which handles its requests one after the other.
-class HttpSession {
+class HttpSession : public BudgetedConnection {
 public:
     using Pointer = std::shared_ptr<HttpSession>;
     /// Called with each request; `respond` is called once for it, now or later.
@@ -39,8 +45,10 @@
     };
 
     virtual ~HttpSession() = default;
-    /// Starts a session on an accepted socket.
-    static Pointer start(boost::asio::ip::tcp::socket socket, const HttpLimits& limits, Handlers handlers);
+    /// Starts a session on an accepted socket. Each request is held to the limits that are in force when its header
+    /// begins.
+    static Pointer start(boost::asio::ip::tcp::socket socket, std::shared_ptr<const HttpLimits> limits,
+        std::shared_ptr<ReceiveBudget> budget, Handlers handlers);
     /// Sends the response to the request in progress.
     virtual void respond(HttpResponse response) = 0;
     /// Ends the connection after the request in progress, or at once when there is none.
