Let a transport's owner lower the number of open handshakes

256 silent connections to the peer port take a process with few descriptors or little memory beyond its limits. The number stays 256 where no owner lowers it.

--- a/celeryswitch/Network/PeerTransport.cpp
+++ b/celeryswitch/Network/PeerTransport.cpp
@@ -116,6 +116,7 @@
     const RejectCounter& rejectCounter() const { return this->rejected; }
 
     std::chrono::milliseconds connectLimit { HandshakeSession::timeLimit };
+    std::size_t handshakeLimit = maximumHandshakes;
 
 private:
     void accept()
@@ -141,7 +142,7 @@
 
     void startHandshake(tcp::socket socket)
     {
-        if (this->handshakes >= maximumHandshakes) {
+        if (this->handshakes >= this->handshakeLimit) {
             this->rejected->fetch_add(1, std::memory_order_relaxed);
             return;
         }
@@ -213,6 +214,8 @@
 
 void PeerTransport::setConnectLimit(std::chrono::milliseconds limit) { this->implementation->connectLimit = limit; }
 
+void PeerTransport::setHandshakeLimit(std::size_t limit) { this->implementation->handshakeLimit = limit; }
+
 Core::Result<std::string> PeerTransport::bindDatagram(const std::string& address, DatagramHandler onDatagram)
 {
     return this->implementation->bindDatagram(address, std::move(onDatagram));
--- a/celeryswitch/State/PeerLinks.h
+++ b/celeryswitch/State/PeerLinks.h
@@ -30,6 +30,8 @@
 
     /// Changes the time to connect to another replica.
     void setConnectLimit(std::chrono::milliseconds limit) { this->transport.setConnectLimit(limit); }
+    /// Changes the number of accepted connections whose handshake may be open.
+    void setHandshakeLimit(std::size_t limit) { this->transport.setHandshakeLimit(limit); }
     /// Listens; returns the bound address.
     Core::Result<std::string> listen(const std::string& address);
     /// Sends an answer or a message; what can't be sent is dropped, and the other side asks again.
