Derive the limits of each role from its settings file

The settings file names memory_mb and max_fds, but no process read them: an entry took 3,500 connections with 3,075 descriptors. Entry, sidecar and state replica now derive from them, or from /proc/meminfo, the budget for received bytes, the connections of clients and of readiness checks, and the open handshakes; receive_budget_kb sets the budget itself. A value that can't be used counts as not named, so that it never keeps a process from starting. A caller's body may take idle_timeout_ms at any rate, where 10 s were the end before.

--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -264,8 +264,10 @@
               .start();
     if (!state)
         return startFailure(state.error());
-    const auto metrics = serveMetrics(
-        process, [&state](Metrics::MetricRegistry& registry) { collectState(state.value()->metrics(), registry); });
+    const auto metrics = serveMetrics(process, [&state](Metrics::MetricRegistry& registry) {
+        collectState(state.value()->metrics(), registry);
+        state.value()->collect(registry);
+    });
     if (!metrics)
         return startFailure(metrics.error());
     process.loop.run(
--- a/UnitTests/Platform/BootFileTest.cpp
+++ b/UnitTests/Platform/BootFileTest.cpp
@@ -108,3 +108,23 @@
     REQUIRE(load("a = '''\n" + repeated(".a", 3000) + "'''\n" + settings));
     REQUIRE(load(repeated("x1 = 1.5\nx2 = [1.5, 2.5]\n", 1) + repeated("# a.b.c\n", 5000) + settings));
 }
+
+// Guards against a process that takes more than its machine allows because it does not read the limits, and against a
+// process that does not start because of a limit that it can't use.
+TEST_CASE("every role gets the limits of the settings file", "[Platform]")
+{
+    const auto file = load(settings + "[limits]\nmemory_mb = 128\nmax_fds = 4096\ncpu_share = 0.15\n");
+    REQUIRE(file);
+    const auto check = [](const Http::ProcessAllowance& allowance) {
+        CHECK(allowance.memoryBytes == 128 << 20);
+        CHECK(allowance.descriptors == 4096);
+        CHECK(allowance.receiveBudgetBytes == 0);
+    };
+    check(entrySettings(file.value(), 1).allowance);
+    check(sidecarSettings(file.value(), 1).allowance);
+    check(stateSettings(file.value()).allowance);
+    CHECK(load(settings + "[limits]\nreceive_budget_kb = 2048\n").value().allowance.receiveBudgetBytes == 2 << 20);
+    for (const char* odd : { "memory_mb = \"128\"", "memory_mb = -1", "memory_mb = 0", "memory_mb = 1e300" })
+        CHECK(load(settings + "[limits]\n" + odd + "\n").value().allowance.memoryBytes == 0);
+    CHECK(load(settings).value().allowance.memoryBytes == 0);
+}
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Core/EventLoop.h"
 #include "celeryswitch/Core/ProcessorTime.h"
+#include "celeryswitch/Http/BudgetReport.h"
 #include "celeryswitch/Scheduling/SchedulerTime.h"
 
 namespace celeryswitch::Scheduling {
@@ -17,7 +18,7 @@
 constexpr Core::Duration loopRecordInterval = std::chrono::seconds(1);
 constexpr Core::Duration recordedLag = std::chrono::milliseconds(20);
 constexpr std::size_t maximumReadinessConnections = 64;
-constexpr Core::Duration bodyTimeout = std::chrono::seconds(10);
+constexpr Core::Duration minimumBodyTime = std::chrono::seconds(10);
 constexpr Core::Duration startupRetryDelay = std::chrono::seconds(1);
 // Maximum number of requests deferred until the first routing document, and their maximum delay.
 constexpr std::size_t maximumDeferredRequests = 1000;
@@ -43,8 +44,9 @@
 
 Http::HttpLimits limitsOf(const Configuration::RequestLimits& limits)
 {
-    return { limits.bodyBytes, limits.headerBytes, std::chrono::milliseconds(limits.headerMilliseconds), bodyTimeout,
-        std::chrono::milliseconds(limits.idleMilliseconds) };
+    const Core::Duration idleTime = std::chrono::milliseconds(limits.idleMilliseconds);
+    return { limits.bodyBytes, limits.headerBytes, std::chrono::milliseconds(limits.headerMilliseconds),
+        std::max(minimumBodyTime, 2 * idleTime), idleTime };
 }
 
 }
@@ -59,7 +61,10 @@
     , protocol(protocol)
     , transport(context, this->settings.authenticationKeys)
     , scheduler(this->settings.scheduler, log, registry)
-    , callers(context, limitsOf({}), this->settings.connectionsLimit,
+    , limits(Http::deriveLimits(
+          this->settings.allowance, { 0, this->settings.connectionsLimit, maximumReadinessConnections, 0 }))
+    , receiveBudget(Http::makeBudget(this->limits.receiveBudgetBytes, log))
+    , callers(context, limitsOf({}), this->limits.connections,
           { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
                this->requestReceived(session, std::move(request));
            },
@@ -68,15 +73,17 @@
                   response.statusCode = status;
                   return response;
               },
-              [this](const Http::HttpSession::Pointer& session) { this->sessionClosed(session); } })
-    , readiness(context, limitsOf({}), maximumReadinessConnections,
+              [this](const Http::HttpSession::Pointer& session) { this->sessionClosed(session); } },
+          this->receiveBudget)
+    , readiness(context, limitsOf({}), this->limits.readinessConnections,
           { [this](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
                this->readinessRequested(session, request);
            },
               [](std::uint16_t status, const std::string& reason) {
                   return Http::HttpResponse { status, {}, reason };
               },
-              {} })
+              {} },
+          this->receiveBudget)
     , links(context, this->transport, clock, log, identityOf(this->settings),
           { [this](const Messages::Member& member) {
                this->scheduler.sidecarConnected(this->observeTime(), member);
@@ -118,6 +125,7 @@
 void SchedulingEntry::collect(Metrics::MetricRegistry& registry) const
 {
     this->scheduler.collect(registry);
+    Http::collectBudget(*this->receiveBudget, registry);
     registry.gauge("celeryswitch_routing_version", "Version of the routing document in force.")
         .set(static_cast<double>(this->routing.version));
     registry.gauge("celeryswitch_caller_connections", "Open connections of callers.")
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Http/HttpServer.h"
+#include "celeryswitch/Http/ProcessLimits.h"
 #include "celeryswitch/Network/PeerTransport.h"
 #include "celeryswitch/Scheduling/CallerProtocol.h"
 #include "celeryswitch/Scheduling/DecisionPacer.h"
@@ -31,8 +32,9 @@
     Network::AuthenticationKeys authenticationKeys;
     /// Timeout of connections to other processes.
     std::chrono::milliseconds connectLimit { 2000 };
-    /// Maximum number of callers' connections.
+    /// Maximum number of callers' connections; `allowance` may lower it.
     std::size_t connectionsLimit = 3500;
+    Http::ProcessAllowance allowance;
     /// Graceful stop: time after which no new connections are accepted, and time after which remaining jobs are ended.
     Core::Duration stopAcceptingAfter = std::chrono::milliseconds(3000);
     Core::Duration stopAfter = std::chrono::milliseconds(5000);
@@ -96,6 +98,8 @@
     OverloadGuard overloadGuard;
     DecisionPacer pacer;
     JobScheduler scheduler;
+    Http::ProcessLimits limits;
+    std::shared_ptr<Http::ReceiveBudget> receiveBudget;
     Http::HttpServer callers;
     Http::HttpServer readiness;
     SidecarLinks links;
--- a/celeryswitch/State/ControlGateway.cpp
+++ b/celeryswitch/State/ControlGateway.cpp
@@ -31,19 +31,23 @@
 }
 
 ControlGateway::ControlGateway(boost::asio::io_context& context, const ControlProtocol& protocol,
-    Logging::StructuredLog& log, Messages::Hello identity, Network::AuthenticationKeys keys, RequestHandler onRequest)
+    Logging::StructuredLog& log, const Http::ProcessAllowance& allowance, Messages::Hello identity,
+    Network::AuthenticationKeys keys, RequestHandler onRequest)
     : context(context)
     , protocol(protocol)
     , log(log)
     , onRequest(std::move(onRequest))
-    , server(context, limits, connectionsLimit,
+    , processLimits(Http::deriveLimits(allowance, { 0, connectionsLimit, 0, 0 }))
+    , receiveBudget(Http::makeBudget(this->processLimits.receiveBudgetBytes, log))
+    , server(context, limits, this->processLimits.connections,
           { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
                this->received(session, std::move(request));
            },
               [this](std::uint16_t, const std::string& reason) {
                   return this->protocol.encode({ ControlOutcome::Invalid, reason }, {});
               },
-              {} })
+              {} },
+          this->receiveBudget)
     , transport(context, std::move(keys))
     , leaderClient(context, this->transport, leaderSettings(std::move(identity)))
 {
--- a/celeryswitch/State/ControlGateway.h
+++ b/celeryswitch/State/ControlGateway.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "celeryswitch/Http/BudgetReport.h"
 #include "celeryswitch/Http/HttpServer.h"
+#include "celeryswitch/Http/ProcessLimits.h"
 #include "celeryswitch/Logging/StructuredLog.h"
 #include "celeryswitch/Network/PeerTransport.h"
 #include "celeryswitch/State/ControlProtocol.h"
@@ -25,7 +27,8 @@
 
     /// `identity` and `keys` are those of the replica towards the leader. `protocol` and `log` outlive the gateway.
     ControlGateway(boost::asio::io_context& context, const ControlProtocol& protocol, Logging::StructuredLog& log,
-        Messages::Hello identity, Network::AuthenticationKeys keys, RequestHandler onRequest);
+        const Http::ProcessAllowance& allowance, Messages::Hello identity, Network::AuthenticationKeys keys,
+        RequestHandler onRequest);
 
     /// Starts listening on "address:port".
     Core::Result<std::string> listen(const std::string& address);
@@ -33,6 +36,8 @@
     void reply(const Messages::StateReply& reply);
     /// Stops listening and ends the connections.
     void stop();
+    /// Updates the gauges of the operators' connections; on any thread.
+    void collect(Metrics::MetricRegistry& registry) const { Http::collectBudget(*this->receiveBudget, registry); }
 
 private:
     /// A call without a response.
@@ -55,6 +60,8 @@
     const ControlProtocol& protocol;
     Logging::StructuredLog& log;
     RequestHandler onRequest;
+    Http::ProcessLimits processLimits;
+    std::shared_ptr<Http::ReceiveBudget> receiveBudget;
     Http::HttpServer server;
     Network::PeerTransport transport;
     StateClient leaderClient;
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr std::size_t ringCapacity = 8192;
+constexpr std::size_t handshakeLimit = 256;
 // Time between two announcements of a replica that is not part of a group.
 constexpr Core::Duration announcementInterval = std::chrono::milliseconds(100);
 
@@ -55,7 +56,8 @@
     // Serves operators; called before `start`.
     Result<void> serveControl(const std::string& address, const ControlProtocol& protocol, Logging::StructuredLog& log)
     {
-        this->gateway.emplace(this->context, protocol, log, this->identity(), this->settings.authenticationKeys,
+        this->gateway.emplace(this->context, protocol, log, this->settings.allowance, this->identity(),
+            this->settings.authenticationKeys,
             [this](ClientRequest request) { return this->inbound.tryPush(std::move(request)); });
         BOOST_OUTCOME_TRY(this->gateway->listen(address));
         return Core::success();
@@ -65,6 +67,8 @@
     Result<void> start()
     {
         this->links.setConnectLimit(this->settings.connectLimit);
+        this->links.setHandshakeLimit(
+            Http::deriveLimits(this->settings.allowance, { 0, 0, 0, handshakeLimit }).handshakes);
         BOOST_OUTCOME_TRY(this->boundAddress, this->links.listen(this->settings.peerAddress));
         if (this->settings.initialReplicas.empty())
             this->settings.initialReplicas[this->settings.replicaName] = this->boundAddress;
@@ -115,6 +119,12 @@
         return result;
     }
 
+    void collect(Metrics::MetricRegistry& registry) const
+    {
+        if (this->gateway)
+            this->gateway->collect(registry);
+    }
+
     const std::string& address() const { return this->boundAddress; }
     const std::string& replicaId() const { return this->folder.replicaId(); }
 
@@ -430,4 +440,6 @@
 
 StateMetrics StateProcess::metrics() const { return this->implementation->metrics(); }
 
+void StateProcess::collect(Metrics::MetricRegistry& registry) const { this->implementation->collect(registry); }
+
 }
--- a/celeryswitch/State/StateProcess.h
+++ b/celeryswitch/State/StateProcess.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Consensus/ReplicaRole.h"
 #include "celeryswitch/Logging/StructuredLog.h"
+#include "celeryswitch/Metrics/MetricRegistry.h"
 #include "celeryswitch/State/ControlProtocol.h"
 #include "celeryswitch/State/StateSettings.h"
 #include "celeryswitch/Storage/FileSystem.h"
@@ -74,6 +75,8 @@
     const std::string& replicaId() const;
     /// Measurements now.
     StateMetrics metrics() const;
+    /// Updates the gauges of the operators' connections.
+    void collect(Metrics::MetricRegistry& registry) const;
 
 private:
     class Implementation;
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Core/Clock.h"
+#include "celeryswitch/Http/ProcessLimits.h"
 #include "celeryswitch/Network/PeerTransport.h"
 #include <cstdint>
 #include <map>
@@ -24,6 +25,7 @@
     /// Whether the group follows its replicas by itself: one that appears is added, one that is lost is replaced.
     bool isGroupKept = false;
     Network::AuthenticationKeys authenticationKeys;
+    Http::ProcessAllowance allowance;
     /// Applied records after which a snapshot shortens the log; 1 or more.
     std::uint64_t snapshotThreshold = 1000;
     /// Time to connect to another replica.
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t announcementConnectionLimit = 64;
+constexpr std::size_t handshakeLimit = 256;
 constexpr Http::HttpLimits announcementLimits { 256 * 1024, 16 * 1024, std::chrono::seconds(3), std::chrono::seconds(3),
     std::chrono::seconds(30) };
 // Upper bound of the timer delay, so that a missed deadline is noticed within this time.
@@ -56,14 +57,17 @@
               this->supervisor.callFinished(this->clock.steadyNow(), callId, std::move(result));
               this->step();
           })
-    , announcements(context, announcementLimits, announcementConnectionLimit,
+    , limits(Http::deriveLimits(this->settings.allowance, { 0, announcementConnectionLimit, 0, handshakeLimit }))
+    , receiveBudget(Http::makeBudget(this->limits.receiveBudgetBytes, log))
+    , announcements(context, announcementLimits, this->limits.connections,
           { [this](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
                this->announcementReceived(session, request);
            },
               [](std::uint16_t status, const std::string& reason) {
                   return Http::HttpResponse { status, {}, reason };
               },
-              {} })
+              {} },
+          this->receiveBudget)
     , watcher(context, this->transport, log, watcherSettings(this->settings), {})
     , entries(log,
           { [this](std::uint64_t connection, const Messages::Hello& hello) {
@@ -85,6 +89,7 @@
 Core::Result<void> WorkerSidecar::start()
 {
     this->transport.setConnectLimit(this->settings.connectTimeout);
+    this->transport.setHandshakeLimit(this->limits.handshakes);
     BOOST_OUTCOME_TRY(this->transport.listen(this->settings.peerAddress,
         [this](Network::PeerConnectionPointer connection) { this->entries.add(std::move(connection)); }));
     BOOST_OUTCOME_TRY(this->announcements.listen(this->settings.announcementAddress));
--- a/celeryswitch/Workers/WorkerSidecar.h
+++ b/celeryswitch/Workers/WorkerSidecar.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "celeryswitch/Http/BudgetReport.h"
 #include "celeryswitch/Http/HttpServer.h"
+#include "celeryswitch/Http/ProcessLimits.h"
 #include "celeryswitch/Network/PeerTransport.h"
 #include "celeryswitch/State/FleetWatcher.h"
 #include "celeryswitch/Workers/EntryConnections.h"
@@ -29,6 +31,7 @@
     std::size_t workerConnections = 8;
     /// Maximum time for which a graceful shutdown waits for runs to end.
     Core::Duration drainTimeout = std::chrono::seconds(3);
+    Http::ProcessAllowance allowance;
     SupervisorSettings supervisor;
 };
 
@@ -50,6 +53,7 @@
     void collect(Metrics::MetricRegistry& registry) const
     {
         this->supervisor.collect(this->clock.steadyNow(), registry);
+        Http::collectBudget(*this->receiveBudget, registry);
     }
 
 private:
@@ -67,6 +71,8 @@
     Network::PeerTransport transport;
     RunSupervisor supervisor;
     WorkerClient workerClient;
+    Http::ProcessLimits limits;
+    std::shared_ptr<Http::ReceiveBudget> receiveBudget;
     Http::HttpServer announcements;
     State::FleetWatcher watcher;
     EntryConnections entries;
