Test that answers which are not read give way to others

Guards against clients that ask for long answers, don't read them, and take the memory of the process. Four answers of 15 MB against a budget of 40 MB: two stay, two connections are closed, and a further request is answered.

--- a/UnitTests/Http/HttpServerTest.cpp
+++ b/UnitTests/Http/HttpServerTest.cpp
@@ -338,8 +338,8 @@
     explicit LimitedServer(const Http::HttpLimits& limits, std::size_t connectionsLimit = 8,
         std::shared_ptr<Http::ReceiveBudget> budget = nullptr)
         : server(context, limits, connectionsLimit,
-            { [](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
-                 session->respond({ 200, {}, std::to_string(request.body.size()) });
+            { [this](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
+                 session->respond({ 200, {}, std::to_string(request.body.size()) + this->answerTail });
              },
                 [](std::uint16_t status, const std::string& reason) {
                     return Http::HttpResponse { status, {}, reason };
@@ -387,6 +387,7 @@
     }
 
     std::list<std::string> sent;
+    std::string answerTail;
     boost::asio::io_context context;
     Http::HttpServer server;
     std::uint16_t port = 0;
@@ -458,3 +459,24 @@
     auto large = fixture.connect();
     CHECK(fixture.statusOf(large, "", 65'536) == 200);
 }
+
+// Guards against clients that ask for long answers, don't read them, and take the memory of the process.
+TEST_CASE("answers that are not read give way to others", "[Http]")
+{
+    const auto budget = std::make_shared<Http::ReceiveBudget>(40'000'000);
+    LimitedServer fixture({ 65'536, 16'384, 60s, 60s, 60s }, 16, budget);
+    // More than the system takes for a client that does not read.
+    fixture.answerTail = std::string(15'000'000, 'a');
+    std::vector<boost::asio::ip::tcp::socket> crowd;
+    const std::string request = "GET /q HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (int number = 0; number < 4; ++number) {
+        crowd.push_back(fixture.connect());
+        boost::asio::write(crowd.back(), boost::asio::buffer(request));
+        fixture.context.restart();
+        fixture.context.run_for(50ms);
+        CHECK(budget->heldBytes() <= budget->limitBytes());
+    }
+    CHECK(budget->closedCount(Http::CloseReason::ReceiveBudget) == 2);
+    auto ordinary = fixture.connect();
+    CHECK(fixture.statusOf(ordinary, "", 300) == 200);
+}
