--- a/UnitTests/Platform/BootFileTest.cpp
+++ b/UnitTests/Platform/BootFileTest.cpp
@@ -142,3 +142,59 @@
     REQUIRE(sidecarSettings(with.value(), 1).isEvacuable);
     REQUIRE(sidecarSettings(with.value(), 1).renewalInterval == std::chrono::milliseconds(2000));
 }
+
+// Guards against a process that does not start because a bound of its settings file is a fraction.
+TEST_CASE("bounds may be fractions and are rounded to whole milliseconds", "[Platform]")
+{
+    const std::string bounds = "max_hold_ms = 999.5\nstop_timeout_ms = 49.4\nretransmit_ms = 1300.6\n"
+                               "grace_s = 2.0006\nfar_factor = 1.5\nevacuate_ms = 5000.5\n";
+    const auto file = load(replaced(settings, "grace_s = 6\n", bounds));
+    REQUIRE(file);
+    REQUIRE(file.value().longestLease == std::chrono::milliseconds(1000));
+    REQUIRE(file.value().stopTime == std::chrono::milliseconds(49));
+    REQUIRE(file.value().resendTime == std::chrono::milliseconds(1301));
+    REQUIRE(file.value().graceTime == std::chrono::milliseconds(2001));
+    for (const char* odd : { "max_hold_ms = 49.9", "stop_timeout_ms = -0.1", "retransmit_ms = 600000.5",
+             "max_hold_ms = nan", "retransmit_ms = \"1300\"", "stop_timeout_ms = inf" }) {
+        INFO(odd);
+        REQUIRE(load(replaced(settings, "grace_s = 6", odd)).error().is(BootFileError::BadKey));
+    }
+}
+
+// Guards against entries that ignore how much longer tasks run far from their data, or that take a factor below 1,
+// which would make far workers preferred.
+TEST_CASE("the far factor of the bounds reaches the entries' scheduler", "[Platform]")
+{
+    const auto factorOf = [](const std::string& line) {
+        const auto file = load(replaced(settings, "grace_s = 6\n", "grace_s = 6\n" + line));
+        return file ? entrySettings(file.value(), 1).scheduler.farFactor : -1.0;
+    };
+    REQUIRE(factorOf("") == 1);
+    REQUIRE(factorOf("far_factor = 1.5\n") == 1.5);
+    REQUIRE(factorOf("far_factor = 3\n") == 3);
+    REQUIRE(factorOf("far_factor = 100\n") == 100);
+    for (const char* refused : { "0.9", "100.5", "-2", "\"two\"", "nan" }) {
+        INFO(refused);
+        REQUIRE(factorOf("far_factor = " + std::string(refused) + "\n") == -1);
+    }
+}
+
+// Guards against a process that takes more than its machine allows because it does not read the limits, and against a
+// process that does not start because of a limit that it can't use.
+TEST_CASE("every role gets the limits of the settings file", "[Platform]")
+{
+    const auto file = load(settings + "[limits]\nmemory_mb = 128\nmax_fds = 4096\ncpu_share = 0.15\n");
+    REQUIRE(file);
+    const auto check = [](const Http::ProcessAllowance& allowance) {
+        CHECK(allowance.memoryBytes == 128 << 20);
+        CHECK(allowance.descriptors == 4096);
+        CHECK(allowance.receiveBudgetBytes == 0);
+    };
+    check(entrySettings(file.value(), 1).allowance);
+    check(sidecarSettings(file.value(), 1).allowance);
+    check(stateSettings(file.value()).allowance);
+    CHECK(load(settings + "[limits]\nreceive_budget_kb = 2048\n").value().allowance.receiveBudgetBytes == 2 << 20);
+    for (const char* odd : { "memory_mb = \"128\"", "memory_mb = -1", "memory_mb = 0", "memory_mb = 1e300" })
+        CHECK(load(settings + "[limits]\n" + odd + "\n").value().allowance.memoryBytes == 0);
+    CHECK(load(settings).value().allowance.memoryBytes == 0);
+}
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -45,6 +45,11 @@
     double discoveryWaitShare = 0.45;
     /// Number of workers on which room is reserved for each task that has to wait.
     std::uint32_t reservationsPerTask = 3;
+    /// Run time of a task with a rack preference on a worker without the label of the rack / run time with it, 1 to
+    /// 100.
+    double farFactor = 1;
+    /// Decides whether a step waits for workers of its rack; asked where `farFactor` is above 1.
+    PlacementWaitPolicy placementWait = decidePlacementWait;
     /// Retention period of the outcomes of ended jobs; a repeated request within it gets the same answer instead of a
     /// second run.
     Core::Duration outcomeRetention = std::chrono::seconds(10);
@@ -85,7 +90,7 @@
     void submit(Core::SteadyTime now, Core::SteadyTime arrivedAt, RequestNumber request,
         const Configuration::Queue& queue, SubmitJob submission);
     /// Whether a job is open here, or its outcome is kept.
-    bool isKnown(std::uint64_t job) const { return this->jobs.count(job) > 0 || this->outcomes.count(job) > 0; }
+    bool isKnown(const StepJobId& job) const { return this->jobs.count(job) > 0 || this->outcomes.count(job) > 0; }
     /// Answers the query for a job's state, the cancellation of a job and the query for a queue's length.
     void query(RequestNumber request, const QueryJob& query);
     void cancel(Core::SteadyTime now, RequestNumber request, const CancelJob& cancellation);
@@ -158,6 +163,13 @@
         /// Sidecars whose workers failed or stalled this task.
         std::vector<Core::InstanceId> avoidedSidecars;
     };
+    /// Wait of a step for workers of the rack that it prefers.
+    struct RackWait {
+        Core::SteadyTime begunAt;
+        NearQueue queue;
+        /// Time at which waiting no longer pays.
+        Core::SteadyTime until;
+    };
     struct Step {
         std::vector<Task> tasks;
         std::uint32_t waiting = 0;
@@ -165,6 +177,9 @@
         /// Times of the completed tasks, scaled to a worker of median speed, in seconds.
         double longestSeconds = 0;
         double sumSeconds = 0;
+        std::optional<RackWait> rackWait;
+        /// Whether it waited for its rack and then took other workers; it does not wait again.
+        bool hasLeftRack = false;
     };
     /// Room that a step's waiting tasks have reserved on a worker.
     struct Reservation {
@@ -176,6 +191,8 @@
         /// Time at which the sidecar drops it.
         Core::SteadyTime until;
         float rank = 0;
+        /// Incarnation of the worker that the reservation was decided on.
+        std::int64_t bornAt = 0;
     };
     struct Job {
         JobSpecification specification;
@@ -214,7 +231,7 @@
         CallerAnswer answer;
         Core::SteadyTime endedAt;
     };
-    using Jobs = std::map<std::uint64_t, Job>;
+    using Jobs = std::map<StepJobId, Job>;
 
     // Value of a queue's work per core-second relative to that of all queues. The jobs of each queue are worth the same
     // in sum, so queues with a small demand rank above those with a large one.
@@ -242,6 +259,13 @@
     bool hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers) const;
     // Time from which on placing a job on all workers may find more than placing it on those that change.
     Core::SteadyTime nextFullPlacement(Core::SteadyTime now, const Job& job) const;
+    // Lets a step that prefers a rack wait for it, or ends its wait. While it waits, `request` is bound to the rack.
+    void decideRackWait(
+        Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex, PlacementRequest& request);
+    void traceRackWait(Core::SteadyTime now, Job& job, std::string_view message, const PlacementWaitDecision& decision,
+        const PlacementWaitQuery& query) const;
+    // How much longer a step's tasks run far from their data.
+    FarRuns farRuns(const StepSpecification& step) const { return { step.dataRack, this->settings.farFactor }; }
     bool placeStep(Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex);
     std::map<Core::InstanceId, std::uint32_t> tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const;
     PlacementRequest placementRequest(Core::SteadyTime now, const Job& job, std::uint32_t stepIndex);
@@ -269,7 +293,7 @@
     // Stops a run that a sidecar reports although its job has ended or its task was ordered elsewhere.
     void stopUnwantedRun(const Core::InstanceId& sidecar, const Messages::RunReport& report);
     void handleReport(Core::SteadyTime now, const Core::InstanceId& sidecar, const Messages::RunReport& report);
-    void completeTask(Core::SteadyTime now, Jobs::iterator found, const Messages::RunReport& report, double speed);
+    void completeTask(Core::SteadyTime now, Jobs::iterator found, const Messages::RunReport& report);
     // Predicts a run's end, and restarts the task elsewhere or ends the job if the goal can't be met.
     void handleProgress(Core::SteadyTime now, Jobs::iterator found, const Messages::RunReport& report);
     void restartElsewhere(Core::SteadyTime now, Job& job, const TaskId& id, Task& task);
@@ -316,11 +340,11 @@
     /// Sidecars and reservations of offers that have not been answered.
     std::vector<std::pair<Core::InstanceId, std::uint64_t>> offers;
     /// Ids of the jobs by the numbers of their reservations.
-    std::unordered_map<std::uint64_t, std::uint64_t> reservationJobs;
+    std::unordered_map<std::uint64_t, StepJobId> reservationJobs;
     /// Ids of the jobs with tasks that wait for placement.
-    std::vector<std::uint64_t> waitingJobs;
-    std::unordered_map<std::uint64_t, Outcome> outcomes;
-    std::deque<std::pair<Core::SteadyTime, std::uint64_t>> outcomesByAge;
+    std::vector<StepJobId> waitingJobs;
+    std::unordered_map<StepJobId, Outcome> outcomes;
+    std::deque<std::pair<Core::SteadyTime, StepJobId>> outcomesByAge;
     bool isPlacementDue = false;
     /// Number of the latest change of a worker, and of the latest one that waiting jobs were placed after.
     std::uint64_t lastChange = 0;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -37,8 +37,8 @@
 {
     if (!std::exchange(this->isPlacementDue, false) || this->waitingJobs.empty())
         return;
-    std::vector<std::pair<float, std::uint64_t>> order;
-    for (const std::uint64_t id : std::exchange(this->waitingJobs, {})) {
+    std::vector<std::pair<float, StepJobId>> order;
+    for (const StepJobId& id : std::exchange(this->waitingJobs, {})) {
         if (const auto found = this->jobs.find(id); found != this->jobs.end())
             order.emplace_back(-found->second.rank, id);
     }
@@ -72,7 +72,7 @@
 void JobScheduler::placeBeforeRefusal(SteadyTime now)
 {
     this->workDone.jobsVisited += this->waitingJobs.size();
-    for (const std::uint64_t id : this->waitingJobs) {
+    for (const StepJobId& id : this->waitingJobs) {
         const auto found = this->jobs.find(id);
         if (found == this->jobs.end() || found->second.hasBegun || now < found->second.refuseAt)
             continue;
@@ -124,11 +124,15 @@
 
 SteadyTime JobScheduler::nextFullPlacement(SteadyTime now, const Job& job) const
 {
+    SteadyTime next = SteadyTime::max();
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         if (job.steps[step].waiting > 0 && !this->hasReservations(job, step))
             return now + fullPlacementInterval;
+        // A wait is decided again even if no worker reports a change: its sidecars may have gone silent.
+        if (job.steps[step].waiting > 0 && job.steps[step].rackWait)
+            next = std::min({ next, now + fullPlacementInterval, job.steps[step].rackWait->until });
     }
-    return SteadyTime::max();
+    return next;
 }
 
 std::map<Core::InstanceId, std::uint32_t> JobScheduler::tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const
@@ -154,7 +158,7 @@
     request.need = specification.need;
     request.count = step.waiting;
     request.requiredLabel = specification.requiredLabel;
-    request.dataRack = specification.dataRack;
+    request.farRuns = this->farRuns(specification);
     request.tasksPerWorker = specification.tasksPerWorker;
     if (specification.tasksPerWorker > 0)
         request.tasksAtSidecar = this->tasksAtSidecar(job, stepIndex);
@@ -162,7 +166,7 @@
     request.time = this->modelOf(now, job.queue).stepTime(specification.declaredMilliseconds / 1000.0);
     request.rank = rankOfWaiting(job, step);
     request.stretch = job.queue.stretch;
-    request.salt = job.specification.id;
+    request.salt = job.specification.id.number;
     request.now = now;
     request.slackSeconds = secondsUntil(now, this->goalTime(job, 0, 1));
     request.callerTimeoutSeconds = secondsUntil(now, job.callerDeadline);
@@ -205,16 +209,27 @@
     }
     PlacementRequest request = this->placementRequest(now, job, stepIndex);
     request.reservationsPerTask = this->hasReservations(job, stepIndex) ? 0 : this->settings.reservationsPerTask;
-    const std::vector<Placement> placements
+    if (request.farRuns.isEffective())
+        this->decideRackWait(now, referenceSpeed, job, stepIndex, request);
+    std::vector<Placement> placements
         = choosePlacements(this->workerTable, referenceSpeed, request, this->workDone.candidatesEvaluated);
+    if (placements.empty() && request.isNearOnly && !this->hasReservations(job, stepIndex)) {
+        // No room can be reserved near, for example because of a limit of tasks on a worker.
+        step.rackWait.reset();
+        request = this->placementRequest(now, job, stepIndex);
+        request.reservationsPerTask = this->settings.reservationsPerTask;
+        placements = choosePlacements(this->workerTable, referenceSpeed, request, this->workDone.candidatesEvaluated);
+    }
     for (const Placement& placement : placements) {
         if (placement.waitSeconds > 0)
             this->reserveRoom(now, job, stepIndex, placement, request);
         else
             this->orderRuns(now, job, stepIndex, placement, request);
     }
-    if (step.waiting == 0)
+    if (step.waiting == 0) {
         this->releaseReservations(job, stepIndex);
+        step.rackWait.reset();
+    }
     return step.waiting == 0;
 }
 
@@ -231,12 +246,15 @@
     start.step = stepIndex;
     start.content = job.specification.content;
     start.need = specification.need;
+    // The sidecar derives the worker's speed from it, which a far run must not lower.
     start.expectedMilliseconds = static_cast<std::uint32_t>(
-        this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000);
+        this->modelOf(now, job.queue).taskSeconds(specification.declaredMilliseconds / 1000.0) * 1000
+        * this->farRuns(specification).factorOn(worker));
     // An order whose room was taken meanwhile is returned by the sidecar and placed again.
     start.startWithinMicroseconds = static_cast<std::int64_t>(startWindowSeconds * 1e6);
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.expiresAt) * 1e6));
+    start.bornAt = worker.profile.bornAt;
     for (std::uint32_t index = 0; index < step.tasks.size() && start.tasks.size() < count; ++index) {
         Task& task = step.tasks[index];
         if (task.phase != TaskPhase::Waiting)
@@ -260,6 +278,9 @@
         job.firstOrderAt = now;
     job.orders += static_cast<std::uint32_t>(start.tasks.size());
     this->metrics.runsOrdered(start.tasks.size());
+    const FarRuns farRuns = this->farRuns(job.specification.steps[start.step]);
+    if (farRuns.isEffective())
+        this->metrics.tasksPlaced(start.tasks.size(), farRuns.factorOn(worker) > 1);
     job.trace.add(now, "tasks placed",
         { { "job", Messages::jobText(job.specification.id) }, { "sidecar", worker.sidecar },
             { "worker", worker.profile.workerId }, { "order", start.order },
--- a/celeryswitch/Scheduling/JobSchedulerRecords.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerRecords.cpp
@@ -45,7 +45,7 @@
         this->goalTime(job, job.longestRunSeconds, 1) - job.arrivedAt, job.orders });
     const bool isCompleted = answer.kind == AnswerKind::State && answer.state == JobState::Completed;
     const bool isLate = now > this->goalTime(job, job.longestRunSeconds, 1);
-    const std::uint64_t id = job.specification.id;
+    const StepJobId id = job.specification.id;
     this->log.write(LogLevel::Info, "job ended",
         { { "job", Messages::jobText(id) }, { "queue", job.queue.name },
             { "answer", std::string(Core::enumName(answer.kind)) },
@@ -56,7 +56,7 @@
             { "tasks", static_cast<std::uint64_t>(job.steps.front().tasks.size()) },
             { "millicores", job.specification.steps.front().need.milliCores },
             { "declared_ms", job.specification.steps.front().declaredMilliseconds } });
-    if (!isCompleted || isLate || id % traceSampleInterval == 0)
+    if (!isCompleted || isLate || id.number % traceSampleInterval == 0)
         job.trace.write(this->log, now);
 }
 
@@ -85,6 +85,16 @@
     set("celeryswitch_workers_on_probation", "Workers that get one run at a time.", probation);
     set("celeryswitch_free_millicores", "Room that no run uses, as last reported.", free);
     set("celeryswitch_queued_millicores", "Room that queued runs need, as last reported.", queued);
+    if (this->settings.farFactor <= 1)
+        return;
+    for (const auto& [queue, model] : this->models) {
+        for (const bool isFar : { false, true })
+            registry
+                .gauge("celeryswitch_place_run_seconds",
+                    "Mean of the recent run times of tasks with a rack preference, by place.",
+                    { { "queue", queue }, { "place", isFar ? "far" : "near" } })
+                .set(model.placeSeconds(isFar));
+    }
 }
 
 }
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Core/EventLoop.h"
 #include "celeryswitch/Core/ProcessorTime.h"
+#include "celeryswitch/Http/BudgetReport.h"
 #include "celeryswitch/Scheduling/SchedulerTime.h"
 
 namespace celeryswitch::Scheduling {
@@ -17,7 +18,7 @@
 constexpr Core::Duration loopRecordInterval = std::chrono::seconds(1);
 constexpr Core::Duration recordedLag = std::chrono::milliseconds(20);
 constexpr std::size_t maximumReadinessConnections = 64;
-constexpr Core::Duration bodyTimeout = std::chrono::seconds(10);
+constexpr Core::Duration minimumBodyTime = std::chrono::seconds(10);
 constexpr Core::Duration startupRetryDelay = std::chrono::seconds(1);
 // Maximum number of requests deferred until the first routing document, and their maximum delay.
 constexpr std::size_t maximumDeferredRequests = 1000;
@@ -43,8 +44,9 @@
 
 Http::HttpLimits limitsOf(const Configuration::RequestLimits& limits)
 {
-    return { limits.bodyBytes, limits.headerBytes, std::chrono::milliseconds(limits.headerMilliseconds), bodyTimeout,
-        std::chrono::milliseconds(limits.idleMilliseconds) };
+    const Core::Duration idleTime = std::chrono::milliseconds(limits.idleMilliseconds);
+    return { limits.bodyBytes, limits.headerBytes, std::chrono::milliseconds(limits.headerMilliseconds),
+        std::max(minimumBodyTime, 2 * idleTime), idleTime };
 }
 
 }
@@ -59,7 +61,10 @@
     , protocol(protocol)
     , transport(context, this->settings.authenticationKeys)
     , scheduler(this->settings.scheduler, log, registry)
-    , callers(context, limitsOf({}), this->settings.connectionsLimit,
+    , limits(Http::deriveLimits(
+          this->settings.allowance, { 0, this->settings.connectionsLimit, maximumReadinessConnections, 0 }))
+    , receiveBudget(Http::makeBudget(this->limits.receiveBudgetBytes, log))
+    , callers(context, limitsOf({}), this->limits.connections,
           { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
                this->requestReceived(session, std::move(request));
            },
@@ -68,15 +73,17 @@
                   response.statusCode = status;
                   return response;
               },
-              [this](const Http::HttpSession::Pointer& session) { this->sessionClosed(session); } })
-    , readiness(context, limitsOf({}), maximumReadinessConnections,
+              [this](const Http::HttpSession::Pointer& session) { this->sessionClosed(session); } },
+          this->receiveBudget)
+    , readiness(context, limitsOf({}), this->limits.readinessConnections,
           { [this](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
                this->readinessRequested(session, request);
            },
               [](std::uint16_t status, const std::string& reason) {
                   return Http::HttpResponse { status, {}, reason };
               },
-              {} })
+              {} },
+          this->receiveBudget)
     , links(context, this->transport, clock, log, identityOf(this->settings),
           { [this](const Messages::Member& member) {
                this->scheduler.sidecarConnected(this->observeTime(), member);
@@ -101,6 +108,11 @@
               [this](const std::set<std::string>& dataCentres) { this->evacuationsReceived(dataCentres); } })
     , timer(context)
     , tickTimer(context)
+    , deferredRequests(maximumDeferredRequests, [this](const DeferredRequests<ReceivedRequest>::Arrival& arrival) {
+        const ReceivedRequest& next = arrival.request;
+        if (!arrival.isDeferred || !next.session->isClosedByCaller())
+            this->handle(next.session, next.request, arrival.arrivedAt);
+    })
 {
 }
 
@@ -119,6 +131,7 @@
 void SchedulingEntry::collect(Metrics::MetricRegistry& registry) const
 {
     this->scheduler.collect(registry);
+    Http::collectBudget(*this->receiveBudget, registry);
     registry.gauge("celeryswitch_routing_version", "Version of the routing document in force.")
         .set(static_cast<double>(this->routing.version));
     registry.gauge("celeryswitch_caller_connections", "Open connections of callers.")
@@ -150,27 +163,16 @@
     if (this->onDrained)
         session->closeAfterResponse();
     const Core::SteadyTime now = this->observeTime();
-    if (this->routing.version > 0 && !this->stallGuard.isReadingBacklog(now))
-        this->handle(session, request, now);
-    else if (this->deferredRequests.size() < maximumDeferredRequests)
-        this->deferredRequests.push_back({ session, std::move(request), now });
-    else
+    const bool isHandling = this->routing.version > 0 && !this->stallGuard.isReadingBacklog(now);
+    if (!this->deferredRequests.receive(now, isHandling, { session, std::move(request) }))
         this->respond(session, { AnswerKind::NotRun, {}, 0, startupRetryDelay, "no routing document yet" });
 }
 
-void SchedulingEntry::processDeferred(bool isRoutingKnown)
+void SchedulingEntry::refuseOverdue()
 {
     // After a restart the routing document arrives within milliseconds unless no state replica is reachable.
-    const Core::SteadyTime now = this->clock.steadyNow();
-    while (!this->deferredRequests.empty()
-        && (isRoutingKnown || now >= this->deferredRequests.front().arrivedAt + maximumDeferral)) {
-        const DeferredRequest next = std::move(this->deferredRequests.front());
-        this->deferredRequests.pop_front();
-        if (next.session->isClosedByCaller())
-            continue;
-        if (isRoutingKnown)
-            this->handle(next.session, next.request, next.arrivedAt);
-        else
+    for (const ReceivedRequest& next : this->deferredRequests.takeUntil(this->clock.steadyNow() - maximumDeferral)) {
+        if (!next.session->isClosedByCaller())
             this->respond(next.session, { AnswerKind::NotRun, {}, 0, startupRetryDelay, "no routing document yet" });
     }
 }
@@ -211,7 +213,7 @@
     const Http::HttpRequest& request, const Configuration::Queue& queue, std::string_view rest)
 {
     // A job that is known may have run, so that a repeated request for it can't be refused as not run.
-    const std::optional<std::uint64_t> job = this->protocol.submittedJob(request, rest);
+    const std::optional<StepJobId> job = this->protocol.submittedJob(request, rest);
     return job && !this->overloadGuard.admits(this->clock.steadyNow(), queue.name) && !this->scheduler.isKnown(*job);
 }
 
@@ -224,8 +226,7 @@
 {
     const auto found = this->requestNumbers.find(session.get());
     if (found == this->requestNumbers.end()) {
-        std::erase_if(
-            this->deferredRequests, [&](const DeferredRequest& deferred) { return deferred.session == session; });
+        this->deferredRequests.eraseIf([&](const ReceivedRequest& deferred) { return deferred.session == session; });
         return;
     }
     this->abandonRequest(this->observeTime(), found->second);
@@ -265,7 +266,7 @@
     this->routing = std::move(document);
     this->callers.setLimits(limitsOf(this->routing.limits));
     if (!this->stallGuard.isReadingBacklog(this->observeTime()))
-        this->processDeferred(true);
+        this->deferredRequests.handleAll();
 }
 
 void SchedulingEntry::membersReceived(const std::vector<Messages::Member>& members)
@@ -360,7 +361,7 @@
     // After a stall requests wait, and what sidecars have sent meanwhile may be unread.
     const bool isReadingBacklog = this->stallGuard.isReadingBacklog(this->observeTime());
     if (!isReadingBacklog && this->routing.version > 0)
-        this->processDeferred(true);
+        this->deferredRequests.handleAll();
     if (!isReadingBacklog)
         this->links.closeUnresponsive();
     for (const Core::InstanceId& sidecar : this->links.unassigned()) {
@@ -370,7 +371,7 @@
         this->links.removeLink(sidecar);
         this->scheduler.removeSidecar(sidecar);
     }
-    this->processDeferred(false);
+    this->refuseOverdue();
     this->finishDraining();
     this->runScheduler();
 }
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Core/Clock.h"
+#include "celeryswitch/Http/ProcessLimits.h"
 #include "celeryswitch/Network/PeerTransport.h"
 #include <cstdint>
 #include <map>
@@ -33,6 +34,7 @@
     /// 2 * toleratedLosses + 1.
     std::uint32_t toleratedLosses = 0;
     Network::AuthenticationKeys authenticationKeys;
+    Http::ProcessAllowance allowance;
     /// Applied records after which a snapshot shortens the log; 1 or more.
     std::uint64_t snapshotThreshold = 1000;
     /// Time to connect to another replica.
