Compute run times, factors and start blocks once

Cause: reading the diff showed that completeTask worked out the far factor twice and the run time three times, that stopExpiredRuns asked for the start block once a run, and that an evacuation released reservations entry by entry where the member is simply replaced elsewhere. Change: locals before their first use, the block before the loop, an empty table of reservations. No behaviour changed.

--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -176,16 +176,14 @@
     task.phase = TaskPhase::Done;
     ++step.done;
     const WorkerView& worker = this->workerTable.at(task.sidecar);
-    job.longestRunSeconds = std::max(job.longestRunSeconds,
-        static_cast<double>(report.runMicroseconds) / 1e6
-            / this->farRuns(job.specification.steps[taskId.step]).factorOn(worker));
-    this->workDone.workersVisited += this->workerTable.size();
     const FarRuns farRuns = this->farRuns(job.specification.steps[taskId.step]);
     const double factor = farRuns.factorOn(worker);
-    const double seconds
-        = static_cast<double>(report.runMicroseconds) / 1e6 * worker.speed() / medianSpeed(this->workerTable) / factor;
+    const double runSeconds = static_cast<double>(report.runMicroseconds) / 1e6;
+    job.longestRunSeconds = std::max(job.longestRunSeconds, runSeconds / factor);
+    this->workDone.workersVisited += this->workerTable.size();
+    const double seconds = runSeconds * worker.speed() / medianSpeed(this->workerTable) / factor;
     if (farRuns.isEffective())
-        this->modelOf(now, job.queue).recordPlace(now, static_cast<double>(report.runMicroseconds) / 1e6, factor > 1);
+        this->modelOf(now, job.queue).recordPlace(now, runSeconds, factor > 1);
     step.longestSeconds = std::max(step.longestSeconds, seconds);
     step.sumSeconds += seconds;
     if (step.done < step.tasks.size())
--- a/celeryswitch/Workers/RunSupervisor.cpp
+++ b/celeryswitch/Workers/RunSupervisor.cpp
@@ -242,10 +242,9 @@
         LogLevel::Info, value ? "evacuation begins" : "evacuation ends", { { "runs", this->runs.activeCount() } });
     if (!value)
         return;
-    for (auto& [id, entry] : this->entries) {
-        this->reservations.releaseAll(id);
+    this->reservations = {};
+    for (auto& [id, entry] : this->entries)
         entry.isUpdateDue = true;
-    }
     this->stopExpiredRuns(now);
 }
 
@@ -269,12 +268,12 @@
 
 void RunSupervisor::stopExpiredRuns(SteadyTime now)
 {
+    const RunRefusal block = this->startBlock();
     for (auto& [task, run] : this->runs.all()) {
         if (run.phase == RunPhase::Stopping && now >= run.stopRetryAt)
             this->fire(now, run, RunEvent::StopUnanswered);
         if (run.phase == RunPhase::Ended || run.phase == RunPhase::Stopping)
             continue;
-        const RunRefusal block = this->startBlock();
         if (run.phase == RunPhase::Queued && (now >= run.startBy || block != RunRefusal::None)) {
             this->endUnstartedRun(now, run, RunEvent::StopWanted, NoStartProof::NeverOrdered,
                 now >= run.startBy ? RunRefusal::NoRoom : block);
