Move the tests of connection limits to a file of their own

Change: the limited server and its three cases move unchanged to HttpLimitsTest.cpp. Result: none measured; the cases are the same.

--- /dev/null
+++ b/UnitTests/Http/HttpLimitsTest.cpp
@@ -0,0 +1,160 @@
+// Limits of connections: which of them apply to a request, and what happens to connections beyond them.
+#include "celeryswitch/Http/HttpServer.h"
+#include <array>
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <list>
+
+using namespace celeryswitch;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A server with short limits and blocking callers whose bytes it handles while they wait.
+struct LimitedServer {
+    explicit LimitedServer(const Http::HttpLimits& limits, std::size_t connectionsLimit = 8,
+        std::shared_ptr<Http::ReceiveBudget> budget = nullptr)
+        : server(context, limits, connectionsLimit,
+            { [this](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
+                 session->respond({ 200, {}, std::to_string(request.body.size()) + this->answerTail });
+             },
+                [](std::uint16_t status, const std::string& reason) {
+                    return Http::HttpResponse { status, {}, reason };
+                },
+                {} },
+            std::move(budget))
+    {
+        const std::string address = this->server.listen("127.0.0.1:0").value();
+        this->port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    }
+
+    boost::asio::ip::tcp::socket connect()
+    {
+        boost::asio::ip::tcp::socket caller(this->context);
+        caller.connect({ boost::asio::ip::make_address("127.0.0.1"), this->port });
+        return caller;
+    }
+
+    void run(const std::function<bool()>& condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + 10s;
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            this->context.restart();
+            this->context.run_one_for(20ms);
+        }
+        REQUIRE(condition());
+    }
+
+    // Status of the answer to a POST with a body; 0 when the connection ends without one.
+    int statusOf(boost::asio::ip::tcp::socket& caller, const std::string& header, std::size_t bodyBytes)
+    {
+        // Kept until the write has ended, also when the answer comes before.
+        this->sent.push_back("POST /q HTTP/1.1\r\nHost: a\r\n" + header + "Content-Length: " + std::to_string(bodyBytes)
+            + "\r\n\r\n" + std::string(bodyBytes, 'b'));
+        boost::asio::async_write(caller, boost::asio::buffer(this->sent.back()), [](const auto&, std::size_t) {});
+        std::array<char, 1024> answer {};
+        bool isDone = false;
+        std::size_t size = 0;
+        caller.async_read_some(boost::asio::buffer(answer), [&](const auto&, std::size_t count) {
+            isDone = true;
+            size = count;
+        });
+        this->run([&] { return isDone; });
+        return size > 12 ? std::stoi(std::string(answer.data() + 9, 3)) : 0;
+    }
+
+    std::list<std::string> sent;
+    std::string answerTail;
+    boost::asio::io_context context;
+    Http::HttpServer server;
+    std::uint16_t port = 0;
+};
+
+}
+
+// Guards against limits of an older routing document on connections that were opened before it changed.
+TEST_CASE("a request is held to the limits in force when its header begins", "[Http]")
+{
+    const Http::HttpLimits narrow { 2000, 1000, 3s, 3s, 3s };
+    const Http::HttpLimits wide { 65'536, 16'384, 3s, 3s, 3s };
+    const std::string longHeader = "X: " + std::string(3000, 'h') + "\r\n";
+    {
+        LimitedServer fixture(narrow);
+        auto first = fixture.connect();
+        auto second = fixture.connect();
+        REQUIRE(fixture.statusOf(first, "", 100) == 200);
+        REQUIRE(fixture.statusOf(second, "", 100) == 200);
+        fixture.server.setLimits(wide);
+        CHECK(fixture.statusOf(first, "", 30'000) == 200);
+        CHECK(fixture.statusOf(second, longHeader, 100) == 200);
+    }
+    {
+        LimitedServer fixture(wide);
+        auto first = fixture.connect();
+        auto second = fixture.connect();
+        auto third = fixture.connect();
+        REQUIRE(fixture.statusOf(first, longHeader, 30'000) == 200);
+        REQUIRE(fixture.statusOf(second, longHeader, 30'000) == 200);
+        // A header that began under the wide limits keeps them.
+        boost::asio::write(third, boost::asio::buffer(std::string("POST /q HTTP/1.1\r\nHost: a\r\n")));
+        fixture.context.restart();
+        fixture.context.run_for(100ms);
+        fixture.server.setLimits(narrow);
+        CHECK(fixture.statusOf(first, "", 30'000) == 413);
+        CHECK(fixture.statusOf(second, longHeader, 100) == 431);
+        const std::string rest = "Content-Length: 30000\r\n\r\n" + std::string(30'000, 'b');
+        boost::asio::async_write(third, boost::asio::buffer(rest), [](const auto&, std::size_t) {});
+        std::array<char, 1024> answer {};
+        std::size_t size = 0;
+        third.async_read_some(boost::asio::buffer(answer), [&](const auto&, std::size_t count) { size = count; });
+        fixture.run([&] { return size > 0; });
+        CHECK(std::string(answer.data(), 12) == "HTTP/1.1 200");
+    }
+}
+
+// Guards against bodies that stop short of their end and keep memory, connections or both from ordinary callers.
+TEST_CASE("stalled bodies give way to ordinary requests", "[Http]")
+{
+    const auto budget = std::make_shared<Http::ReceiveBudget>(200'000);
+    LimitedServer fixture({ 65'536, 16'384, 60s, 60s, 60s }, 16, budget);
+    std::vector<boost::asio::ip::tcp::socket> crowd;
+    const std::string stalled
+        = "POST /q HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n" + std::string(59'990, 'b');
+    for (int number = 0; number < 40; ++number) {
+        crowd.push_back(fixture.connect());
+        boost::asio::async_write(crowd.back(), boost::asio::buffer(stalled), [](const auto&, std::size_t) {});
+        fixture.context.restart();
+        fixture.context.run_for(5ms);
+        CHECK(budget->heldBytes() <= budget->limitBytes());
+    }
+    fixture.run([&] { return budget->closedCount(Http::CloseReason::ReceiveBudget) >= 30; });
+    for (int number = 0; number < 20; ++number)
+        crowd.push_back(fixture.connect());
+    auto ordinary = fixture.connect();
+    CHECK(fixture.statusOf(ordinary, "", 300) == 200);
+    CHECK(budget->closedCount(Http::CloseReason::ConnectionLimit) > 0);
+    auto large = fixture.connect();
+    CHECK(fixture.statusOf(large, "", 65'536) == 200);
+}
+
+// Guards against clients that ask for long answers, don't read them, and take the memory of the process.
+TEST_CASE("answers that are not read give way to others", "[Http]")
+{
+    const auto budget = std::make_shared<Http::ReceiveBudget>(40'000'000);
+    LimitedServer fixture({ 65'536, 16'384, 60s, 60s, 60s }, 16, budget);
+    // More than the system takes for a client that does not read.
+    fixture.answerTail = std::string(15'000'000, 'a');
+    std::vector<boost::asio::ip::tcp::socket> crowd;
+    const std::string request = "GET /q HTTP/1.1\r\nHost: a\r\n\r\n";
+    for (int number = 0; number < 4; ++number) {
+        crowd.push_back(fixture.connect());
+        boost::asio::write(crowd.back(), boost::asio::buffer(request));
+        fixture.context.restart();
+        fixture.context.run_for(50ms);
+        CHECK(budget->heldBytes() <= budget->limitBytes());
+    }
+    CHECK(budget->closedCount(Http::CloseReason::ReceiveBudget) == 2);
+    auto ordinary = fixture.connect();
+    CHECK(fixture.statusOf(ordinary, "", 300) == 200);
+}
