Release the bytes of a long answer when it was read

Seen: a caller that had read a long answer and was idle counted as one that does not read, and the bytes of its answer stayed in the budget of the process until its next request. A connection that ended at the idle limit was counted under AnswerTime, and others could be closed for bytes that nobody held. Cause: the phase Answering and its bytes were set when the socket did not take the whole answer, and nothing took them back when it had. Change: the end of an answer, written at once or later, makes the connection idle. Test: "a connection holds nothing after its long answer was read" failed before (AnswerTime 1 instead of 0; with an idle limit of 2 s the bytes are held to the end) and passes.

--- a/UnitTests/Http/HttpLimitsTest.cpp
+++ b/UnitTests/Http/HttpLimitsTest.cpp
@@ -138,6 +138,24 @@
     CHECK(fixture.statusOf(large, "", 65'536) == 200);
 }
 
+// Guards against an idle connection that counts as one whose answer is not read, and holds a part of the budget.
+TEST_CASE("a connection holds nothing after its long answer was read", "[Http]")
+{
+    const auto budget = std::make_shared<Http::ReceiveBudget>(40'000'000);
+    LimitedServer fixture({ 65'536, 16'384, 60s, 60s, 2s }, 16, budget);
+    // More than the system takes for a client that does not read.
+    fixture.answerTail = std::string(15'000'000, 'a');
+    auto caller = fixture.connect();
+    boost::asio::write(caller, boost::asio::buffer(std::string("GET /q HTTP/1.1\r\nHost: a\r\n\r\n")));
+    fixture.run([&] { return budget->heldBytes() > 0; });
+    std::vector<char> answer(fixture.answerTail.size());
+    boost::asio::async_read(caller, boost::asio::buffer(answer), [](const auto&, std::size_t) {});
+    fixture.run([&] { return budget->heldBytes() == 0; });
+    CHECK(fixture.server.connectionCount() == 1);
+    fixture.run([&] { return fixture.server.connectionCount() == 0; });
+    CHECK(budget->closedCount(Http::CloseReason::AnswerTime) == 0);
+}
+
 // Guards against clients that ask for long answers, don't read them, and take the memory of the process.
 TEST_CASE("answers that are not read give way to others", "[Http]")
 {
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -90,8 +90,6 @@
         this->response.body() = std::move(answer.body);
         this->response.prepare_payload();
         this->isAnswered = true;
-        this->enter(ConnectionPhase::Idle);
-        this->hold(0);
         // The socket nearly always takes the whole; an asynchronous write would cost another turn of the event loop.
         this->serializer.emplace(this->response);
         error_code error;
@@ -365,6 +363,10 @@
 
     void written(error_code error)
     {
+        if (this->phase == ConnectionPhase::Closed)
+            return;
+        this->enter(ConnectionPhase::Idle);
+        this->hold(0);
         if (error || !this->response.keep_alive()) {
             this->shutDown();
             return;
