Hold idle connections to a changed idle limit

Seen: a connection that waits when the routing document raises idle_timeout_ms is closed at the older limit, and the request that its caller sends within the newer one is lost; after a lowered limit it stays open for the older one. The deadline of an idle connection is computed when it becomes idle and kept; a change of the limits moved only what is computed later. Change: HttpServer::setLimits tells open sessions of a changed idle limit, and idle ones compute their deadline anew from the moment at which they became idle. Requests in progress keep the limits under which their headers began. Test: "open connections follow a changed idle limit" failed before (raised: both requests got no answer; lowered: open after 10 s) and passes.

--- a/UnitTests/Http/HttpLimitsTest.cpp
+++ b/UnitTests/Http/HttpLimitsTest.cpp
@@ -113,6 +113,40 @@
     }
 }
 
+// Guards against idle connections that keep the idle limit of an older routing document: callers that go on within a
+// raised limit lose their requests, and a lowered one is not in force.
+TEST_CASE("open connections follow a changed idle limit", "[Http]")
+{
+    const Http::HttpLimits brief { 65'536, 16'384, 60s, 60s, 2s };
+    const Http::HttpLimits lasting { 65'536, 16'384, 60s, 60s, 60s };
+    const auto openBoth = [](LimitedServer& fixture) {
+        std::vector<boost::asio::ip::tcp::socket> callers;
+        callers.push_back(fixture.connect());
+        callers.push_back(fixture.connect());
+        fixture.run([&] { return fixture.server.connectionCount() == 2; });
+        // One has been answered, the other has sent nothing.
+        REQUIRE(fixture.statusOf(callers[0], "", 100) == 200);
+        return callers;
+    };
+    SECTION("raised")
+    {
+        LimitedServer fixture(brief);
+        auto callers = openBoth(fixture);
+        fixture.server.setLimits(lasting);
+        fixture.context.restart();
+        fixture.context.run_for(2500ms);
+        for (auto& caller : callers)
+            CHECK(fixture.statusOf(caller, "", 100) == 200);
+    }
+    SECTION("lowered")
+    {
+        LimitedServer fixture(lasting);
+        const auto callers = openBoth(fixture);
+        fixture.server.setLimits(brief);
+        fixture.run([&] { return fixture.server.connectionCount() == 0; });
+    }
+}
+
 // Guards against bodies that stop short of their end and keep memory, connections or both from ordinary callers.
 TEST_CASE("stalled bodies give way to ordinary requests", "[Http]")
 {
--- a/celeryswitch/Http/HttpServer.cpp
+++ b/celeryswitch/Http/HttpServer.cpp
@@ -114,6 +114,18 @@
     return number.has_value();
 }
 
+void HttpServer::setLimits(const HttpLimits& value)
+{
+    const bool isIdleTimeChanged = value.idleTime != this->limits->idleTime;
+    *this->limits = value;
+    if (!isIdleTimeChanged)
+        return;
+    for (const auto& [number, session] : *this->sessions) {
+        if (const HttpSession::Pointer open = session.lock())
+            open->idleLimitChanged();
+    }
+}
+
 void HttpServer::stopAccepting()
 {
     error_code ignored;
--- a/celeryswitch/Http/HttpServer.h
+++ b/celeryswitch/Http/HttpServer.h
@@ -33,8 +33,9 @@
 
     /// Starts listening on "address:port"; returns the bound "address:port".
     Core::Result<std::string> listen(const std::string& address);
-    /// Limits of the requests whose header begins from now on, also on open connections.
-    void setLimits(const HttpLimits& value) { *this->limits = value; }
+    /// Limits of the requests whose header begins from now on, also on open connections. Idle connections are held to
+    /// the idle limit at once.
+    void setLimits(const HttpLimits& value);
     /// Stops accepting; open connections stay.
     void stopAccepting();
     /// Stops accepting and ends each connection after its request in progress.
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -125,6 +125,12 @@
 
     void closeAfterResponse() override { this->isKeptAlive = false; }
 
+    void idleLimitChanged() override
+    {
+        if (this->phase == ConnectionPhase::Silent || this->phase == ConnectionPhase::Idle)
+            this->expireAt(this->progressAt + this->currentLimits->idleTime);
+    }
+
     ConnectionState state(Timer::time_point now) const override
     {
         return { 0, this->phase, this->heldBytes, now - this->progressAt };
--- a/celeryswitch/Http/HttpSession.h
+++ b/celeryswitch/Http/HttpSession.h
@@ -59,6 +59,8 @@
     static std::vector<HttpSession*> closedByCallers(const std::vector<HttpSession*>& sessions);
     /// Makes the response to the current request the last one of this connection.
     virtual void closeAfterResponse() = 0;
+    /// Holds the connection to a changed idle limit if it is idle now.
+    virtual void idleLimitChanged() = 0;
 
 protected:
     /// Descriptor of the connection; negative once it is closed.
