Refuse large requests as not run until the limits are known

Seen: an entry that has just started answers 413 or 431, which callers don't repeat, to a request that exceeds 256 KiB of body or 16 KiB of header, although the routing document that it gets a moment later may allow it. The limits that hold until the first document are no statement of the operator, but were applied like one. PROTOCOL: "A node that has no desired state yet responds with 503." Change: without a routing document the answer to such a request is that of other requests: 503, not run, Retry-After. The bounds of memory stay. Test: "an entry without a routing document refuses large requests as not run" failed before (413 and 431 instead of 503, no Retry-After) and passes.

--- a/celeryswitch/Http/HttpMessage.h
+++ b/celeryswitch/Http/HttpMessage.h
@@ -8,6 +8,10 @@
 
 namespace celeryswitch::Http {
 
+/// Statuses of requests whose body, or whose header, exceeds its limit.
+constexpr std::uint16_t contentTooLargeStatus = 413;
+constexpr std::uint16_t headerTooLargeStatus = 431;
+
 /// Orders header names without regard to the case of ASCII letters.
 struct HeaderNameLess {
     using is_transparent = void;
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -350,9 +350,9 @@
     {
         std::uint16_t status = 0;
         if (error == http::error::body_limit)
-            status = 413;
+            status = contentTooLargeStatus;
         else if (error == http::error::header_limit || error == http::error::buffer_overflow)
-            status = 431;
+            status = headerTooLargeStatus;
         else if (error.category() == http::make_error_code(http::error::bad_method).category()
             && error != http::error::end_of_stream && error != http::error::partial_message)
             status = 400;
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -68,11 +68,7 @@
           { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
                this->requestReceived(session, std::move(request));
            },
-              [this](std::uint16_t status, const std::string& reason) {
-                  Http::HttpResponse response = this->protocol.encode({ AnswerKind::Malformed, {}, 0, {}, reason });
-                  response.statusCode = status;
-                  return response;
-              },
+              [this](std::uint16_t status, const std::string& reason) { return this->refuseUnread(status, reason); },
               [this](const Http::HttpSession::Pointer& session) { this->sessionClosed(session); } },
           this->receiveBudget)
     , readiness(context, limitsOf({}), this->limits.readinessConnections,
@@ -168,6 +164,17 @@
         this->respond(session, { AnswerKind::NotRun, {}, 0, startupRetryDelay, "no routing document yet" });
 }
 
+Http::HttpResponse SchedulingEntry::refuseUnread(std::uint16_t status, const std::string& reason) const
+{
+    // The first routing document may allow what exceeds the limits that hold until then.
+    const bool isLimit = status == Http::contentTooLargeStatus || status == Http::headerTooLargeStatus;
+    if (isLimit && this->routing.version == 0)
+        return this->protocol.encode({ AnswerKind::NotRun, {}, 0, startupRetryDelay, "no routing document yet" });
+    Http::HttpResponse response = this->protocol.encode({ AnswerKind::Malformed, {}, 0, {}, reason });
+    response.statusCode = status;
+    return response;
+}
+
 void SchedulingEntry::refuseOverdue()
 {
     // After a restart the routing document arrives within milliseconds unless no state replica is reachable.
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -62,6 +62,8 @@
 
 private:
     void requestReceived(const Http::HttpSession::Pointer& session, Http::HttpRequest request);
+    // Answer to a request that was not read whole.
+    Http::HttpResponse refuseUnread(std::uint16_t status, const std::string& reason) const;
     void handle(
         const Http::HttpSession::Pointer& session, const Http::HttpRequest& request, Core::SteadyTime arrivedAt);
     // Refuses requests that have waited for the routing document for too long.
