Let state replicas give up their votes before they stop

Seen: two planned replacements of core machines, and two disks lost right after the old machines have ended: no leader is ever elected, and what was acknowledged can't be read. The same for one planned replacement and one disk of three machines. A voter that stops in order was noticed by its silence of 2.5 s alone. Until then it counts, and an entry that was confirmed with its help may be on too few of the disks that stay. Change: a replica that gets SIGTERM asks the leader to do without it and goes on until that is committed, for at most half of the time that the platform grants. A leader removes itself last. A group that has no spare voter keeps the vote and says so at once, so that restarts don't shrink it. Announcements of a departing replica cease.

--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -9,6 +9,7 @@
 #include "platform/ClientApi.h"
 #include "platform/OperatorApi.h"
 #include "platform/WorkerApi.h"
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -272,8 +273,12 @@
         return startFailure(metrics.error());
     process.loop.run(
         [&] {
-            state.value()->stop();
-            process.loop.stop();
+            state.value()->depart([&] {
+                boost::asio::post(process.loop.context, [&] {
+                    state.value()->stop();
+                    process.loop.stop();
+                });
+            });
         },
         [](const Platform::BootFile&) {});
     return ExitCode::Ok;
--- a/UnitTests/State/GroupModel.cpp
+++ b/UnitTests/State/GroupModel.cpp
@@ -74,6 +74,18 @@
     machine.core.reset();
     machine.isStarted = false;
     machine.isFrozen = false;
+    machine.endsBy = Core::SteadyTime::max();
+}
+
+void GroupModel::stop(const std::string& address)
+{
+    Machine& machine = this->machines[address];
+    if (!machine.core || !this->settings.isDepartureAwaited) {
+        this->kill(address);
+        return;
+    }
+    machine.endsBy = this->now + this->settings.departureLimit;
+    this->step(machine, Depart {});
 }
 
 void GroupModel::loseDisk(const std::string& address)
@@ -229,8 +241,11 @@
     }
     if (machine.core->nextWakeUp() <= this->now)
         this->step(machine, Consensus::Tick {});
-    if (machine.core->isWithoutLeader(this->now) && machine.nextAnnouncement <= this->now)
+    const bool isDeparting = machine.core->isDeparting();
+    if (!isDeparting && machine.core->isWithoutLeader(this->now) && machine.nextAnnouncement <= this->now)
         this->announce(machine);
+    if (isDeparting && (machine.core->departureVerdict() != DepartureVerdict::Undecided || this->now >= machine.endsBy))
+        this->kill(machine.address);
 }
 
 void GroupModel::beginCore(Machine& machine)
--- a/UnitTests/State/GroupModel.h
+++ b/UnitTests/State/GroupModel.h
@@ -23,6 +23,10 @@
     bool isIdentityRenewed = true;
     /// Whether identity and group of the first start are kept on the disk.
     bool isFirstStartRecorded = true;
+    /// Whether a replica that stops in order waits for the group to do without it.
+    bool isDepartureAwaited = true;
+    /// Longest time of that wait.
+    Core::Duration departureLimit = std::chrono::seconds(3);
 };
 
 /// Simulation of state replicas that keep their group by themselves, with disks, messages and faults. It begins
@@ -36,6 +40,8 @@
     void start(const std::string& address, bool isFirst);
     /// Ends the process; a prefix of the writes that are not synced reaches the disk.
     void kill(const std::string& address);
+    /// Tells the process to stop in order; it ends when the group does without it, or at the end of its wait.
+    void stop(const std::string& address);
     /// Ends the process and empties its disk.
     void loseDisk(const std::string& address);
     /// Sets the addresses that processes know from their settings from now on.
@@ -100,6 +106,8 @@
         std::deque<Write> unsynced;
         std::deque<Messages::ConsensusMessage> arrived;
         Core::SteadyTime nextAnnouncement;
+        /// When a process that was told to stop ends at the latest.
+        Core::SteadyTime endsBy = Core::SteadyTime::max();
         std::uint64_t identityCount = 0;
         int part = 0;
         bool isFrozen = false;
--- a/celeryswitch/Consensus/Replica.h
+++ b/celeryswitch/Consensus/Replica.h
@@ -62,7 +62,10 @@
     void receive(const Messages::AppendReply& reply);
     void receive(Messages::InstallSnapshot& request);
     void receive(const Messages::InstallSnapshotReply& reply);
+    // Messages about who belongs to the group are those of the caller.
     void receive(const Messages::ReplicaAnnouncement&) { }
+    void receive(const Messages::DepartureRequest&) { }
+    void receive(const Messages::DepartureReply&) { }
 
     // Passes an event to the state chart of the role.
     void fire(RoleEvent event);
--- a/celeryswitch/Messages/ConsensusMessages.h
+++ b/celeryswitch/Messages/ConsensusMessages.h
@@ -196,9 +196,25 @@
     }
 };
 
+/// Replica that is about to stop, to the leader: asks for the group to do without its vote, if it can. Sent again until
+/// it is answered.
+struct DepartureRequest {
+    ReplicaId from;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->from); }
+};
+
+/// Answer to DepartureRequest, once the sender may stop: it is out of the group, or the group keeps its vote.
+struct DepartureReply {
+    ReplicaId from;
+    bool isVoteKept = false;
+
+    template <typename Archive> void serialize(Archive& archive) { archive(this->from, this->isVoteKept); }
+};
+
 /// Every frame between state replicas after Hello. Append only: the index is part of the format.
 using ConsensusMessage = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, InstallSnapshot,
-    InstallSnapshotReply, ReplicaAnnouncement>;
+    InstallSnapshotReply, ReplicaAnnouncement, DepartureRequest, DepartureReply>;
 
 }
 
--- a/celeryswitch/State/GroupKeeper.cpp
+++ b/celeryswitch/State/GroupKeeper.cpp
@@ -1,5 +1,7 @@
 #include "celeryswitch/State/GroupKeeper.h"
 
+#include <algorithm>
+
 namespace celeryswitch::State {
 
 using Consensus::Replace;
@@ -8,8 +10,9 @@
 
 namespace {
 
-// Time without an answer after which one of two identities at the same address is taken for the one that is gone.
-constexpr Core::Duration sameAddressSilence = std::chrono::milliseconds(500);
+// Time without an answer after which a replica is out of contact; of two identities at one address, it is the one that
+// is gone.
+constexpr Core::Duration contactLimit = std::chrono::milliseconds(500);
 // Voters of the largest group that deployments intend. Where the tolerated losses are unknown, a larger group has
 // voters that were replaced.
 constexpr std::size_t largestIntendedGroup = 5;
@@ -19,6 +22,31 @@
 void GroupKeeper::announced(Core::SteadyTime now, const ReplicaInfo& replica)
 {
     this->known[replica.id] = { replica, now };
+    // It has started again.
+    this->departures.erase(replica.id);
+}
+
+void GroupKeeper::departing(Core::SteadyTime now, const Messages::ReplicaId& replica)
+{
+    this->known.erase(replica);
+    this->departures[replica] = now;
+}
+
+DepartureVerdict GroupKeeper::departureVerdict(
+    const Consensus::Replica& leader, const Messages::ReplicaId& replica) const
+{
+    if (!this->settings.isEnabled)
+        return DepartureVerdict::Kept;
+    const ReplicaGroup& group = leader.log().group();
+    if (leader.isGroupChanging() || group.hasLearner(replica))
+        return DepartureVerdict::Undecided;
+    if (!group.hasVoter(replica))
+        return DepartureVerdict::Removed;
+    const bool isCandidateKnown = std::any_of(
+        this->known.begin(), this->known.end(), [&](const auto& entry) { return !group.hasVoter(entry.first); });
+    const bool isGroupSettled = group.learners.empty() && !isCandidateKnown;
+    return isGroupSettled && !this->isRemovable(group.voters.size()) ? DepartureVerdict::Kept
+                                                                     : DepartureVerdict::Undecided;
 }
 
 std::optional<Replace> GroupKeeper::decide(Core::SteadyTime now, const Consensus::Replica& leader)
@@ -27,6 +55,8 @@
         return std::nullopt;
     std::erase_if(
         this->known, [&](const auto& entry) { return now - entry.second.at > this->settings.announcementAge; });
+    std::erase_if(
+        this->departures, [&](const auto& entry) { return now - entry.second > this->settings.announcementAge; });
     if (this->term != leader.term()) {
         this->term = leader.term();
         this->termBegin = now;
@@ -34,7 +64,9 @@
     const ReplicaGroup& group = leader.log().group();
     // A learner that left before it had caught up must not hold up the next change.
     for (const ReplicaInfo& learner : group.learners) {
-        if (silence(now, leader, learner) > this->settings.silenceLimit && this->known.count(learner.id) == 0)
+        const bool hasLeft
+            = silence(now, leader, learner) > this->settings.silenceLimit && this->known.count(learner.id) == 0;
+        if (hasLeft || this->departures.count(learner.id) > 0)
             return Replace { 0, learner.id, {} };
     }
     if (leader.isGroupChanging())
@@ -49,7 +81,7 @@
     for (const ReplicaInfo& voter : group.voters) {
         const Core::Duration voterSilence = silence(now, leader, voter);
         for (const ReplicaInfo& other : group.voters) {
-            if (voter.id != other.id && voter.address == other.address && voterSilence > sameAddressSilence
+            if (voter.id != other.id && voter.address == other.address && voterSilence > contactLimit
                 && voterSilence > silence(now, leader, other))
                 return Replace { 0, voter.id, {} };
         }
@@ -57,6 +89,8 @@
     if (this->isRemovable(group.voters.size())) {
         if (const std::optional<Messages::ReplicaId> silent = this->silentVoter(now, leader))
             return Replace { 0, *silent, {} };
+        if (const std::optional<Messages::ReplicaId> departing = this->departingVoter(now, leader))
+            return Replace { 0, *departing, {} };
     }
     return std::nullopt;
 }
@@ -91,6 +125,24 @@
     return found;
 }
 
+std::optional<Messages::ReplicaId> GroupKeeper::departingVoter(
+    Core::SteadyTime now, const Consensus::Replica& leader) const
+{
+    const std::vector<ReplicaInfo>& voters = leader.log().group().voters;
+    const ReplicaInfo* found = nullptr;
+    for (const ReplicaInfo& voter : voters) {
+        if (this->departures.count(voter.id) > 0 && (!found || found->id == leader.id()))
+            found = &voter;
+    }
+    if (!found)
+        return std::nullopt;
+    const auto inContact
+        = static_cast<std::size_t>(std::count_if(voters.begin(), voters.end(), [&](const ReplicaInfo& voter) {
+              return voter.id != found->id && silence(now, leader, voter) <= contactLimit;
+          }));
+    return inContact * 2 > voters.size() - 1 ? std::optional(found->id) : std::nullopt;
+}
+
 Messages::ReplicaId GroupKeeper::placeOf(
     Core::SteadyTime now, const ReplicaInfo& candidate, const Consensus::Replica& leader) const
 {
@@ -99,7 +151,9 @@
         if (voter.address == candidate.address && voter.id != leader.id())
             return voter.id;
     }
-    return this->silentVoter(now, leader).value_or(Messages::ReplicaId());
+    if (const std::optional<Messages::ReplicaId> silent = this->silentVoter(now, leader))
+        return *silent;
+    return this->departingVoter(now, leader).value_or(Messages::ReplicaId());
 }
 
 }
--- a/celeryswitch/State/GroupKeeper.h
+++ b/celeryswitch/State/GroupKeeper.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celeryswitch/Consensus/Replica.h"
+#include "celeryswitch/Core/EnumNames.h"
 #include <map>
 #include <optional>
 
@@ -17,15 +18,26 @@
     Core::Duration restartLimit = std::chrono::seconds(5);
     /// Replicas that may be lost at once; 0 if unknown.
     std::uint32_t toleratedLosses = 0;
-    /// Age up to which an announcement counts.
+    /// Age up to which an announcement or a departure counts.
     Core::Duration announcementAge = std::chrono::milliseconds(1500);
 };
 
+/// What a departing replica is told.
+enum class DepartureVerdict : std::uint8_t {
+    /// The group is about to change; the replica should ask again.
+    Undecided,
+    /// The replica is out of the group.
+    Removed,
+    /// The group needs its vote and keeps it.
+    Kept,
+};
+
 /// Decides at the leader how the group follows its replicas: one that announces itself is added, one that lost its disk
-/// takes the place of its earlier identity at the same address, and a silent one is removed when the group does without
-/// it as well as with it.
+/// takes the place of its earlier identity at the same address, and one that is silent or departs is removed when the
+/// group does without it as well as with it.
 ///
-/// A silent voter may be gone or merely out of reach, so the group never shrinks below the size that the tolerated
+/// A replica that departs stays until its removal is committed, so that a majority of the others holds all that was
+/// confirmed with its help. A silent voter may be gone or merely out of reach, so the group never shrinks below the size that the tolerated
 /// losses require: entries that are confirmed later would otherwise be on too few disks. One change is made at a time,
 /// each after the previous one is committed; a replica that was removed and returns announces itself and is added
 /// again. Pure.
@@ -38,6 +50,10 @@
 
     /// A replica that is in no group, or does not hear a leader, has announced itself.
     void announced(Core::SteadyTime now, const Messages::ReplicaInfo& replica);
+    /// A replica is about to stop and waits for the group to do without it.
+    void departing(Core::SteadyTime now, const Messages::ReplicaId& replica);
+    /// Whether a departing replica may stop. `leader` leads and has committed an entry of its term.
+    DepartureVerdict departureVerdict(const Consensus::Replica& leader, const Messages::ReplicaId& replica) const;
     /// The next change of the group, if one is due. `leader` leads and has committed an entry of its term.
     std::optional<Consensus::Replace> decide(Core::SteadyTime now, const Consensus::Replica& leader);
 
@@ -54,12 +70,16 @@
         Core::SteadyTime now, const Consensus::Replica& leader, const Messages::ReplicaInfo& replica);
     // The voter that has been silent for the longest time, if it is beyond its limit.
     std::optional<Messages::ReplicaId> silentVoter(Core::SteadyTime now, const Consensus::Replica& leader) const;
+    // The departing voter that is removed next: the leader last. None while the others could not commit the removal.
+    std::optional<Messages::ReplicaId> departingVoter(Core::SteadyTime now, const Consensus::Replica& leader) const;
     // The voter whose place a candidate takes; empty when it is added to them.
     Messages::ReplicaId placeOf(
         Core::SteadyTime now, const Messages::ReplicaInfo& candidate, const Consensus::Replica& leader) const;
 
     // Newest announcement by id.
     std::map<Messages::ReplicaId, Announced> known;
+    // Times of the latest departures by id.
+    std::map<Messages::ReplicaId, Core::SteadyTime> departures;
     GroupKeeperSettings settings;
     /// Term in which this replica led at the last decision, and the time of the first decision in it.
     Consensus::Term term = 0;
@@ -67,3 +87,16 @@
 };
 
 }
+
+namespace celeryswitch::Core {
+
+template <> struct EnumTable<State::DepartureVerdict> {
+    static constexpr std::string_view type = "DepartureVerdict";
+    static constexpr std::array<std::pair<State::DepartureVerdict, std::string_view>, 3> names { {
+        { State::DepartureVerdict::Undecided, "undecided" },
+        { State::DepartureVerdict::Removed, "removed" },
+        { State::DepartureVerdict::Kept, "kept" },
+    } };
+};
+
+}
--- a/celeryswitch/State/StateCore.cpp
+++ b/celeryswitch/State/StateCore.cpp
@@ -49,6 +49,8 @@
     Core::SteadyTime due = this->consensus.nextWakeUp();
     for (const Watcher& watcher : this->watchers)
         due = std::min(due, watcher.due);
+    if (this->departing && this->departure == DepartureVerdict::Undecided)
+        due = std::min(due, this->nextDepartureRequest);
     return due;
 }
 
@@ -68,31 +70,8 @@
 void StateCore::handle(Consensus::Tick& input)
 {
     this->stepReplica(input);
-    if (!this->consensus.isLeaderReady())
-        return;
-    if (const std::optional<Consensus::Replace> change = this->keeper.decide(this->now, this->consensus))
-        this->stepReplica(*change);
-}
-
-void StateCore::handle(Messages::ReplicaAnnouncement& input)
-{
-    if (this->isLeading) {
-        this->keeper.announced(this->now, input.replica);
-        return;
-    }
-    // The sender may know only replicas that don't lead.
-    if (!std::exchange(input.isReplyWanted, false))
-        return;
-    for (const Messages::ReplicaInfo& voter : this->consensus.log().group().voters) {
-        if (voter.address == this->consensus.leaderAddress() && voter.id != this->consensus.id())
-            this->output.messages.push_back({ voter, input });
-    }
-}
-
-bool StateCore::isWithoutLeader(Core::SteadyTime time) const
-{
-    return !this->consensus.log().group().hasVoter(this->consensus.id())
-        || time - this->consensus.lastContactTime() > this->settings.replica.electionTimeoutMaximum;
+    this->continueDeparture();
+    this->keepGroup();
 }
 
 std::vector<ClientReply> StateCore::refuseWaiting()
--- a/celeryswitch/State/StateCore.h
+++ b/celeryswitch/State/StateCore.h
@@ -41,9 +41,12 @@
     Messages::StateReply reply;
 };
 
+/// This replica is about to stop.
+struct Depart {};
+
 /// Everything that a state core reacts to.
 using StateInput = std::variant<Consensus::Tick, ClientRequest, ClientGone, Consensus::MessageReceived,
-    Consensus::StorageSynced, Consensus::StorageFailed, Messages::ReplicaAnnouncement>;
+    Consensus::StorageSynced, Consensus::StorageFailed, Messages::ReplicaAnnouncement, Depart>;
 
 /// What a step asks for.
 struct StateOutput {
@@ -70,6 +73,10 @@
     std::uint64_t appliedIndex() const { return this->applied; }
     /// Whether this replica is not in the group, as far as it knows, or has not heard a leader for an election timeout.
     bool isWithoutLeader(Core::SteadyTime time) const;
+    /// Whether this replica has been told to stop, by Depart.
+    bool isDeparting() const { return this->departing; }
+    /// What the group answered to the departure of this replica; it may stop once that is decided.
+    DepartureVerdict departureVerdict() const { return this->departure; }
     /// Refuses every request that waits, because this core ends; all are safe to send to another replica.
     std::vector<ClientReply> refuseWaiting();
     /// Status as JSON.
@@ -103,6 +110,8 @@
     void handle(ClientGone& input);
     void handle(Consensus::Tick& input);
     void handle(Messages::ReplicaAnnouncement& input);
+    void handle(Consensus::MessageReceived& input);
+    void handle(Depart& input);
     template <typename Event> void handle(Event& event) { this->stepReplica(std::move(event)); }
 
     void request(std::uint64_t token, const Messages::WatchView& body) { this->addWatcher(token, body, false); }
@@ -139,6 +148,10 @@
     Messages::LeaseGrant confirmLeases(const Core::InstanceId& owner, Core::Incarnation incarnation);
 
     void propose(std::uint64_t token, const StateCommand& command, std::optional<Membership::GrantPartitions> grant);
+    // Changes the group if that is due.
+    void keepGroup();
+    // Asks for the departure of this replica, or decides on it as the leader.
+    void continueDeparture();
     void stepReplica(Consensus::ReplicaEvent event);
     void carryOut(Consensus::ReplicaActions actions);
     void apply(const Messages::LogEntry& entry);
@@ -157,6 +170,10 @@
     Consensus::Replica consensus;
     Membership::LeaseTracker leases;
     GroupKeeper keeper;
+    bool departing = false;
+    DepartureVerdict departure = DepartureVerdict::Undecided;
+    /// When the leader is asked for the departure again.
+    Core::SteadyTime nextDepartureRequest;
     std::uint64_t applied = 0;
     /// Bytes of the records applied since the last snapshot.
     std::uint64_t appliedBytes = 0;
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -107,6 +107,15 @@
         }
     }
 
+    void depart(std::function<void()> onDone)
+    {
+        {
+            const std::lock_guard<std::mutex> guard(this->departureMutex);
+            this->departure = { Core::BootClock::now() + this->settings.departureLimit, std::move(onDone) };
+        }
+        this->wakeup.notify();
+    }
+
     StateMetrics metrics() const
     {
         const SyncTimes times = this->storage.syncTimes();
@@ -192,7 +201,8 @@
             SteadyTime due = Core::BootClock::now() + announcementInterval;
             if (this->core) {
                 this->step(Consensus::Tick {});
-                if (this->settings.isGroupKept && this->core->isWithoutLeader(Core::BootClock::now()))
+                if (this->settings.isGroupKept && !this->core->isDeparting()
+                    && this->core->isWithoutLeader(Core::BootClock::now()))
                     this->announce();
             } else {
                 this->announce();
@@ -200,6 +210,7 @@
             this->inbound.drain([this](LinkEvent&& event) { this->take(std::move(event)); });
             this->storage.outcomes().drain([this](StorageOutcome&& outcome) { this->take(outcome); });
             this->pushBacklog();
+            this->followDeparture();
             this->publish();
             if (this->core)
                 due = std::min(due, this->core->nextWakeUp());
@@ -207,6 +218,23 @@
         }
     }
 
+    // Begins the departure that was asked for, and ends it when the group has answered or the time is up.
+    void followDeparture()
+    {
+        std::unique_lock<std::mutex> guard(this->departureMutex);
+        if (!this->departure.onDone)
+            return;
+        if (this->core && !this->core->isDeparting())
+            this->step(Depart {});
+        const DepartureVerdict verdict = this->core ? this->core->departureVerdict() : DepartureVerdict::Removed;
+        if (verdict == DepartureVerdict::Undecided && Core::BootClock::now() < this->departure.until)
+            return;
+        const std::function<void()> onDone = std::exchange(this->departure.onDone, nullptr);
+        guard.unlock();
+        this->write("departure: " + std::string(Core::enumName(verdict)));
+        onDone();
+    }
+
     void take(LinkEvent event)
     {
         if (auto* message = std::get_if<Messages::ConsensusMessage>(&event)) {
@@ -368,6 +396,12 @@
     std::uint64_t storageOpenings = 0;
     std::uint64_t messagesSent = 0;
     SteadyTime nextAnnouncement;
+    struct Departure {
+        SteadyTime until;
+        std::function<void()> onDone;
+    };
+    std::mutex departureMutex;
+    Departure departure;
     mutable std::mutex metricsMutex;
     StateMetrics published;
     std::atomic<bool> isStopping { false };
@@ -436,6 +470,8 @@
 
 StateProcess::~StateProcess() = default;
 
+void StateProcess::depart(std::function<void()> onDone) { this->implementation->depart(std::move(onDone)); }
+
 void StateProcess::stop() { this->implementation->stop(); }
 
 const std::string& StateProcess::peerAddress() const { return this->implementation->address(); }
--- a/celeryswitch/State/StateProcess.h
+++ b/celeryswitch/State/StateProcess.h
@@ -67,6 +67,9 @@
     StateProcess(const StateProcess&) = delete;
     StateProcess& operator=(const StateProcess&) = delete;
 
+    /// Asks the group to do without this replica, for at most `departureLimit` of the settings, and goes on meanwhile.
+    /// Calls `onDone` once, on another thread, when this replica may stop. Called at most once.
+    void depart(std::function<void()> onDone);
     /// Ends the threads; what is not synced is lost, and nothing of it was confirmed.
     void stop();
     /// Bound address of the frame listener.
--- a/celeryswitch/State/StateSettings.h
+++ b/celeryswitch/State/StateSettings.h
@@ -33,6 +33,8 @@
     /// Replicas that may be lost at once; 0 if unknown. Silent voters are removed from a kept group of more than
     /// 2 * toleratedLosses + 1.
     std::uint32_t toleratedLosses = 0;
+    /// Longest time for which a replica that departs waits for the group to do without it.
+    Core::Duration departureLimit = std::chrono::seconds(3);
     Network::AuthenticationKeys authenticationKeys;
     Http::ProcessAllowance allowance;
     /// Applied records after which a snapshot shortens the log; 1 or more.
