Notice a lost leader as soon as its successor has been added

Seen: one of three core machines, the leader, is gone for good, and its successor has had the four seconds in which it is to catch up. A disk that is lost then leaves two of four voters: no leader is ever elected. A new leader waits 5 s instead of 2.5 s for voters that have not answered it, as all may be starting again, and the lost leader is one of these. Change: the longer wait holds only while no replica at an address of its own was added under that leader. Nothing else indicates a restart of all then, and a late voter that is removed from a group with a spare one joins again. "replicas that start again after different times stay in the group" is as before.

--- a/UnitTests/State/DepartureTest.cpp
+++ b/UnitTests/State/DepartureTest.cpp
@@ -237,3 +237,41 @@
         REQUIRE(model.violation() == "");
     }
 }
+
+// Guards against a voter that is gone for good and still counts when its successor has had its time to catch up,
+// because it led: its silence was awaited for longer under the next leader.
+TEST_CASE("a lost leader stops counting while its successor catches up", "[State][keeper]")
+{
+    for (const std::size_t size : { 3U, 5U }) {
+        const Core::Duration catchUpTime = size == 3 ? 4s : 6s;
+        const std::size_t losses = size / 2;
+        for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+            INFO("size " << size << ", seed " << seed);
+            GroupModel model(modelSettings(size, seed));
+            Machines machines = startGroup(model, size);
+            model.run(std::chrono::milliseconds(model.random(3000)));
+            REQUIRE(model.put());
+            Machines gone { model.leader() };
+            for (const std::string& address : machines) {
+                if (gone.size() < losses && address != gone.front())
+                    gone.push_back(address);
+            }
+            for (const std::string& address : gone) {
+                std::erase(machines, address);
+                model.loseDisk(address);
+            }
+            model.run(1s);
+            for (std::size_t index = 0; index < losses; ++index) {
+                machines.push_back(addressOf(100 + static_cast<int>(index)));
+                model.setSeeds({ machines[0], machines[1], machines.back() });
+                model.start(machines.back(), false);
+            }
+            model.run(catchUpTime);
+            REQUIRE(model.put());
+            Machines lost;
+            for (std::size_t index = 0; index < losses; ++index)
+                lost.push_back(machines[(seed + index) % size]);
+            checkFinalFault(model, machines, lost);
+        }
+    }
+}
--- a/celeryswitch/State/GroupKeeper.cpp
+++ b/celeryswitch/State/GroupKeeper.cpp
@@ -60,6 +60,7 @@
     if (this->term != leader.term()) {
         this->term = leader.term();
         this->termBegin = now;
+        this->hasSuccessor = false;
     }
     const ReplicaGroup& group = leader.log().group();
     // A learner that left before it had caught up must not hold up the next change.
@@ -76,8 +77,11 @@
         if (!group.hasVoter(id) && !group.hasLearner(id))
             candidates.push_back(announced.replica);
     }
-    for (const ReplicaInfo& candidate : candidates)
-        return Replace { 0, this->placeOf(now, candidate, leader), candidate };
+    if (!candidates.empty()) {
+        const Messages::ReplicaId place = this->placeOf(now, candidates.front(), leader);
+        this->hasSuccessor = this->hasSuccessor || place.empty();
+        return Replace { 0, place, candidates.front() };
+    }
     for (const ReplicaInfo& voter : group.voters) {
         const Core::Duration voterSilence = silence(now, leader, voter);
         for (const ReplicaInfo& other : group.voters) {
@@ -115,8 +119,8 @@
     Core::Duration longest = Core::Duration::zero();
     for (const ReplicaInfo& voter : leader.log().group().voters) {
         const Core::Duration voterSilence = silence(now, leader, voter);
-        const bool hasAnswered = voterSilence < now - this->termBegin;
-        if (voterSilence <= (hasAnswered ? this->settings.silenceLimit : this->settings.restartLimit)
+        const bool isRestarting = voterSilence >= now - this->termBegin && !this->hasSuccessor;
+        if (voterSilence <= (isRestarting ? this->settings.restartLimit : this->settings.silenceLimit)
             || voterSilence <= longest)
             continue;
         longest = voterSilence;
--- a/celeryswitch/State/GroupKeeper.h
+++ b/celeryswitch/State/GroupKeeper.h
@@ -13,8 +13,8 @@
     bool isEnabled = false;
     /// Time without an answer after which a replica counts as silent.
     Core::Duration silenceLimit = std::chrono::milliseconds(2500);
-    /// The same for a replica that has not answered since this leader began. It is longer because all replicas may be
-    /// starting again, each after a different time.
+    /// The same for a replica that has not answered since this leader began, while no replica has been added. It is
+    /// longer because all replicas may be starting again, each after a different time.
     Core::Duration restartLimit = std::chrono::seconds(5);
     /// Replicas that may be lost at once; 0 if unknown.
     std::uint32_t toleratedLosses = 0;
@@ -37,10 +37,10 @@
 /// group does without it as well as with it.
 ///
 /// A replica that departs stays until its removal is committed, so that a majority of the others holds all that was
-/// confirmed with its help. A silent voter may be gone or merely out of reach, so the group never shrinks below the size that the tolerated
-/// losses require: entries that are confirmed later would otherwise be on too few disks. One change is made at a time,
-/// each after the previous one is committed; a replica that was removed and returns announces itself and is added
-/// again. Pure.
+/// confirmed with its help. A silent voter may be gone or merely out of reach, so the group never shrinks below the
+/// size that the tolerated losses require: entries that are confirmed later would otherwise be on too few disks. One
+/// change is made at a time, each after the previous one is committed; a replica that was removed and returns announces
+/// itself and is added again. Pure.
 class GroupKeeper {
 public:
     explicit GroupKeeper(GroupKeeperSettings settings)
@@ -84,6 +84,8 @@
     /// Term in which this replica led at the last decision, and the time of the first decision in it.
     Consensus::Term term = 0;
     Core::SteadyTime termBegin;
+    /// Whether a replica at an address of its own was added in that term, probably in the place of one that is gone.
+    bool hasSuccessor = false;
 };
 
 }
