Test departures on running state replicas

Cause: the model of the group has no threads and no processes; the departure crosses three threads. Change: a case of [threads], which the thread sanitizer runs as well. Result: with a departure that ends at once (a trial) the case fails in both sections (four voters instead of three, and no change is confirmed after one more loss); it passes with the product's code.

--- a/UnitTests/State/SelfKeptGroupTest.cpp
+++ b/UnitTests/State/SelfKeptGroupTest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
+#include <future>
 
 using namespace celeryswitch;
 using namespace celeryswitch::State;
@@ -49,6 +50,18 @@
         this->replicas[address] = std::move(started).value();
         this->addresses[address] = address;
     }
+    // Stops a replica in order; returns whether it was told to stop within a time.
+    bool depart(const std::string& address, Core::Duration limit)
+    {
+        std::promise<void> done;
+        std::future<void> isDone = done.get_future();
+        this->replicas.at(address)->depart([&done] { done.set_value(); });
+        const bool isInTime = isDone.wait_for(limit) == std::future_status::ready;
+        // Without a call it would use the promise later.
+        isDone.wait();
+        this->end(address);
+        return isInTime;
+    }
     void end(const std::string& address)
     {
         this->replicas.erase(address);
@@ -253,3 +266,32 @@
     REQUIRE(group.put(9));
     REQUIRE(group.version() == 9);
 }
+
+// Guards against a replica that stops in order and counts on, so that losses right afterwards stop the group, and
+// against one that leaves a group which needs its vote (review case 6).
+TEST_CASE("a replica that departs from a group with a spare vote does not count any more", "[State][threads]")
+{
+    SelfKeptGroup group(3);
+    const std::string added = StateGroup::freeAddress();
+    group.run(added, false);
+    REQUIRE(StateGroup::waitUntil([&] { return group.voters().size() == 4; }));
+    REQUIRE(group.put(1));
+    std::string departing;
+    SECTION("the leader") { departing = group.waitForLeader(); }
+    SECTION("another one")
+    {
+        const std::string leader = group.waitForLeader();
+        departing = group.seeds[0] == leader ? group.seeds[1] : group.seeds[0];
+    }
+    // Longer than the wait for an answer that does not come.
+    CHECK(group.depart(departing, std::chrono::seconds(10)));
+    group.waitForLeader();
+    CHECK(group.voters().size() == 3);
+    // One of three is lost at once.
+    group.end(group.seeds[2] == departing ? group.seeds[1] : group.seeds[2]);
+    REQUIRE(group.put(2));
+    const std::vector<std::string> voters = group.voters();
+    REQUIRE(voters.size() == 3);
+    // The two that are left are needed.
+    CHECK(group.depart(group.replicas.begin()->first, std::chrono::seconds(10)));
+}
