Let state replicas follow changed seeds

Seen: a state replica that waits to be added asks only the seeds of its start. When these are gone and the platform writes others into its settings file, it waits for ever. Entries and sidecars replace the addresses of the replicas when the settings change; the state role ignored the change. Change: StateProcess::setKnownReplicas, called with each changed settings file. Test: "a replica that waits to be added follows its changed seeds" fails with the new addresses ignored (a trial) and passes.

--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -280,7 +280,9 @@
                 });
             });
         },
-        [](const Platform::BootFile&) {});
+        [&state](const Platform::BootFile& changed) {
+            state.value()->setKnownReplicas(Platform::stateSettings(changed).initialReplicas);
+        });
     return ExitCode::Ok;
 }
 
--- a/UnitTests/State/SelfKeptGroupTest.cpp
+++ b/UnitTests/State/SelfKeptGroupTest.cpp
@@ -295,3 +295,17 @@
     // The two that are left are needed.
     CHECK(group.depart(group.replicas.begin()->first, std::chrono::seconds(10)));
 }
+
+// Guards against a replica that knows only the seeds of its start, which are gone, and waits for ever.
+TEST_CASE("a replica that waits to be added follows its changed seeds", "[State][threads]")
+{
+    SelfKeptGroup group(3);
+    REQUIRE(group.put(1));
+    const std::vector<std::string> seeds = std::exchange(group.seeds, { StateGroup::freeAddress() });
+    const std::string waiting = StateGroup::freeAddress();
+    group.run(waiting, false);
+    group.seeds = seeds;
+    CHECK(group.voters().size() == 3);
+    group.replicas.at(waiting)->setKnownReplicas({ { seeds[0], seeds[0] }, { seeds[1], seeds[1] } });
+    CHECK(StateGroup::waitUntil([&] { return group.voters().size() == 4; }));
+}
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -72,6 +72,7 @@
         BOOST_OUTCOME_TRY(this->boundAddress, this->links.listen(this->settings.peerAddress));
         if (this->settings.initialReplicas.empty())
             this->settings.initialReplicas[this->settings.replicaName] = this->boundAddress;
+        this->knownReplicas = this->settings.initialReplicas;
         if (this->folder.isFormed() || this->hasData()) {
             this->begin();
         } else {
@@ -107,10 +108,16 @@
         }
     }
 
+    void setKnownReplicas(std::map<std::string, std::string> addresses)
+    {
+        const std::lock_guard<std::mutex> guard(this->ordersMutex);
+        this->knownReplicas = std::move(addresses);
+    }
+
     void depart(std::function<void()> onDone)
     {
         {
-            const std::lock_guard<std::mutex> guard(this->departureMutex);
+            const std::lock_guard<std::mutex> guard(this->ordersMutex);
             this->departure = { Core::BootClock::now() + this->settings.departureLimit, std::move(onDone) };
         }
         this->wakeup.notify();
@@ -221,7 +228,7 @@
     // Begins the departure that was asked for, and ends it when the group has answered or the time is up.
     void followDeparture()
     {
-        std::unique_lock<std::mutex> guard(this->departureMutex);
+        std::unique_lock<std::mutex> guard(this->ordersMutex);
         if (!this->departure.onDone)
             return;
         if (this->core && !this->core->isDeparting())
@@ -320,7 +327,11 @@
         if (now < this->nextAnnouncement)
             return;
         this->nextAnnouncement = now + announcementInterval;
-        std::map<std::string, std::string> addresses = this->settings.initialReplicas;
+        std::map<std::string, std::string> addresses;
+        {
+            const std::lock_guard<std::mutex> guard(this->ordersMutex);
+            addresses = this->knownReplicas;
+        }
         if (this->core) {
             for (const Messages::ReplicaInfo& voter : this->core->replica().log().group().voters)
                 addresses.emplace(voter.address, voter.address);
@@ -400,8 +411,10 @@
         SteadyTime until;
         std::function<void()> onDone;
     };
-    std::mutex departureMutex;
+    /// Guards what other threads ask for.
+    std::mutex ordersMutex;
     Departure departure;
+    std::map<std::string, std::string> knownReplicas;
     mutable std::mutex metricsMutex;
     StateMetrics published;
     std::atomic<bool> isStopping { false };
@@ -470,6 +483,11 @@
 
 StateProcess::~StateProcess() = default;
 
+void StateProcess::setKnownReplicas(std::map<std::string, std::string> addresses)
+{
+    this->implementation->setKnownReplicas(std::move(addresses));
+}
+
 void StateProcess::depart(std::function<void()> onDone) { this->implementation->depart(std::move(onDone)); }
 
 void StateProcess::stop() { this->implementation->stop(); }
--- a/celeryswitch/State/StateProcess.h
+++ b/celeryswitch/State/StateProcess.h
@@ -7,6 +7,7 @@
 #include "celeryswitch/State/StateSettings.h"
 #include "celeryswitch/Storage/FileSystem.h"
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -67,6 +68,8 @@
     StateProcess(const StateProcess&) = delete;
     StateProcess& operator=(const StateProcess&) = delete;
 
+    /// Replaces the replicas, by name, that are asked for the group while this one is in none.
+    void setKnownReplicas(std::map<std::string, std::string> addresses);
     /// Asks the group to do without this replica, for at most `departureLimit` of the settings, and goes on meanwhile.
     /// Calls `onDone` once, on another thread, when this replica may stop. Called at most once.
     void depart(std::function<void()> onDone);
