Forget an earlier incarnation's load with its profile

Seen: an entry lost its connection to a sidecar whose worker drained. When it connects again and knows from the members that another incarnation runs there, it tells the sidecar that this one drains. A sidecar that was restarted meanwhile adopts that, and as draining is never revoked, the worker gets no work for its whole life. The entry took over the profile of the new incarnation and kept what was reported of the earlier one: draining, pace, failures. Change: the load is reset with the profile; the first update on the connection states it anew. Test: "a sidecar is not told that a worker drains whose earlier incarnation did" failed before and passes.

--- a/UnitTests/Scheduling/JobSchedulerOrdersTest.cpp
+++ b/UnitTests/Scheduling/JobSchedulerOrdersTest.cpp
@@ -73,3 +73,26 @@
     REQUIRE(fixture.stops.size() == 1);
     REQUIRE(fixture.stops.front().second.tasks.front() == fixture.orderedTask(100, 0));
 }
+
+// Guards against a worker that gets no work for its whole life, because its sidecar was restarted and learned from an
+// entry that an earlier incarnation of the worker had drained.
+TEST_CASE("a sidecar is not told that a worker drains whose earlier incarnation did", "[Scheduling]")
+{
+    SchedulerFixture fixture(1);
+    const auto reconnect = [&](std::int64_t bornAt) {
+        fixture.knownWorkers.clear();
+        fixture.scheduler.sidecarDisconnected("side-1");
+        Messages::Member member;
+        member.identity.instanceId = "side-1";
+        member.worker = { "w-side-1", bornAt, "loans", { 32'000, 65'536, 0 }, {} };
+        fixture.scheduler.sidecarConnected(fixture.now(), member);
+        fixture.pollScheduler();
+        REQUIRE(fixture.knownWorkers.size() == 1);
+        CHECK(fixture.knownWorkers[0].second.profile.bornAt == bornAt);
+        return fixture.knownWorkers[0].second.isDraining;
+    };
+    fixture.load.isDraining = true;
+    fixture.update("side-1", { 32'000, 65'536, 0 });
+    CHECK(reconnect(1));
+    CHECK_FALSE(reconnect(2));
+}
--- a/UnitTests/Scheduling/SchedulerFixture.h
+++ b/UnitTests/Scheduling/SchedulerFixture.h
@@ -144,6 +144,8 @@
                     this->stops.emplace_back(send->sidecar, *stop);
                 else if (auto* claim = std::get_if<Messages::ClaimRuns>(&send->message))
                     this->claims.emplace_back(send->sidecar, *claim);
+                else if (auto* known = std::get_if<Messages::KnownWorker>(&send->message))
+                    this->knownWorkers.emplace_back(send->sidecar, *known);
             } else {
                 const auto& answer = std::get<AnswerRequest>(action);
                 REQUIRE(this->answers.count(answer.request) == 0);
@@ -193,6 +195,7 @@
     std::vector<std::pair<std::string, Messages::ReleaseRoom>> releases;
     std::vector<std::pair<std::string, Messages::StopRuns>> stops;
     std::vector<std::pair<std::string, Messages::ClaimRuns>> claims;
+    std::vector<std::pair<std::string, Messages::KnownWorker>> knownWorkers;
     // Clock samples that messages returned, by the sidecar, in order.
     std::map<std::string, std::vector<std::int64_t>> echoes;
     // Whether the callers' connections are checked whenever that is due.
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -36,8 +36,11 @@
     WorkerView& worker = this->workerTable[sidecar];
     worker.sidecar = sidecar;
     worker.dataCentre = member.identity.dataCentre;
-    if (worker.profile.workerId.empty() || worker.profile.bornAt < member.worker.bornAt)
+    if (worker.profile.workerId.empty() || worker.profile.bornAt < member.worker.bornAt) {
+        // Pace, failures and draining are those of one incarnation.
         worker.profile = member.worker;
+        worker.load = {};
+    }
     worker.isConnected = true;
     worker.isLinked = this->linked.count(sidecar) > 0;
     worker.isEvacuated = this->evacuatedDataCentres.count(worker.dataCentre) > 0;
