Let simulated workers return as another kind

Change: with areKindsDrawn each incarnation gets a label and a capacity drawn anew, does not guard its capacity, and announces itself at once or later; the checks look at the label and the capacity of each start. A start is only sent to the incarnation that it names, as by WorkerClient; this holds for all simulated fleets.

--- a/celeryswitch/Experiment/LeasedFaults.h
+++ b/celeryswitch/Experiment/LeasedFaults.h
@@ -31,6 +31,9 @@
     /// Time between the begin of a run and the worker's answer to its start, in seconds; a worker that restarts
     /// meanwhile never answers.
     double startAnswerSeconds = 0;
+    /// Whether each incarnation of a worker is of a kind drawn anew, with its label and capacity, does not guard its
+    /// capacity, and announces itself for the first time at once or up to an announcement interval after its start.
+    bool areKindsDrawn = false;
     /// Whether a worker's start time is the time of day, as on the platform, and not the number of its incarnation.
     bool isStartTimeOfDay = false;
     /// Announcements and deregistrations of other workers or of earlier incarnations that reach a sidecar.
@@ -86,6 +89,10 @@
     bool isSuspensionCounted = true;
     /// Incarnations of a worker under the same id state different start times.
     bool areIncarnationsDistinct = true;
+    /// A sidecar starts runs on no other incarnation of the worker than the one that the entry chose.
+    bool areOrdersCompared = true;
+    /// A start is only sent on a connection that leads to the incarnation of the worker that it names.
+    bool areConnectionsIdentified = true;
 };
 
 }
--- a/celeryswitch/Experiment/LeasedFleet.cpp
+++ b/celeryswitch/Experiment/LeasedFleet.cpp
@@ -186,13 +186,26 @@
             if (this->links[{ index, worker }].connectionId != number)
                 return;
             Sidecar& sidecar = *this->sidecars[worker];
-            this->runWhenAwake(sidecar, [this, worker, number, message] {
+            this->runWhenAwake(sidecar, [this, worker, number, message = message]() mutable {
+                if (!this->options.mechanisms.areOrdersCompared)
+                    this->nameKnownIncarnation(worker, message);
                 this->sidecars[worker]->supervisor->messageReceived(this->events.now(), number, message);
                 this->pollSidecar(worker);
             });
         });
 }
 
+void LeasedFleet::nameKnownIncarnation(std::size_t worker, Messages::WorkMessage& message) const
+{
+    const std::optional<Messages::WorkerProfile> profile = this->sidecars[worker]->supervisor->workerProfile();
+    if (!profile)
+        return;
+    if (auto* start = std::get_if<Messages::StartRuns>(&message))
+        start->bornAt = profile->bornAt;
+    else if (auto* reserved = std::get_if<Messages::StartReserved>(&message))
+        reserved->start.bornAt = profile->bornAt;
+}
+
 void LeasedFleet::pollEntry(std::size_t index)
 {
     Entry& entry = *this->entries[index];
--- a/celeryswitch/Experiment/LeasedFleet.h
+++ b/celeryswitch/Experiment/LeasedFleet.h
@@ -46,6 +46,8 @@
     LeasedPeriod flood;
     /// Rack that holds the data of the jobs; empty when they prefer none.
     std::string dataRack;
+    /// Label that the workers of the jobs have to carry; empty for any worker.
+    std::string requiredLabel;
 };
 
 /// Size and speed of a worker.
@@ -55,6 +57,10 @@
     double speed = 1;
 };
 
+/// Labels of the kinds of workers that LeasedFaults::areKindsDrawn draws: a large one and a small one.
+constexpr std::string_view largeKindLabel = "large";
+constexpr std::string_view smallKindLabel = "small";
+
 /// Options of one simulation run.
 struct LeasedOptions {
     std::vector<LeasedJobKind> kinds;
@@ -226,6 +232,8 @@
     void checkCallers(Entry& entry);
     void pollEntry(std::size_t index);
     void carryOut(std::size_t index, Scheduling::SchedulerAction action);
+    // Lets an order name the incarnation of the worker that its sidecar knows.
+    void nameKnownIncarnation(std::size_t worker, Messages::WorkMessage& message) const;
     bool hasProcessor() const { return this->options.processor.share > 0; }
     // Handles an input of an entry, after those before if they take time.
     void receiveInput(std::size_t index, EntryInput input);
@@ -276,6 +284,7 @@
     RunPlan planRun(std::size_t worker, const Messages::TaskId& task, std::uint32_t run);
     void checkInvariants(LeasedResult& result) const;
     void checkRunsOfTask(std::vector<const RunRecord*> runs, LeasedResult& result) const;
+    void checkPlaceOfRun(const RunRecord& run, LeasedResult& result) const;
 
     LeasedOptions options;
     pcg64 random;
--- a/celeryswitch/Experiment/LeasedFleetCallers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetCallers.cpp
@@ -78,6 +78,7 @@
     step.need = { static_cast<std::int64_t>(this->lognormal(description.milliCores, 0.2)), 64, 0 };
     step.declaredMilliseconds = static_cast<std::uint32_t>(std::max(1.0, this->lognormal(longest, 0.4) * 1000));
     step.dataRack = description.dataRack;
+    step.requiredLabel = description.requiredLabel;
     job.specification = { id, "content", { step }, true, 0, 0, 0 };
     const double relativeWork = longest * tasks * static_cast<double>(step.need.milliCores)
         / (description.meanSeconds * description.meanTasks * description.milliCores);
--- a/celeryswitch/Experiment/LeasedFleetChecks.cpp
+++ b/celeryswitch/Experiment/LeasedFleetChecks.cpp
@@ -41,6 +41,15 @@
     }
 }
 
+void LeasedFleet::checkPlaceOfRun(const RunRecord& run, LeasedResult& result) const
+{
+    const std::string& label = this->jobs.at(run.task.job.number).specification.steps.front().requiredLabel;
+    if (!label.empty() && std::find(run.labels.begin(), run.labels.end(), label) == run.labels.end())
+        result.violations.push_back("a task ran on a worker without the label " + label + ": " + describe(run));
+    if (run.isBeyondCapacity)
+        result.violations.push_back("a start brought a worker over its capacity: " + describe(run));
+}
+
 void LeasedFleet::checkInvariants(LeasedResult& result) const
 {
     std::map<Messages::TaskId, std::vector<const RunRecord*>> byTask;
@@ -51,6 +60,7 @@
     for (const auto& [task, runs] : byTask) {
         started.insert(task.job.number);
         for (const RunRecord* run : runs) {
+            this->checkPlaceOfRun(*run, result);
             if (run->end == Messages::RunEnd::Done)
                 done[task.job.number].insert(task.index);
         }
--- a/celeryswitch/Experiment/LeasedFleetWorkers.cpp
+++ b/celeryswitch/Experiment/LeasedFleetWorkers.cpp
@@ -12,6 +12,8 @@
 
 constexpr Duration callDelay = std::chrono::microseconds(200);
 constexpr Duration announcementInterval = std::chrono::milliseconds(1500);
+// Capacity of a large worker / that of a small one.
+constexpr std::int64_t smallKindDivisor = 4;
 // Time after which a worker ends although nobody confirmed its deregistration.
 constexpr Duration unconfirmedDepartureDelay = std::chrono::seconds(2);
 
@@ -33,13 +35,29 @@
         = { classes.empty() ? this->options.workerMilliCores : classes[index % classes.size()].milliCores, 262'144, 0 };
     if (this->options.racks > 0)
         settings.labels = { this->rackOf(index) };
+    Duration silence {};
+    if (this->options.faults.areKindsDrawn) {
+        const bool isLarge = this->uniform() < 0.5;
+        settings.labels.emplace_back(isLarge ? largeKindLabel : smallKindLabel);
+        if (!isLarge)
+            settings.capacity.milliCores /= smallKindDivisor;
+        settings.hasAdmissionControl = false;
+        // Every second one announces itself at once.
+        silence = seconds((2 * this->uniform() - 1) * std::chrono::duration<double>(announcementInterval).count());
+    }
     settings.clockRate = 0.98 + 0.02 * this->uniform();
     sidecar.worker = std::make_unique<LeasedWorkerModel>(
         settings,
         [this, index](const Messages::TaskId& task, std::uint32_t run) { return this->planRun(index, task, run); },
         this->events.now());
     sidecar.nextWorkerAdvanceAt = SteadyTime::max();
-    this->announce(index);
+    if (silence <= Duration::zero())
+        this->announce(index);
+    else
+        this->events.scheduleAfter(silence, [this, index, incarnation] {
+            if (this->sidecars[index]->workerIncarnation == incarnation)
+                this->announce(index);
+        });
 }
 
 void LeasedFleet::crashWorker(std::size_t index)
@@ -173,6 +191,17 @@
             this->pollSidecar(index);
         });
     });
+    if (const auto* start = std::get_if<Workers::StartCall>(&order.call); start
+        && this->options.mechanisms.areConnectionsIdentified && sidecar.worker->isAlive()
+        && start->workerStartedAt != sidecar.worker->settings().bornAt) {
+        // As WorkerClient does: the connection broke with its incarnation, and a list of runs identifies the next one.
+        Workers::CallResult unsent;
+        unsent.status = Workers::CallStatus::NotIdentified;
+        unsent.workerStartedAt = sidecar.worker->settings().bornAt;
+        this->events.scheduleAfter(
+            2 * callDelay, [this, index, ticket, unsent] { this->answerCall(index, ticket, unsent); });
+        return;
+    }
     auto* renewal = std::get_if<Workers::RenewLeaseCall>(&order.call);
     const LeasedFaults& faults = this->options.faults;
     const double lateOrders = std::holds_alternative<Workers::StopCall>(order.call)
--- a/celeryswitch/Experiment/LeasedWorkerModel.cpp
+++ b/celeryswitch/Experiment/LeasedWorkerModel.cpp
@@ -110,6 +110,8 @@
     record.startedAt = now;
     record.workerId = this->workerSettings.workerId;
     record.bornAt = this->workerSettings.bornAt;
+    record.labels = this->workerSettings.labels;
+    record.isBeyondCapacity = !plan.need.fits(this->workerSettings.capacity - this->usedRoom());
     this->runs.push_back(std::move(record));
     this->running[call.task] = { this->runs.size() - 1, plan,
         isStalled ? SteadyTime::max() : now + std::chrono::duration_cast<SteadyTime::duration>(plan.time) };
--- a/celeryswitch/Experiment/LeasedWorkerModel.h
+++ b/celeryswitch/Experiment/LeasedWorkerModel.h
@@ -44,6 +44,9 @@
     /// Worker and its incarnation.
     std::string workerId;
     std::int64_t bornAt = 0;
+    std::vector<std::string> labels;
+    /// Whether the start brought a worker without admission control over its capacity.
+    bool isBeyondCapacity = false;
 };
 
 /// Simulated worker that runs tasks under a lease and a fencing token, as a platform's workers do. Pure: the time is a
