Close inherited descriptors in started processes

Seen: a listener of the soak that was closed and opened again at its address failed with "address already in use" until the end of the run, and connections of the runner did not end when it closed them. Cause: processes that the runner starts inherit its sockets. Change: ChildProcess closes everything but the standard descriptors before the program begins.

--- a/celeryswitch/Scenario/ChildProcess.cpp
+++ b/celeryswitch/Scenario/ChildProcess.cpp
@@ -27,6 +27,8 @@
     setpgid(0, 0);
     dup2(output, STDOUT_FILENO);
     dup2(errors, STDERR_FILENO);
+    // An inherited socket would keep a connection or an address of the runner in use.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(arguments[0], arguments);
     _exit(127);
 }
