Replace replicas, change limits and change kinds in the soak

Cause: the soak replaced no state replica, changed no limit on open connections, and its workers returned as the same kind, stated their start in every answer and kept their connections when they crashed. Workers state their start in lists of runs only, and their connections end with them. The settings state the tolerated losses. The faults of the listed seeds are the same as before.

--- a/Soak/CrowdRun.cpp
+++ b/Soak/CrowdRun.cpp
@@ -141,7 +141,7 @@
     }
     const auto limit = now() + startLimit;
     const Http::HttpRequest put { "POST", "/v1/config/put", { { "Content-Type", "application/json" } },
-        writeDocument(1, 1, 1500) };
+        writeDocument(1, { 1 }) };
     while (now() < limit) {
         const auto response = Http::httpCall(this->fleet.controlAddress("state-1"), put, std::chrono::seconds(1));
         if (response && response.value().statusCode == 200 && this->isAnswered())
--- a/Soak/Main.cpp
+++ b/Soak/Main.cpp
@@ -26,6 +26,8 @@
   --states=N       State replicas [default: 3].
   --crowd=ROLE     Instead: a crowd of clients outside the limits against an entry, a sidecar or a state replica.
   --calm           No faults: the whole path on a calm day.
+  --changes        Planned changes beside the faults: state replicas are replaced, limits change on open connections, and
+                   workers return as another kind.
   --keep=FOLDER    Keeps settings, logs and data of each run that breaks a promise there.
 )";
 
@@ -94,6 +96,7 @@
     settings.size = { static_cast<std::uint32_t>(number("--states")), static_cast<std::uint32_t>(number("--entries")),
         static_cast<std::uint32_t>(number("--workers")) };
     settings.isCalm = arguments["--calm"].asBool();
+    settings.hasChanges = arguments["--changes"].asBool();
     bool isKept = true;
     const std::uint64_t first = number("--seed");
     for (std::uint64_t seed = first; seed < first + number("--seeds"); ++seed) {
--- a/Soak/SoakFaults.cpp
+++ b/Soak/SoakFaults.cpp
@@ -31,6 +31,7 @@
         for (const auto& worker : this->workers) {
             worker->setCut(false);
             worker->setLatePart(0);
+            worker->restoreKind();
         }
         return;
     }
@@ -144,21 +145,28 @@
         }
         return;
     default: {
-        const bool isWhole = std::none_of(states.begin(), states.end(), [this](const std::string& state) {
-            return this->harmed.count(state) > 0 || this->stoppedAt.count(state) > 0;
-        });
-        const auto now = Core::BootClock::now();
-        if (!isWhole || now < this->diskLostAt + diskPause)
-            return;
-        this->diskLostAt = now;
-        // The others stay untouched until the group has taken the new replica in.
-        const std::string lost = any(states);
-        this->restart(lost, milliseconds(300), "disk lost of", true);
-        for (const std::string& state : states) {
-            if (state != lost && this->harmed.insert(state).second)
-                this->later(std::chrono::seconds(4), [this, state] { this->harmed.erase(state); });
-        }
+        if (this->areStatesWhole() && Core::BootClock::now() >= this->diskLostAt + diskPause)
+            this->loseDisk(any(states));
+    }
     }
+}
+
+bool SoakRun::areStatesWhole() const
+{
+    const std::vector<std::string> states = this->fleet.processes("state");
+    return std::none_of(states.begin(), states.end(), [this](const std::string& state) {
+        return this->harmed.count(state) > 0 || this->stoppedAt.count(state) > 0 || this->replaced.count(state) > 0;
+    });
+}
+
+void SoakRun::loseDisk(const std::string& lost)
+{
+    this->diskLostAt = Core::BootClock::now();
+    this->restart(lost, milliseconds(300), "disk lost of", true);
+    // The others stay untouched until the group has taken the new replica in.
+    for (const std::string& state : this->fleet.processes("state")) {
+        if (state != lost && this->harmed.insert(state).second)
+            this->later(std::chrono::seconds(4), [this, state] { this->harmed.erase(state); });
     }
 }
 
@@ -167,7 +175,7 @@
     for (const char* role : { "state", "entry", "sidecar" }) {
         for (const std::string& process : this->fleet.processes(role)) {
             if (this->harmed.count(process) == 0 && this->stoppedAt.count(process) == 0
-                && !this->fleet.isRunning(process)) {
+                && this->replaced.count(process) == 0 && !this->fleet.isRunning(process)) {
                 this->violation(process + " ended by itself");
                 this->restart(process, milliseconds(100), "restart after its own end of");
             }
--- a/Soak/SoakFleet.cpp
+++ b/Soak/SoakFleet.cpp
@@ -18,17 +18,52 @@
 SoakFleet::SoakFleet(std::string program, std::string folder, std::string network, SoakSize size)
     : program(std::move(program))
     , root(std::move(folder))
+    , network(std::move(network))
+    , toleratedLosses((std::max(size.states, 1U) - 1) / 2)
 {
-    std::uint32_t next = 0;
-    const auto add = [&](const std::string& role, std::uint32_t count) {
+    const std::pair<const char*, std::uint32_t> roles[] { { "state", size.states }, { "entry", size.entries },
+        { "sidecar", size.workers } };
+    for (const auto& [role, count] : roles) {
         for (std::uint32_t number = 1; number <= count; ++number)
-            this->numbers[role + "-" + std::to_string(number)] = "127." + network + "." + std::to_string(++next);
-    };
-    add("state", size.states);
-    add("entry", size.entries);
-    add("sidecar", size.workers);
-    for (std::uint32_t number = 1; number <= std::min(size.states, 3U); ++number)
-        this->seeds.push_back(this->controlAddress("state-" + std::to_string(number)));
+            this->place(role);
+    }
+}
+
+std::string SoakFleet::place(const std::string& role)
+{
+    const std::string process = role + "-" + std::to_string(++this->lastNumbers[role]);
+    this->numbers[process] = "127." + this->network + "." + std::to_string(++this->lastAddress);
+    return process;
+}
+
+std::string SoakFleet::add(const std::string& role)
+{
+    const std::string process = this->place(role);
+    this->wasStarted[process] = true;
+    return process;
+}
+
+void SoakFleet::remove(const std::string& process)
+{
+    this->deleteData(process);
+    this->children.erase(process);
+    this->numbers.erase(process);
+}
+
+std::vector<std::string> SoakFleet::seeds() const
+{
+    std::vector<std::string> found;
+    for (const std::string& process : this->processes("state")) {
+        if (found.size() < 3)
+            found.push_back(this->controlAddress(process));
+    }
+    return found;
+}
+
+void SoakFleet::rewriteSettings() const
+{
+    for (const auto& [process, number] : this->numbers)
+        this->writeSettings(process);
 }
 
 std::string SoakFleet::address(const std::string& process, std::uint16_t port) const
@@ -52,7 +87,7 @@
     const std::string role = roleOf(process);
     const auto number = static_cast<std::size_t>(std::stoul(process.substr(process.find('-') + 1)));
     std::string seedList;
-    for (const std::string& seed : this->seeds)
+    for (const std::string& seed : this->seeds())
         seedList += (seedList.empty() ? "" : ", ") + quoted(seed);
     std::ofstream file(this->root + "/" + process + ".toml");
     file << "node = " << quoted(process) << "\nip = " << quoted(this->numbers.at(process))
@@ -67,7 +102,8 @@
              << "\nreadiness_address = " << quoted(this->readinessAddress(process)) << "\n";
     else
         file << "control = " << quoted(this->controlAddress(process)) << "\n";
-    file << this->limits << "[bounds]\nmax_hold_ms = 1000\nstop_timeout_ms = 50\nretransmit_ms = 1300\ngrace_s = 6\n";
+    file << this->limits << "[fault_tolerance]\nmachines = " << this->toleratedLosses
+         << "\n[bounds]\nmax_hold_ms = 1000\nstop_timeout_ms = 50\nretransmit_ms = 1300\ngrace_s = 6\n";
 }
 
 Core::Result<void> SoakFleet::start(const std::string& process)
--- a/Soak/SoakFleet.h
+++ b/Soak/SoakFleet.h
@@ -27,6 +27,13 @@
     void setWorkerAddress(std::uint32_t number, const std::string& address);
     /// Writes `[limits]` into the settings of every process; without it, the settings name none.
     void setLimits(std::size_t memoryMegabytes, std::size_t descriptors);
+    /// Adds a process of a role at an address of its own, which starts without the mark of the first start; returns its
+    /// name.
+    std::string add(const std::string& role);
+    /// Forgets a process that does not run, with its data.
+    void remove(const std::string& process);
+    /// Writes the settings of all processes again, with the present seeds.
+    void rewriteSettings() const;
     /// Starts a process, "state-1", "entry-1", "sidecar-1"; nothing happens while it runs.
     Core::Result<void> start(const std::string& process);
     /// Sends a signal to a process that runs.
@@ -52,16 +59,23 @@
     static constexpr std::uint16_t readinessPort = 18167;
     static constexpr std::uint16_t controlPort = 18166;
 
+    // Gives a new process of a role its name and address.
+    std::string place(const std::string& role);
     std::string address(const std::string& process, std::uint16_t port) const;
+    // Control addresses of the first state replicas that there are.
+    std::vector<std::string> seeds() const;
     void writeSettings(const std::string& process) const;
 
     std::string program;
     std::string root;
+    std::string network;
     /// IP number of each process.
     std::map<std::string, std::string> numbers;
     std::map<std::string, std::string> workerAddresses;
-    std::vector<std::string> seeds;
     std::string limits;
+    std::uint32_t toleratedLosses;
+    std::uint32_t lastAddress = 0;
+    std::map<std::string, std::uint32_t> lastNumbers;
     std::map<std::string, std::unique_ptr<Scenario::ChildProcess>> children;
     /// Processes that were started before.
     std::map<std::string, bool> wasStarted;
--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::uint32_t queueCount = 3;
 // One in this many jobs can only run on one worker while there are faults.
 constexpr std::uint64_t boundJobInterval = 4;
 constexpr std::chrono::milliseconds resendTime { 1300 };
@@ -45,6 +44,7 @@
     , random(this->settings.seed)
     , faultRandom(this->settings.seed + 1'000'000)
     , fleet(this->settings.program, this->settings.folder, this->settings.network, this->settings.size)
+    , changeRandom(this->settings.seed + 2'000'000)
 {
 }
 
@@ -79,6 +79,12 @@
     this->watchProcesses();
     if (!this->settings.isCalm)
         this->planFaults();
+    if (this->settings.hasChanges) {
+        for (const auto& worker : this->workers)
+            worker->setKindsDrawn(true);
+        this->planChanges();
+        this->planLimitChanges();
+    }
     this->context.run_for(this->settings.duration + recoveryTime + calmTime);
     this->isOver = true;
     this->context.run_for(settleTime);
@@ -162,6 +168,8 @@
     // A job that loses its only worker is refused rather than placed elsewhere.
     if (number % boundJobInterval == 0 && now() < this->startedAt + this->settings.duration)
         job.requiredLabel = SoakWorker::rackLabel(std::to_string(1 + number / boundJobInterval % this->workers.size()));
+    else if (this->settings.hasChanges && number % boundJobInterval == 1)
+        job.requiredLabel = SoakWorker::largeLabel;
     this->submit(number);
 }
 
@@ -272,7 +280,7 @@
     const auto call = std::make_shared<Http::HttpConnection>(
         this->context, this->fleet.controlAddress(states[this->pick(states.size())]));
     call->request({ "POST", "/v1/config/put", { { "Content-Type", "application/json" } },
-                      writeDocument(version, queueCount + static_cast<std::uint32_t>(version % 4), 1500) },
+                      writeDocument(version, this->contentOf(version)) },
         std::chrono::seconds(1), [this, version, attempt, call](const Core::Result<Http::HttpResponse>& response) {
             if (response && response.value().statusCode == 200)
                 this->confirmed = std::max(this->confirmed, version);
@@ -298,8 +306,7 @@
             if (version < least)
                 this->violation(state + " showed version " + std::to_string(version) + " after " + std::to_string(least)
                     + " was confirmed");
-            if (response.value().body
-                != writeDocument(version, queueCount + static_cast<std::uint32_t>(version % 4), 1500))
+            if (response.value().body != writeDocument(version, this->contentOf(version)))
                 this->violation(state + " showed another content under version " + std::to_string(version));
             if (isLast)
                 this->result.confirmedVersion = std::max(this->result.confirmedVersion, version);
@@ -323,6 +330,14 @@
         for (std::size_t index = 0; index < runs.size(); ++index) {
             if (runs[index].end == Messages::RunEnd::Done)
                 done[task.job.number].insert(task.index);
+            const std::string& label = this->jobs.at(task.job.number).requiredLabel;
+            const std::vector<std::string>& labels = runs[index].labels;
+            if (!label.empty() && std::find(labels.begin(), labels.end(), label) == labels.end())
+                this->result.violations.push_back("task " + Messages::jobText(task.job) + "."
+                    + std::to_string(task.index) + " ran on a worker without the label " + label);
+            if (runs[index].isBeyondCapacity && this->settings.hasChanges)
+                this->result.violations.push_back(
+                    "worker " + runs[index].workerId + " was brought over its capacity by a start");
             if (index > 0 && runs[index].startedAt < runs[index - 1].endedAt)
                 this->result.violations.push_back("task " + Messages::jobText(task.job) + "."
                     + std::to_string(task.index) + " ran twice, " + textOf(runs[index].startedAt - this->startedAt)
--- a/Soak/SoakRun.h
+++ b/Soak/SoakRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Soak/SoakFleet.h"
+#include "Soak/SoakWire.h"
 #include "Soak/SoakWorker.h"
 #include <deque>
 #include <set>
@@ -19,6 +20,9 @@
     double jobsPerSecond = 40;
     /// Without faults: the whole path on a calm day.
     bool isCalm = false;
+    /// Whether there are planned changes beside the faults: state replicas that are replaced, limits that change on
+    /// open connections, and workers that return as another kind.
+    bool hasChanges = false;
 };
 
 /// What a run came to.
@@ -49,6 +53,9 @@
     SoakResult play();
 
 private:
+    /// Queues that every document has.
+    static constexpr std::uint32_t queueCount = 3;
+
     struct Job {
         std::string id;
         std::uint32_t queue = 0;
@@ -71,6 +78,7 @@
         std::string entry;
         std::unique_ptr<Http::HttpConnection> connection;
         bool isBusy = false;
+        Core::SteadyTime openedAt;
     };
 
     double chance() { return std::uniform_real_distribution<double>(0, 1)(this->faultRandom); }
@@ -101,6 +109,27 @@
     void put(std::uint64_t version, std::uint32_t attempt);
     void read(const std::string& state, bool isLast);
 
+    // Content of the document of a version.
+    DocumentContent contentOf(std::uint64_t version) const;
+
+    void planChanges();
+    // Replaces state replicas at the same time: the new ones start first and the old ones are told to stop, or the old
+    // ones are lost first.
+    void replaceStates(std::size_t count, bool isPlanned);
+    void retireState(const std::string& state);
+    // Removes a replica that was told to stop once it has ended.
+    void awaitRetirement(const std::string& state, Core::SteadyTime toldAt);
+    void loseDisk(const std::string& state);
+    // Whether no replica is harmed, stops or is being replaced.
+    bool areStatesWhole() const;
+    // Changes the limit of bodies twice in the calm time, and sends requests between the two limits on connections that
+    // were open before.
+    void planLimitChanges();
+    void changeLimit(bool isRaised);
+    // Waits until a version is confirmed and in force, and sends the requests.
+    void awaitLimit(std::uint64_t version, bool isRaised);
+    void probeLimit(Caller& caller, bool isAllowed);
+
     void planFaults();
     void injectFault();
     void restart(const std::string& process, Core::Duration span, const std::string& what, bool isDataLost = false);
@@ -135,6 +164,14 @@
     std::uint64_t confirmed = 0;
     Core::SteadyTime startedAt;
     Core::SteadyTime diskLostAt;
+    /// Of the planned changes.
+    pcg64 changeRandom;
+    /// Versions with which the limit of bodies changes, first from the small to the large one.
+    std::vector<std::uint64_t> limitChanges;
+    /// Connections that were open before the limit changed.
+    std::deque<Caller> oldCallers;
+    /// State replicas that a planned change deals with.
+    std::set<std::string> replaced;
     bool isOver = false;
     SoakResult result;
 };
--- a/Soak/SoakWire.cpp
+++ b/Soak/SoakWire.cpp
@@ -83,11 +83,14 @@
         countField(*body, "deadline_ms").value_or(0), token };
 }
 
-Http::HttpResponse writeResult(const Workers::CallResult& result, std::int64_t bornAt)
+Http::HttpResponse writeResult(const Workers::CallResult& result, std::int64_t bornAt, bool isList)
 {
-    json::object body { { "clock_ms", result.clock.value_or(0) }, { "born", bornAt } };
+    json::object body { { "clock_ms", result.clock.value_or(0) } };
     if (result.status == CallStatus::Refused)
         body["reason"] = reasonOf(result.refusal);
+    if (!isList)
+        return { statusOf(result.status), { { "Content-Type", "application/json" } }, json::serialize(body) };
+    body["born"] = bornAt;
     json::array running;
     for (const Workers::RunningRunRecord& row : result.running)
         running.push_back(json::array { Platform::taskName(row.task), row.run, "", row.percent, row.milliCores });
@@ -118,13 +121,14 @@
 
 Http::HttpRequest writeJob(const std::string& host, const std::string& prefix, const std::string& id,
     std::uint32_t tasks, const Messages::Room& need, std::uint32_t declaredMilliseconds,
-    const std::string& requiredLabel, std::int64_t patienceMilliseconds)
+    const std::string& requiredLabel, std::int64_t patienceMilliseconds, std::size_t paddingBytes)
 {
     json::object step { { "count", tasks }, { "cpu", need.milliCores }, { "mem_mb", need.memoryMegabytes },
         { "estimated_ms", declaredMilliseconds } };
     if (!requiredLabel.empty())
         step["required_label"] = requiredLabel;
-    const json::object body { { "spec", "soak" }, { "best_effort", true }, { "steps", json::array { step } } };
+    const json::object body { { "spec", "soak" + std::string(paddingBytes, ' ') }, { "best_effort", true },
+        { "steps", json::array { step } } };
     return { "POST", prefix + id,
         { { "Host", host }, { "Content-Type", "application/json" },
             { "X-Deadline-Ms", std::to_string(patienceMilliseconds) } },
@@ -134,17 +138,18 @@
 std::string queueHost(std::uint32_t number) { return "queue" + std::to_string(number % 2) + ".example"; }
 std::string queuePrefix(std::uint32_t number) { return "/q" + std::to_string(number) + "/"; }
 
-std::string writeDocument(std::uint64_t version, std::uint32_t queues, std::uint32_t timeoutMilliseconds)
+std::string writeDocument(std::uint64_t version, const DocumentContent& content)
 {
     json::array routes;
-    for (std::uint32_t number = 0; number < queues; ++number)
+    for (std::uint32_t number = 0; number < content.queues; ++number)
         routes.push_back(json::object { { "name", "r-" + std::to_string(number) }, { "host", queueHost(number) },
-            { "path_prefix", queuePrefix(number) }, { "type", "unsafe" }, { "timeout_ms", timeoutMilliseconds },
+            { "path_prefix", queuePrefix(number) }, { "type", "unsafe" }, { "timeout_ms", content.timeoutMilliseconds },
             { "target_completion_ms", 60 }, { "priority", number % 3 }, { "service", "loans" },
             { "max_attempts", 2 + number % 3 }, { "stretch", 1.6 } });
     const json::object service { { "name", "loans" }, { "health_path", "/health" }, { "max_conns", 64 },
-        { "protocol", "h1" }, { "tls", false }, { "admission_control", true }, { "standby", false } };
-    const json::object limits { { "max_header_bytes", 16384 }, { "max_body_bytes", 262144 },
+        { "protocol", "h1" }, { "tls", false }, { "admission_control", content.hasAdmissionControl },
+        { "standby", false } };
+    const json::object limits { { "max_header_bytes", 16384 }, { "max_body_bytes", content.bodyBytes },
         { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
     return json::serialize(json::object { { "version", version }, { "routes", std::move(routes) },
         { "services", json::array { service } }, { "limits", limits } });
--- a/Soak/SoakWorker.cpp
+++ b/Soak/SoakWorker.cpp
@@ -10,6 +10,9 @@
 constexpr Http::HttpLimits limits { 256 * 1024, 16 * 1024, std::chrono::seconds(10), std::chrono::seconds(10),
     std::chrono::seconds(60) };
 constexpr std::size_t connectionsLimit = 64;
+// Room of a small worker, and the longest time from the begin of a life to its first announcement.
+constexpr std::int64_t smallMilliCores = 8000;
+constexpr std::chrono::milliseconds latestAnnouncement { 1500 };
 // Time for which a worker that crashes begins runs without answering: shorter than the time-out of a start.
 constexpr std::chrono::milliseconds failingTime { 30 };
 
@@ -23,14 +26,6 @@
     , name(std::move(name))
     , planner(std::move(planner))
     , random(seed)
-    , server(context, limits, connectionsLimit,
-          { [this](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
-               this->received(session, request);
-           },
-              [](std::uint16_t status, const std::string& reason) {
-                  return Http::HttpResponse { status, {}, reason };
-              },
-              {} })
     , heartbeats(context, std::move(control))
     , timer(context)
     , heartbeatTimer(context)
@@ -38,10 +33,23 @@
 {
 }
 
+Core::Result<void> SoakWorker::listen()
+{
+    this->server.emplace(this->context, limits, connectionsLimit,
+        Http::HttpServer::Handlers { [this](const Http::HttpSession::Pointer& session,
+                                         const Http::HttpRequest& request) { this->received(session, request); },
+            [](std::uint16_t status, const std::string& reason) {
+                return Http::HttpResponse { status, {}, reason };
+            },
+            {} });
+    BOOST_OUTCOME_TRY(this->serverAddress, this->server->listen(this->serverAddress));
+    return Core::success();
+}
+
 Core::Result<void> SoakWorker::start()
 {
-    BOOST_OUTCOME_TRY(const std::string bound, this->server.listen("127.0.0.1:0"));
-    BOOST_OUTCOME_TRY(this->relay, Scenario::TcpRelay::start(bound));
+    BOOST_OUTCOME_TRY(this->listen());
+    BOOST_OUTCOME_TRY(this->relay, Scenario::TcpRelay::start(this->serverAddress));
     this->live();
     this->announce();
     return Core::success();
@@ -56,7 +64,15 @@
     settings.bornAt = Core::toUnixMilliseconds(std::chrono::system_clock::now());
     settings.service = "loans";
     settings.capacity = { 32'000, 65'536, 0 };
-    settings.labels = { "a", rackLabel(this->name) };
+    settings.labels = { "a", rackLabel(this->name), largeLabel };
+    if (this->areKindsDrawn) {
+        if (this->random() % 2 == 0) {
+            settings.labels.back() = smallLabel;
+            settings.capacity.milliCores = smallMilliCores;
+        }
+        this->announcedFrom = steadyNow() + std::chrono::milliseconds(this->random() % latestAnnouncement.count());
+    }
+    settings.hasAdmissionControl = !this->areKindsDrawn;
     settings.clockRate = 0.98 + 0.02 * std::uniform_real_distribution<double>(0, 1)(this->random);
     this->model = std::make_unique<Experiment::LeasedWorkerModel>(settings, this->planner, steadyNow());
 }
@@ -68,7 +84,7 @@
         if (!error)
             this->announce();
     });
-    if (!this->model->isAlive() || std::exchange(this->isAnnouncing, true))
+    if (!this->model->isAlive() || steadyNow() < this->announcedFrom || std::exchange(this->isAnnouncing, true))
         return;
     this->heartbeats.request(writeHeartbeat(this->model->announcement(steadyNow())), std::chrono::seconds(1),
         [this](const Core::Result<Http::HttpResponse>&) { this->isAnnouncing = false; });
@@ -90,13 +106,30 @@
     this->model->terminate(steadyNow());
     this->past.insert(this->past.end(), this->model->history().begin(), this->model->history().end());
     this->waiting.clear();
+    this->server->stop();
+    this->beginAgain(until);
+}
+
+void SoakWorker::beginAgain(Core::Duration until)
+{
     this->lifeTimer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(until));
     this->lifeTimer.async_wait([this](const boost::system::error_code& error) {
-        if (!error)
+        if (error)
+            return;
+        if (this->listen())
             this->live();
+        else // The address may be in use for a moment.
+            this->beginAgain(std::chrono::milliseconds(50));
     });
 }
 
+void SoakWorker::restoreKind()
+{
+    this->areKindsDrawn = false;
+    if (this->model->settings().labels.back() == smallLabel)
+        this->crash(std::chrono::milliseconds(300));
+}
+
 void SoakWorker::received(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request)
 {
     std::string expectedWorker;
@@ -121,6 +154,7 @@
         return;
     this->turn();
     const std::uint64_t ticket = ++this->lastTicket;
+    const bool isList = std::holds_alternative<Workers::RenewLeaseCall>(call);
     std::optional<Workers::CallResult> result;
     if (!expectedWorker.empty() && (orderedLife != this->life || expectedWorker != this->model->settings().workerId)) {
         result.emplace();
@@ -130,7 +164,7 @@
         result = this->model->handle(steadyNow(), call, ticket);
     }
     if (session && result && !this->isFailing)
-        session->respond(writeResult(*result, this->model->settings().bornAt));
+        session->respond(writeResult(*result, this->model->settings().bornAt, isList));
     else if (session && !result)
         this->waiting[ticket] = session;
     this->turn();
@@ -143,7 +177,7 @@
     for (const auto& [ticket, result] : this->model->advance(steadyNow())) {
         auto node = this->waiting.extract(ticket);
         if (!node.empty() && !this->isFailing)
-            node.mapped()->respond(writeResult(result, this->model->settings().bornAt));
+            node.mapped()->respond(writeResult(result, this->model->settings().bornAt, true));
     }
     const Core::SteadyTime due = this->model->nextEventTime();
     this->timer.cancel();
--- a/Soak/SoakWorker.h
+++ b/Soak/SoakWorker.h
@@ -23,6 +23,11 @@
     /// Stops answering, and ends everything a moment later. A new life begins after `until`, every second one under the
     /// id of the life before.
     void crash(Core::Duration until);
+    /// Lets each later life be a large or a small worker, with the label of its kind, that does not guard its capacity
+    /// and announces itself some time after it began.
+    void setKindsDrawn(bool value) { this->areKindsDrawn = value; }
+    /// Crashes the worker if it is a small one, and lets it return as a large one.
+    void restoreKind();
     /// Cuts or heals the path of orders.
     void setCut(bool isCut) { this->relay->setCut(isCut); }
     /// Part of the orders that are not answered and are carried out some seconds later.
@@ -30,14 +35,19 @@
     /// Processor room, and the part of it that runs use now, in thousandths of a core.
     std::int64_t milliCores() const { return this->model->settings().capacity.milliCores; }
     std::int64_t usedMilliCores() const { return this->model->usedRoom().milliCores; }
+    /// Labels of the kinds of workers; without drawn kinds all are large.
+    static constexpr const char* largeLabel = "large";
+    static constexpr const char* smallLabel = "small";
     /// Label that only the worker of this name has.
     static std::string rackLabel(const std::string& name) { return "rack-" + name; }
     /// Every run of every life.
     std::vector<Experiment::RunRecord> history() const;
 
 private:
+    Core::Result<void> listen();
     void live();
     void end(Core::Duration until);
+    void beginAgain(Core::Duration until);
     void announce();
     void received(const Http::HttpSession::Pointer& session, const Http::HttpRequest& request);
     void carryOut(const Http::HttpSession::Pointer& session, std::uint64_t life, const Workers::WorkerCall& call,
@@ -48,7 +58,9 @@
     std::string name;
     Experiment::LeasedWorkerModel::Planner planner;
     pcg64 random;
-    Http::HttpServer server;
+    /// Its connections end with the life of the worker.
+    std::optional<Http::HttpServer> server;
+    std::string serverAddress = "127.0.0.1:0";
     std::unique_ptr<Scenario::TcpRelay> relay;
     Http::HttpConnection heartbeats;
     boost::asio::steady_timer timer;
@@ -64,6 +76,9 @@
     /// Whether the worker is about to crash: it begins what it is told to, and its answers never leave.
     bool isFailing = false;
     bool isAnnouncing = false;
+    bool areKindsDrawn = false;
+    /// When the present life announces itself at the earliest.
+    Core::SteadyTime announcedFrom;
 };
 
 }
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -112,13 +112,22 @@
 run_case "soak, faults" "$build/celeryswitch-soak" "--program=$build/celeryswitch" --seed=1 --seconds=12
 # The seeds that failed once are played at the same time, each on addresses of its own.
 mapfile -t seeds < <(grep -v '^#' Soak/regression-seeds.txt | cut -d ' ' -f 1)
+mapfile -t change_seeds < <(grep -v '^#' Soak/regression-change-seeds.txt | cut -d ' ' -f 1)
+played=$((${#seeds[@]} + ${#change_seeds[@]}))
 for seed in "${seeds[@]}"; do
-    start_case "${#seeds[@]}" "soak, seed $seed" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--seed=$seed"
+    start_case "$played" "soak, seed $seed" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--seed=$seed"
+done
+for seed in "${change_seeds[@]}"; do
+    start_case "$played" "soak with changes, seed $seed" "$build/celeryswitch-soak" "--program=$build/celeryswitch" \
+        --changes "--seed=$seed" --seconds=20
 done
 wait
 for seed in "${seeds[@]}"; do
     finish_case "soak, seed $seed"
 done
+for seed in "${change_seeds[@]}"; do
+    finish_case "soak with changes, seed $seed"
+done
 
 echo "== crowds"
 # Each runs alone: the crowd takes the memory and the connections that other cases need.
