--- a/celeryswitch/State/StateCore.h
+++ b/celeryswitch/State/StateCore.h
@@ -42,7 +42,7 @@
 };
 
 /// This replica is about to stop.
-struct Depart {};
+struct Depart { };
 
 /// Everything that a state core reacts to.
 using StateInput = std::variant<Consensus::Tick, ClientRequest, ClientGone, Consensus::MessageReceived,
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -4,6 +4,7 @@
 #include "celeryswitch/State/ControlGateway.h"
 #include "celeryswitch/State/GroupFormation.h"
 #include "celeryswitch/State/PeerLinks.h"
+#include "celeryswitch/State/ReplicaOrders.h"
 #include "celeryswitch/State/StorageThread.h"
 #include "celeryswitch/Storage/DataFolder.h"
 #include "celeryswitch/Storage/SystemFileSystem.h"
@@ -72,7 +73,7 @@
         BOOST_OUTCOME_TRY(this->boundAddress, this->links.listen(this->settings.peerAddress));
         if (this->settings.initialReplicas.empty())
             this->settings.initialReplicas[this->settings.replicaName] = this->boundAddress;
-        this->knownReplicas = this->settings.initialReplicas;
+        this->orders.setKnownReplicas(this->settings.initialReplicas);
         if (this->folder.isFormed() || this->hasData()) {
             this->begin();
         } else {
@@ -110,16 +111,12 @@
 
     void setKnownReplicas(std::map<std::string, std::string> addresses)
     {
-        const std::lock_guard<std::mutex> guard(this->ordersMutex);
-        this->knownReplicas = std::move(addresses);
+        this->orders.setKnownReplicas(std::move(addresses));
     }
 
     void depart(std::function<void()> onDone)
     {
-        {
-            const std::lock_guard<std::mutex> guard(this->ordersMutex);
-            this->departure = { Core::BootClock::now() + this->settings.departureLimit, std::move(onDone) };
-        }
+        this->orders.depart(Core::BootClock::now() + this->settings.departureLimit, std::move(onDone));
         this->wakeup.notify();
     }
 
@@ -228,18 +225,16 @@
     // Begins the departure that was asked for, and ends it when the group has answered or the time is up.
     void followDeparture()
     {
-        std::unique_lock<std::mutex> guard(this->ordersMutex);
-        if (!this->departure.onDone)
+        if (!this->orders.isDeparting())
             return;
         if (this->core && !this->core->isDeparting())
             this->step(Depart {});
         const DepartureVerdict verdict = this->core ? this->core->departureVerdict() : DepartureVerdict::Removed;
-        if (verdict == DepartureVerdict::Undecided && Core::BootClock::now() < this->departure.until)
-            return;
-        const std::function<void()> onDone = std::exchange(this->departure.onDone, nullptr);
-        guard.unlock();
-        this->write("departure: " + std::string(Core::enumName(verdict)));
-        onDone();
+        const bool isDecided = verdict != DepartureVerdict::Undecided;
+        if (const std::function<void()> onDone = this->orders.takeDeparted(Core::BootClock::now(), isDecided)) {
+            this->write("departure: " + std::string(Core::enumName(verdict)));
+            onDone();
+        }
     }
 
     void take(LinkEvent event)
@@ -327,11 +322,7 @@
         if (now < this->nextAnnouncement)
             return;
         this->nextAnnouncement = now + announcementInterval;
-        std::map<std::string, std::string> addresses;
-        {
-            const std::lock_guard<std::mutex> guard(this->ordersMutex);
-            addresses = this->knownReplicas;
-        }
+        std::map<std::string, std::string> addresses = this->orders.knownReplicas();
         if (this->core) {
             for (const Messages::ReplicaInfo& voter : this->core->replica().log().group().voters)
                 addresses.emplace(voter.address, voter.address);
@@ -407,14 +398,7 @@
     std::uint64_t storageOpenings = 0;
     std::uint64_t messagesSent = 0;
     SteadyTime nextAnnouncement;
-    struct Departure {
-        SteadyTime until;
-        std::function<void()> onDone;
-    };
-    /// Guards what other threads ask for.
-    std::mutex ordersMutex;
-    Departure departure;
-    std::map<std::string, std::string> knownReplicas;
+    ReplicaOrders orders;
     mutable std::mutex metricsMutex;
     StateMetrics published;
     std::atomic<bool> isStopping { false };
