--- a/UnitTests/Http/HttpLimitsTest.cpp
+++ b/UnitTests/Http/HttpLimitsTest.cpp
@@ -113,6 +113,55 @@
     }
 }
 
+// Guards against the same for a request that arrived together with the one before and waited for its turn.
+TEST_CASE("a request that waited for its turn is held to the limits in force then", "[Http]")
+{
+    for (const bool isRaised : { true, false }) {
+        const Http::HttpLimits narrow { 2000, 1000, 3s, 3s, 60s };
+        const Http::HttpLimits wide { 65'536, 16'384, 3s, 3s, 60s };
+        boost::asio::io_context context;
+        Http::HttpSession::Pointer open;
+        Http::HttpServer server(context, isRaised ? narrow : wide, 8,
+            { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest&) { open = session; },
+                [](std::uint16_t status, const std::string& reason) {
+                    return Http::HttpResponse { status, {}, reason };
+                },
+                {} });
+        const std::string address = server.listen("127.0.0.1:0").value();
+        boost::asio::ip::tcp::socket caller(context);
+        caller.connect({ boost::asio::ip::make_address("127.0.0.1"),
+            static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1))) });
+        const std::string header = "POST /q HTTP/1.1\r\nHost: a\r\nContent-Length: ";
+        const std::string both = header + "0\r\n\r\n" + header + "3000\r\n\r\n" + std::string(3000, 'b');
+        boost::asio::async_write(caller, boost::asio::buffer(both), [](const auto&, std::size_t) {});
+        std::string answers;
+        std::array<char, 1024> bytes {};
+        const std::function<void()> read = [&] {
+            caller.async_read_some(boost::asio::buffer(bytes), [&](const auto& error, std::size_t count) {
+                answers.append(bytes.data(), count);
+                if (!error)
+                    read();
+            });
+        };
+        read();
+        const auto runUntil = [&](const std::function<bool()>& condition) {
+            const auto end = std::chrono::steady_clock::now() + 10s;
+            while (!condition() && std::chrono::steady_clock::now() < end) {
+                context.restart();
+                context.run_one_for(20ms);
+            }
+            return condition();
+        };
+        REQUIRE(runUntil([&] { return open != nullptr; }));
+        server.setLimits(isRaised ? wide : narrow);
+        std::exchange(open, nullptr)->respond({ 200, {}, "" });
+        if (isRaised)
+            CHECK(runUntil([&] { return open != nullptr; }));
+        else
+            CHECK(runUntil([&] { return answers.find("HTTP/1.1 413") != std::string::npos; }));
+    }
+}
+
 // Guards against idle connections that keep the idle limit of an older routing document: callers that go on within a
 // raised limit lose their requests, and a lowered one is not in force.
 TEST_CASE("open connections follow a changed idle limit", "[Http]")
--- a/UnitTests/State/DepartureTest.cpp
+++ b/UnitTests/State/DepartureTest.cpp
@@ -121,6 +121,63 @@
     }
 }
 
+// Guards against an order of changes that does not end at the intended size when more replicas are replaced at a time
+// than may be lost.
+TEST_CASE("three of five replicas that are replaced at once stop counting", "[State][keeper]")
+{
+    std::uint64_t seed = 100;
+    for (std::size_t first = 0; first < 5; ++first) {
+        for (std::size_t lost = 0; lost < 4; ++lost)
+            checkReplacement(5, { first, (first + 1) % 5, (first + 2) % 5 }, { lost, lost + 1 }, ++seed, true);
+    }
+}
+
+// Guards against a new replica that dies before the one that it replaces stops: the group must bear the tolerated
+// losses when the next new one has caught up.
+TEST_CASE("a replacement that dies before the old replica stops is replaced in turn", "[State][keeper]")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        INFO("seed " << seed);
+        GroupModel model(modelSettings(3, seed));
+        Machines machines = startGroup(model, 3);
+        REQUIRE(model.put());
+        addMachines(model, machines, 1);
+        model.loseDisk(machines.back());
+        machines.pop_back();
+        model.run(std::chrono::milliseconds(model.random(4000)));
+        const std::string leaving = machines[seed % 3];
+        std::erase(machines, leaving);
+        model.stop(leaving);
+        CHECK(model.runUntil([&] { return !model.isRunning(leaving); }, 4s));
+        model.loseDisk(leaving);
+        model.setSeeds({ machines[0], machines[1] });
+        machines.push_back(addressOf(200));
+        model.start(machines.back(), false);
+        model.run(4s);
+        REQUIRE(model.put());
+        checkFinalFault(model, machines, { machines[(seed / 3) % 3] });
+    }
+}
+
+// Guards against a replica that stops while it is being added, and holds up the group or its own end.
+TEST_CASE("a replica that departs while it is added leaves the group as it was", "[State][keeper]")
+{
+    for (int number = 0; number < 30; ++number) {
+        INFO("stopped " << 10 * number << " ms after its start");
+        GroupModel model(modelSettings(3, static_cast<std::uint64_t>(number) + 1));
+        const Machines machines = startGroup(model, 3);
+        const std::string added = addressOf(100);
+        model.start(added, false);
+        model.run(std::chrono::milliseconds(10 * number));
+        model.stop(added);
+        CHECK(model.runUntil([&] { return !model.isRunning(added); }, 3100ms));
+        CHECK(model.runUntil([&] { return model.isWhole(); }, 5s));
+        CHECK(model.voters() == machines);
+        CHECK(model.put());
+        CHECK(model.violation() == "");
+    }
+}
+
 // Guards against a restart that takes a replica out of a group that needs it, or that waits for nothing.
 TEST_CASE("a replica of a group without spare voters stops at once and stays in it", "[State][keeper]")
 {
