--- a/UnitTests/State/SelfKeptGroupTest.cpp
+++ b/UnitTests/State/SelfKeptGroupTest.cpp
@@ -51,7 +51,7 @@
         this->addresses[address] = address;
     }
     // Stops a replica in order; returns whether it was told to stop within a time.
-    bool depart(const std::string& address, Core::Duration limit)
+    bool depart(std::string address, Core::Duration limit)
     {
         std::promise<void> done;
         std::future<void> isDone = done.get_future();
