Share the fixtures of group and fleet tests

Cause: DepartureTest and LeasedFleetKindsTest had written again what GroupKeeperTest and LeasedFleetTest had.

--- a/UnitTests/Scheduling/LeasedFleetKindsTest.cpp
+++ b/UnitTests/Scheduling/LeasedFleetKindsTest.cpp
@@ -1,7 +1,6 @@
 // The simulated fleet with workers that return as another kind.
-#include "celeryswitch/Experiment/LeasedFleet.h"
+#include "UnitTests/Scheduling/FleetOptions.h"
 #include <catch2/catch.hpp>
-#include <cstdlib>
 
 using namespace celeryswitch;
 using namespace celeryswitch::Experiment;
@@ -11,14 +10,10 @@
 // Jobs for large workers, for small ones and for any, while workers restart under their ids or under new ones.
 LeasedOptions changingKinds(std::uint64_t seed)
 {
-    LeasedOptions options;
-    options.seed = seed;
+    LeasedOptions options = threeKinds(seed, 0.5);
     options.duration = std::chrono::seconds(8);
-    options.kinds = { { "preview", 17, 0.06, 0.4, 8, 3100, 3, 0.002 }, { "quote", 3, 0.9, 0.4, 4, 3100, 3, 0.002 },
-        { "check", 50, 0.2, 0.4, 2, 3100, 2, 0.002 } };
     options.kinds[0].requiredLabel = largeKindLabel;
     options.kinds[1].requiredLabel = smallKindLabel;
-    options.workerMilliCores = 36'000;
     options.faults.areKindsDrawn = true;
     options.faults.workerRestarts = 200;
     options.faults.workerCrashes = 30;
@@ -31,20 +26,6 @@
     return options;
 }
 
-std::string joinLines(const std::vector<std::string>& lines)
-{
-    std::string text;
-    for (const std::string& line : lines)
-        text += line + "\n";
-    return text;
-}
-
-std::uint64_t seedCount()
-{
-    const char* value = std::getenv("CELERYSWITCH_FLEETS");
-    return value ? std::strtoull(value, nullptr, 10) : 12;
-}
-
 }
 
 // Guards against tasks that start on a worker without their label, or beyond its capacity, because an earlier
--- a/UnitTests/State/DepartureTest.cpp
+++ b/UnitTests/State/DepartureTest.cpp
@@ -1,6 +1,5 @@
 // State replicas that stop in order, and what the group can lose right afterwards.
-#include "UnitTests/State/GroupModel.h"
-#include <catch2/catch.hpp>
+#include "UnitTests/State/GroupFixture.h"
 
 using namespace celeryswitch;
 using namespace celeryswitch::State;
@@ -8,33 +7,13 @@
 
 namespace {
 
-constexpr Core::Duration downTime = 950ms;
-constexpr Core::Duration recoveryTime = 12s;
 // Time between the start of a new machine and the end of the one that it replaces.
 constexpr Core::Duration overlapTime = 6s;
 
-std::string addressOf(int number) { return "10.0.0." + std::to_string(number) + ":1"; }
-
-using Machines = std::vector<std::string>;
-
-GroupModelSettings modelSettings(std::size_t size, std::uint64_t seed)
+// Settings of a group that bears the loss of less than half of `size` machines.
+GroupModelSettings settingsOf(std::size_t size, std::uint64_t seed)
 {
-    GroupModelSettings settings;
-    settings.seed = seed;
-    settings.seeds = { addressOf(1), addressOf(2), addressOf(3) };
-    settings.toleratedLosses = static_cast<std::uint32_t>(size / 2);
-    return settings;
-}
-
-Machines startGroup(GroupModel& model, std::size_t size)
-{
-    Machines machines;
-    for (std::size_t number = 1; number <= size; ++number) {
-        machines.push_back(addressOf(static_cast<int>(number)));
-        model.start(machines.back(), true);
-    }
-    REQUIRE(model.runUntil([&] { return model.isWhole(); }, 10s));
-    return machines;
+    return modelSettings(static_cast<std::uint32_t>(size / 2), seed);
 }
 
 // Starts new machines and adds them to `machines`.
@@ -55,17 +34,11 @@
         machines.begin(), machines.end(), [&](const std::string& address) { return model.isRunning(address); });
 }
 
-// All machines lose power, those in `lost` also their disks, and come back; checks that nothing confirmed is lost.
+// Plays the final fault and checks that nothing confirmed is lost.
 void checkFinalFault(GroupModel& model, const Machines& machines, const Machines& lost)
 {
-    for (const std::string& address : machines)
-        model.kill(address);
-    for (const std::string& address : lost)
-        model.loseDisk(address);
-    model.run(downTime);
     model.setSeeds({ machines[0], machines[1], machines[2] });
-    for (const std::string& address : machines)
-        model.start(address, false);
+    endInFault(model, machines, lost);
     CHECK(model.runUntil([&] { return model.versionAtLeader().has_value(); }, recoveryTime));
     CHECK(model.versionAtLeader().value_or(0) == model.confirmedVersion());
     CHECK(model.put());
@@ -80,8 +53,8 @@
 {
     INFO("size " << size << ", stopped " << stopped.front() << " and " << stopped.back() << ", lost " << lost.front()
                  << " and " << lost.back() << ", seed " << seed << ", put meanwhile " << isPutMeanwhile);
-    GroupModel model(modelSettings(size, seed));
-    Machines machines = startGroup(model, size);
+    GroupModel model(settingsOf(size, seed));
+    Machines machines = startGroup(model, static_cast<int>(size));
     REQUIRE(model.put());
     addMachines(model, machines, stopped.size());
     Machines leaving;
@@ -138,7 +111,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
         INFO("seed " << seed);
-        GroupModel model(modelSettings(3, seed));
+        GroupModel model(settingsOf(3, seed));
         Machines machines = startGroup(model, 3);
         REQUIRE(model.put());
         addMachines(model, machines, 1);
@@ -164,7 +137,7 @@
 {
     for (int number = 0; number < 30; ++number) {
         INFO("stopped " << 10 * number << " ms after its start");
-        GroupModel model(modelSettings(3, static_cast<std::uint64_t>(number) + 1));
+        GroupModel model(settingsOf(3, static_cast<std::uint64_t>(number) + 1));
         const Machines machines = startGroup(model, 3);
         const std::string added = addressOf(100);
         model.start(added, false);
@@ -183,8 +156,8 @@
 {
     for (const std::size_t size : { 3U, 5U }) {
         for (std::size_t index = 0; index < size; ++index) {
-            GroupModel model(modelSettings(size, index + 1));
-            const Machines machines = startGroup(model, size);
+            GroupModel model(settingsOf(size, index + 1));
+            const Machines machines = startGroup(model, static_cast<int>(size));
             REQUIRE(model.put());
             const std::string stopped = machines[index];
             const bool wasLeader = model.leader() == stopped;
@@ -208,7 +181,7 @@
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         INFO("seed " << seed);
-        GroupModel model(modelSettings(5, seed));
+        GroupModel model(settingsOf(5, seed));
         Machines machines = startGroup(model, 5);
         addMachines(model, machines, 2);
         // Three of seven: two give up their votes, the third is still needed.
@@ -230,7 +203,7 @@
 // Guards against a process that does not end because nobody leads the group.
 TEST_CASE("a departing replica without a leader ends in time", "[State][keeper]")
 {
-    GroupModel model(modelSettings(3, 1));
+    GroupModel model(settingsOf(3, 1));
     Machines machines = startGroup(model, 3);
     addMachines(model, machines, 1);
     for (const std::string& address : machines)
@@ -248,8 +221,8 @@
     for (std::uint64_t seed = 1; seed <= 150; ++seed) {
         INFO("seed " << seed);
         const std::size_t losses = 1 + seed % 2;
-        GroupModel model(modelSettings(2 * losses + 1, seed));
-        Machines machines = startGroup(model, 2 * losses + 1);
+        GroupModel model(settingsOf(2 * losses + 1, seed));
+        Machines machines = startGroup(model, static_cast<int>(2 * losses + 1));
         int nextNumber = 100;
         for (int round = 0; round < 4; ++round) {
             for (std::size_t index = machines.size() - 1; index > 0; --index)
@@ -304,8 +277,8 @@
         const std::size_t losses = size / 2;
         for (std::uint64_t seed = 1; seed <= 30; ++seed) {
             INFO("size " << size << ", seed " << seed);
-            GroupModel model(modelSettings(size, seed));
-            Machines machines = startGroup(model, size);
+            GroupModel model(settingsOf(size, seed));
+            Machines machines = startGroup(model, static_cast<int>(size));
             model.run(std::chrono::milliseconds(model.random(3000)));
             REQUIRE(model.put());
             Machines gone { model.leader() };
--- a/UnitTests/State/GroupKeeperTest.cpp
+++ b/UnitTests/State/GroupKeeperTest.cpp
@@ -1,5 +1,5 @@
 #include "celeryswitch/State/GroupKeeper.h"
-#include "UnitTests/State/GroupModel.h"
+#include "UnitTests/State/GroupFixture.h"
 #include <catch2/catch.hpp>
 
 using namespace celeryswitch;
@@ -8,15 +8,8 @@
 
 namespace {
 
-// Time from the last change of the machines to the final fault, and from that to the return of the machines.
+// Time from the last change of the machines to the final fault.
 constexpr Core::Duration calmTime = 12s;
-constexpr Core::Duration downTime = 950ms;
-constexpr Core::Duration recoveryTime = 12s;
-
-std::string addressOf(int number) { return "10.0.0." + std::to_string(number) + ":1"; }
-
-/// Machines of a group, by address.
-using Machines = std::vector<std::string>;
 
 /// Replacements of machines, and the machines whose disks the final fault takes.
 struct Replacements {
@@ -28,27 +21,6 @@
     std::uint32_t toleratedLosses = 0;
 };
 
-Machines startGroup(GroupModel& model, int size)
-{
-    Machines machines;
-    for (int number = 1; number <= size; ++number) {
-        machines.push_back(addressOf(number));
-        model.start(machines.back(), true);
-    }
-    REQUIRE(model.runUntil([&] { return model.isWhole(); }, 10s));
-    REQUIRE(model.voters() == machines);
-    return machines;
-}
-
-GroupModelSettings modelSettings(std::uint32_t toleratedLosses, std::uint64_t seed = 1)
-{
-    GroupModelSettings settings;
-    settings.seed = seed;
-    settings.seeds = { addressOf(1), addressOf(2), addressOf(3) };
-    settings.toleratedLosses = toleratedLosses;
-    return settings;
-}
-
 // Carries out replacements of the last machines. Later starts know addresses of the machines of that moment.
 void replaceMachines(GroupModel& model, Machines& machines, const Replacements& plan)
 {
@@ -78,18 +50,6 @@
     }
 }
 
-// All machines lose power, those in `lost` also their disks, and come back.
-void endInFault(GroupModel& model, const Machines& machines, const Machines& lost)
-{
-    for (const std::string& address : machines)
-        model.kill(address);
-    for (const std::string& address : lost)
-        model.loseDisk(address);
-    model.run(downTime);
-    for (const std::string& address : machines)
-        model.start(address, false);
-}
-
 // Every choice of `count` of the numbers below `size`.
 std::vector<std::vector<std::size_t>> choices(std::size_t size, std::size_t count)
 {
