Install the compiler that the style check configures

Cause: scripts/check-style.sh asks CMake for clang++, which a machine with clang-tidy alone does not have: on this one the linter had no compilation database. Change: install-dependencies.sh names the Debian package clang.

--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build, the tests and the checks need. Does nothing when they are there.
 set -euo pipefail
 packages=(
-    g++ cmake ninja-build ccache clang-format clang-tidy
+    g++ cmake ninja-build ccache clang clang-format clang-tidy
     libboost1.81-dev libboost-log1.81-dev libboost-json1.81-dev
     libcereal-dev libtomlplusplus-dev libdocopt-dev catch2 libxxhash-dev libpcg-cpp-dev libssl-dev
 )
