Add crowds that play what requests become, and fix their bounds

The plays of the issue were repeated with small crowds and low limits; new ones look at each role. Change: CrowdRun plays ten kinds of crowds against the listeners of an entry, its readiness check, a sidecar and a state replica, and measures every process of the fleet: peak of resident memory, and resident memory with what waits in its connections, against memory_mb; descriptors against max_fds.

--- a/Soak/CrowdRun.cpp
+++ b/Soak/CrowdRun.cpp
@@ -1,32 +1,40 @@
 #include "Soak/CrowdRun.h"
 
 #include "Soak/SoakWire.h"
-#include "celeryswitch/Core/SocketAddress.h"
+#include <arpa/inet.h>
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <sstream>
 
 namespace celeryswitch::Soak {
 
 namespace {
 
-// Limits of the process under test. 200 descriptors are reserved for files outside the data folder.
-constexpr std::size_t memoryMegabytes = 64;
-constexpr std::size_t maximumDescriptors = 512;
-constexpr std::size_t usableDescriptors = maximumDescriptors - 200;
-// The crowd.
 constexpr std::size_t trailerClients = 8;
 constexpr std::size_t trailerBytes = 24 * 1024 * 1024;
 constexpr std::size_t silentClients = 300;
 constexpr std::size_t stopShortBytes = 16;
+constexpr std::size_t fieldClients = 600;
+constexpr std::size_t fieldBytes = 16'000;
+constexpr std::size_t jobClients = 30;
+constexpr std::size_t largestBodyBytes = 262'144;
+constexpr std::size_t longestSpecBytes = 4000;
+constexpr std::size_t servedClients = 260;
+constexpr std::size_t nestedClients = 4;
+constexpr std::size_t nestedBytes = 4'000'000;
+constexpr std::size_t readClients = 190;
+constexpr std::uint32_t readQueues = 4000;
+constexpr std::size_t unroutedClients = 500;
+constexpr std::size_t frozenClients = 400;
+constexpr std::size_t frozenBytes = 64 * 1024;
 constexpr std::chrono::seconds startLimit { 20 };
-// The crowd's time: clients that the process reads no further are given up after it.
-constexpr std::chrono::seconds sendLimit { 20 };
-constexpr std::chrono::milliseconds quietLimit { 500 };
 constexpr std::chrono::seconds answerLimit { 40 };
+constexpr std::chrono::milliseconds retryDelay { 100 };
+// Time that the processes have for what the crowd has sent before they are measured.
+constexpr std::chrono::seconds settleTime { 3 };
+const std::string processes[] = { "state-1", "sidecar-1", "entry-1" };
 
 Core::SteadyTime now() { return Core::BootClock::now(); }
 
@@ -35,18 +43,31 @@
     return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
 }
 
-int connectTo(const std::string& text)
+// Kilobytes of the bytes that wait in the connections of a loopback address, received and unread or sent and not taken.
+std::size_t queuedKilobytes(const std::string& address)
 {
-    const std::optional<Core::SocketAddress> address = Core::parseSocketAddress(text);
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in target {};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(address->port);
-    target.sin_addr.s_addr = htonl(address->ip.to_v4().to_uint());
-    if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0)
-        return descriptor;
-    ::close(descriptor);
-    return -1;
+    constexpr std::string_view listening = "0A";
+    in_addr number {};
+    ::inet_pton(AF_INET, address.substr(0, address.rfind(':')).c_str(), &number);
+    char local[9];
+    std::snprintf(local, sizeof local, "%08X", number.s_addr);
+    std::ifstream file("/proc/net/tcp");
+    std::size_t bytes = 0;
+    for (std::string line; std::getline(file, line);) {
+        // "number: address:port address:port state sent:received", all in hexadecimal digits.
+        std::istringstream row(line);
+        std::string place;
+        std::string own;
+        std::string other;
+        std::string state;
+        std::string queues;
+        row >> place >> own >> other >> state >> queues;
+        if (!own.starts_with(local) || state == listening)
+            continue;
+        const std::size_t colon = queues.find(':');
+        bytes += std::stoul(queues.substr(0, colon), nullptr, 16) + std::stoul(queues.substr(colon + 1), nullptr, 16);
+    }
+    return bytes / 1024;
 }
 
 // Kilobytes of a line of /proc/PID/status.
@@ -70,20 +91,68 @@
     return count;
 }
 
+CrowdLimits limitsOf(const CrowdSettings& settings)
+{
+    switch (settings.play) {
+    case CrowdPlay::Fields:
+        // Few connections of a worker are taken, so that less memory is enough for them.
+        return { settings.listener == "sidecar" ? 20U : 24U, 1024 };
+    case CrowdPlay::Unrouted:
+        return { 64, 1024 };
+    case CrowdPlay::Frozen:
+        return { 24, 512 };
+    default:
+        return {};
+    }
+}
+
+std::string withLength(const std::string& head, const std::string& body)
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Adds distinct fields with short names and no value until a header is as long as allowed.
+std::string withFields(std::string head)
+{
+    for (std::size_t number = 0; head.size() < fieldBytes; ++number) {
+        char field[16];
+        std::snprintf(field, sizeof field, "%zx:\r\n", 0xf000 + number);
+        head += field;
+    }
+    return head;
+}
+
+// A job of one step of as many tasks as a job may have; without `needsRoom` its tasks need none.
+std::string jobOfTasks(bool needsRoom)
+{
+    return R"({"spec":"crowd","best_effort":true,"steps":[{"count":100000,"estimated_ms":20)"
+        + std::string(needsRoom ? R"(,"cpu":1000,"mem_mb":64)" : "") + "}]}";
+}
+
+// A job of the largest size that consists of steps of one task; without `needsRoom` with a content as long as allowed,
+// and tasks that need no room.
+std::string jobOfSteps(bool needsRoom)
+{
+    const std::string content(needsRoom ? 1 : longestSpecBytes, 'x');
+    const std::string step = needsRoom ? R"({"count":1,"cpu":1})" : R"({"count":1})";
+    std::string body = R"({"best_effort":true,"spec":")" + content + R"(","steps":[)" + step;
+    while (body.size() + step.size() + 3 <= largestBodyBytes)
+        body += "," + step;
+    return body + "]}";
+}
+
 }
 
 CrowdRun::CrowdRun(CrowdSettings settings)
     : settings(std::move(settings))
-    , process(this->settings.role + "-1")
+    , limits(limitsOf(this->settings))
     , fleet(this->settings.program, this->settings.folder, this->settings.network, { 1, 1, 1 })
 {
-    this->fleet.setLimits(memoryMegabytes, maximumDescriptors);
+    this->fleet.setLimits(this->limits.memoryMegabytes, this->limits.descriptors);
 }
 
 CrowdRun::~CrowdRun()
 {
-    for (const Client& client : this->clients)
-        ::close(client.descriptor);
     this->context.stop();
     if (this->workerThread.joinable())
         this->workerThread.join();
@@ -91,54 +160,194 @@
 
 std::vector<std::string> CrowdRun::play()
 {
-    if (!this->startFleet())
-        return { "the fleet does not serve " + this->settings.role + " requests before the crowd" };
-    const std::string front = this->settings.role == "entry" ? this->fleet.entryAddress(this->process)
-                                                             : this->fleet.controlAddress(this->process);
-    const std::string silent = this->settings.role == "entry"
-        ? this->fleet.readinessAddress(this->process)
-        : withPort(front, this->settings.role == "state" ? 18120 : 18121);
-    this->add(silent, silentClients, {});
-    const std::string line = this->requestLine();
-    this->add(front, trailerClients,
-        { -1, line + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n",
+    this->worker = std::make_unique<SoakWorker>(
+        this->context, "1", this->fleet.controlAddress("sidecar-1"),
+        [](const Messages::TaskId&, std::uint32_t) {
+            return Experiment::RunPlan { std::chrono::milliseconds(20), false, { 1000, 64, 0 } };
+        },
+        1);
+    if (!this->worker->start())
+        return { "the worker does not start" };
+    this->fleet.setWorkerAddress(1, this->worker->address());
+    this->workerThread = std::thread([this] { this->context.run(); });
+    if (this->settings.play == CrowdPlay::Unrouted)
+        this->playUnrouted();
+    else if (!this->startService())
+        return { "the fleet does not serve " + this->settings.listener + " requests before the crowd" };
+    else
+        this->playCrowd();
+    this->measure();
+    return this->violations;
+}
+
+void CrowdRun::playCrowd()
+{
+    const bool needsRoom = this->settings.listener != "sidecar";
+    switch (this->settings.play) {
+    case CrowdPlay::Stalled:
+        this->playStalled();
+        break;
+    case CrowdPlay::Fields:
+        this->playFields();
+        break;
+    case CrowdPlay::Tasks:
+        this->playJobs(jobOfTasks(needsRoom), jobClients);
+        break;
+    case CrowdPlay::Steps:
+        this->playJobs(jobOfSteps(needsRoom), jobClients);
+        break;
+    case CrowdPlay::Served: {
+        const Http::HttpRequest request = this->ordinaryRequest();
+        const std::string line = this->settings.listener == "entry"
+            ? "GET " + queuePrefix(0) + " HTTP/1.1\r\nHost: " + queueHost(0) + "\r\n"
+            : request.method + " " + request.path + " HTTP/1.1\r\nHost: a\r\n";
+        const ServedCrowd crowd(this->address(), withLength(line, request.body), servedClients);
+        std::this_thread::sleep_for(settleTime);
+        this->checkAnswered();
+        return;
+    }
+    case CrowdPlay::Nested:
+        this->playNested();
+        break;
+    case CrowdPlay::Reads:
+        this->playReads();
+        break;
+    case CrowdPlay::Frozen:
+        this->playFrozen();
+        break;
+    case CrowdPlay::Repeated:
+        this->playRepeated();
+        break;
+    case CrowdPlay::Unrouted:
+        break;
+    }
+    this->measure();
+    this->checkAnswered();
+}
+
+void CrowdRun::playStalled()
+{
+    const bool isEntry = this->settings.listener == "entry";
+    const bool isState = this->settings.listener == "state";
+    const std::string silent
+        = isEntry ? this->fleet.readinessAddress("entry-1") : withPort(this->address(), isState ? 18120 : 18121);
+    this->clients.add(silent, silentClients, {});
+    const std::string head = this->requestHead();
+    this->clients.add(this->address(), trailerClients,
+        { head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n",
             "Trailer-Field: " + std::string(80, 'x') + "\r\n", trailerBytes });
-    this->sendAll();
+    this->clients.sendAll();
     // The largest bodies that the process takes, from as many clients as exceed its memory.
-    const bool isState = this->settings.role == "state";
     const std::size_t bodyBytes = isState ? 4 * 1024 * 1024 : 256 * 1024;
     const std::size_t bodyClients = isState ? 30 : 200;
-    this->add(front, bodyClients,
-        { -1, line + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n", std::string(bodyBytes, ' '),
+    this->clients.add(this->address(), bodyClients,
+        { head + "Content-Length: " + std::to_string(bodyBytes) + "\r\n\r\n", std::string(bodyBytes, ' '),
             bodyBytes - stopShortBytes });
     const std::string chunk = "3e8\r\n" + std::string(1000, ' ') + "\r\n";
-    this->add(front, bodyClients,
-        { -1, line + "Transfer-Encoding: chunked\r\n\r\n", chunk, bodyBytes / 1000 * chunk.size() - stopShortBytes });
-    this->sendAll();
+    this->clients.add(this->address(), bodyClients,
+        { head + "Transfer-Encoding: chunked\r\n\r\n", chunk, bodyBytes / 1000 * chunk.size() - stopShortBytes });
+    this->clients.sendAll();
     this->measure();
-    this->sendByteByByte(front, line + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "\r\n");
-    if (!this->isAnswered())
+    this->clients.sendByteByByte(this->address(), head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "\r\n");
+}
+
+void CrowdRun::playFields()
+{
+    const std::string head = withFields(this->requestHead() + "Content-Length: 200000\r\n");
+    this->clients.add(this->address(), fieldClients, { head + "\r\n{", {}, 0 });
+    this->clients.sendAll();
+}
+
+void CrowdRun::playJobs(const std::string& body, std::size_t count)
+{
+    for (std::size_t number = 0; number < count; ++number)
+        this->clients.add(this->fleet.entryAddress("entry-1"), 1, { withLength(this->jobHead(), body), {}, 0 });
+    this->clients.sendAll();
+    std::this_thread::sleep_for(settleTime);
+}
+
+void CrowdRun::playNested()
+{
+    std::string body = "{\"unknown\":[[0]";
+    while (body.size() < nestedBytes)
+        body += ",[0]";
+    this->clients.add(this->address(), nestedClients, { withLength(this->requestHead(), body + "]}"), {}, 0 });
+    this->clients.sendAll();
+    std::this_thread::sleep_for(settleTime);
+}
+
+void CrowdRun::playReads()
+{
+    const auto put = Http::httpCall(this->fleet.controlAddress("state-1"),
+        { "POST", "/v1/config/put", { { "Content-Type", "application/json" } }, writeDocument(2, { readQueues }) },
+        std::chrono::seconds(10));
+    if (!put || put.value().statusCode != 200)
+        this->violations.push_back("the large document is not taken");
+    this->clients.add(this->address(), readClients, { "GET /v1/config/get HTTP/1.1\r\nHost: a\r\n\r\n", {}, 0 });
+    this->clients.sendAll();
+    std::this_thread::sleep_for(settleTime);
+}
+
+void CrowdRun::playUnrouted()
+{
+    const auto limit = now() + startLimit;
+    if (!this->startProcesses({ "entry-1" }))
+        this->violations.push_back("the entry does not start");
+    // The readiness check answers before there is a routing document.
+    while (now() < limit
+        && !Http::httpCall(this->fleet.readinessAddress("entry-1"), { "GET", "/v1/ready", {}, "" }, retryDelay))
+        std::this_thread::sleep_for(retryDelay);
+    this->clients.add(this->address(), unroutedClients, { withLength(withFields(this->jobHead()), "{}"), {}, 0 });
+    this->clients.sendAll();
+    this->measure("entry-1");
+    if (!this->startService())
         this->violations.push_back("no ordinary request is answered beside the crowd");
+}
+
+void CrowdRun::playFrozen()
+{
+    this->fleet.signal(this->process(), SIGSTOP);
+    const CrowdClients::Kind kind { this->requestHead() + "Content-Length: " + std::to_string(frozenBytes) + "\r\n\r\n",
+        std::string(1024, ' '), frozenBytes };
+    this->clients.add(this->address(), frozenClients, kind);
+    // Entries listen for no other processes of the system.
+    if (this->settings.listener == "entry")
+        this->clients.add(this->fleet.readinessAddress("entry-1"), frozenClients, kind);
+    else
+        this->clients.add(
+            withPort(this->address(), this->settings.listener == "state" ? 18120 : 18121), frozenClients, kind);
+    this->clients.sendAll();
     this->measure();
-    return this->violations;
+    this->fleet.signal(this->process(), SIGCONT);
 }
 
-bool CrowdRun::startFleet()
+void CrowdRun::playRepeated()
 {
-    this->worker = std::make_unique<SoakWorker>(
-        this->context, "1", this->fleet.controlAddress("sidecar-1"),
-        [](const Messages::TaskId&, std::uint32_t) {
-            return Experiment::RunPlan { std::chrono::milliseconds(20), false, { 1000, 64, 0 } };
-        },
-        1);
-    if (!this->worker->start())
-        return false;
-    this->fleet.setWorkerAddress(1, this->worker->address());
-    this->workerThread = std::thread([this] { this->context.run(); });
-    for (const char* name : { "state-1", "sidecar-1", "entry-1" }) {
+    for (int round = 0; round < 2; ++round) {
+        this->playFields();
+        this->clients.close();
+        this->playJobs(jobOfTasks(true), jobClients);
+        this->clients.close();
+        this->playJobs(jobOfSteps(true), jobClients);
+        this->clients.close();
+        this->playStalled();
+        this->clients.close();
+    }
+}
+
+bool CrowdRun::startProcesses(const std::vector<std::string>& names)
+{
+    for (const std::string& name : names) {
         if (!this->fleet.start(name))
             return false;
     }
+    return true;
+}
+
+bool CrowdRun::startService()
+{
+    if (!this->startProcesses({ std::begin(processes), std::end(processes) }))
+        return false;
     const auto limit = now() + startLimit;
     const Http::HttpRequest put { "POST", "/v1/config/put", { { "Content-Type", "application/json" } },
         writeDocument(1, { 1 }) };
@@ -146,23 +355,47 @@
         const auto response = Http::httpCall(this->fleet.controlAddress("state-1"), put, std::chrono::seconds(1));
         if (response && response.value().statusCode == 200 && this->isAnswered())
             return true;
-        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        std::this_thread::sleep_for(retryDelay);
     }
     return false;
 }
 
-std::string CrowdRun::requestLine() const
+std::string CrowdRun::process() const
+{
+    return this->settings.listener == "readiness" ? "entry-1" : this->settings.listener + "-1";
+}
+
+std::string CrowdRun::address() const
+{
+    if (this->settings.listener == "readiness")
+        return this->fleet.readinessAddress("entry-1");
+    return this->settings.listener == "entry" ? this->fleet.entryAddress("entry-1")
+                                              : this->fleet.controlAddress(this->process());
+}
+
+std::string CrowdRun::jobHead() const
+{
+    static std::uint64_t number = 0;
+    char id[17];
+    std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++number));
+    return "POST " + queuePrefix(0) + id + " HTTP/1.1\r\nHost: " + queueHost(0)
+        + "\r\nContent-Type: application/json\r\nX-Deadline-Ms: 60000\r\n";
+}
+
+std::string CrowdRun::requestHead() const
 {
     const Http::HttpRequest request = this->ordinaryRequest();
-    const std::string path = this->settings.role == "state" ? "/v1/config/put" : request.path;
+    const std::string path = this->settings.listener == "state" ? "/v1/config/put" : request.path;
     return "POST " + path + " HTTP/1.1\r\nHost: " + queueHost(0) + "\r\nContent-Type: application/json\r\n";
 }
 
 Http::HttpRequest CrowdRun::ordinaryRequest() const
 {
-    if (this->settings.role == "state")
+    if (this->settings.listener == "state")
         return { "GET", "/v1/config/get", {}, "" };
-    if (this->settings.role == "sidecar") {
+    if (this->settings.listener == "readiness")
+        return { "GET", "/v1/ready", {}, "" };
+    if (this->settings.listener == "sidecar") {
         Workers::WorkerAnnouncement announcement;
         announcement.workerId = "w-1-earlier";
         announcement.service = "loans";
@@ -175,91 +408,48 @@
     return writeJob(queueHost(0), queuePrefix(0), id, 1, { 1000, 64, 0 }, 20, "", 1500);
 }
 
-void CrowdRun::add(const std::string& address, std::size_t count, const Client& kind)
-{
-    for (std::size_t number = 0; number < count; ++number) {
-        Client client = kind;
-        client.descriptor = connectTo(address);
-        if (client.descriptor >= 0)
-            this->clients.push_back(std::move(client));
-    }
-}
-
-std::size_t CrowdRun::sendSome(Client& client)
+void CrowdRun::measure()
 {
-    const std::size_t total = client.head.size() + client.fillerBytes;
-    if (client.sent >= total)
-        return 0;
-    std::string_view piece = client.head;
-    if (client.sent < client.head.size()) {
-        piece.remove_prefix(client.sent);
-    } else {
-        piece = client.filler;
-        piece.remove_prefix((client.sent - client.head.size()) % client.filler.size());
-        piece = piece.substr(0, total - client.sent);
-    }
-    const ssize_t count = ::send(client.descriptor, piece.data(), piece.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-    if (count < 0 && errno != EAGAIN)
-        client.sent = total;
-    client.sent += count > 0 ? static_cast<std::size_t>(count) : 0;
-    return count > 0 ? static_cast<std::size_t>(count) : 0;
-}
-
-void CrowdRun::sendByteByByte(const std::string& address, const std::string& head, const std::string& tail)
-{
-    // The process may close connections in favour of others at any time; one of several is read to its end.
-    for (int attempt = 0; attempt < 5; ++attempt) {
-        this->add(address, 1, { -1, head });
-        this->sendAll();
-        for (const char byte : tail) {
-            this->clients.back().head += byte;
-            this->sendAll();
-        }
-    }
+    for (const std::string& name : processes)
+        this->measure(name);
 }
 
-void CrowdRun::sendAll()
+void CrowdRun::measure(const std::string& name)
 {
-    const auto limit = now() + sendLimit;
-    auto quietSince = now();
-    while (now() < limit && now() < quietSince + quietLimit) {
-        std::size_t count = 0;
-        for (Client& client : this->clients)
-            count += sendSome(client);
-        if (count > 0)
-            quietSince = now();
-        else
-            std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    }
-}
-
-void CrowdRun::measure()
-{
-    if (!this->fleet.isRunning(this->process)) {
-        this->violations.push_back("the process has ended");
+    if (!this->fleet.isRunning(name)) {
+        this->violations.push_back(name + " has ended");
         return;
     }
-    const pid_t number = this->fleet.processId(this->process);
+    const pid_t number = this->fleet.processId(name);
+    const std::size_t bound = this->limits.memoryMegabytes * 1024;
+    const std::size_t resident = statusKilobytes(number, "VmRSS");
     const std::size_t peak = statusKilobytes(number, "VmHWM");
+    const std::size_t queued
+        = queuedKilobytes(name == "entry-1" ? this->fleet.entryAddress(name) : this->fleet.controlAddress(name));
     const std::size_t descriptors = openDescriptors(number);
-    std::printf("%s: VmRSS %zu kB, VmHWM %zu kB (bound %zu), descriptors %zu (bound %zu)\n", this->process.c_str(),
-        statusKilobytes(number, "VmRSS"), peak, memoryMegabytes * 1024, descriptors, usableDescriptors);
-    if (peak > memoryMegabytes * 1024)
-        this->violations.push_back("resident memory of " + std::to_string(peak) + " kB is over the bound");
-    if (descriptors > usableDescriptors)
-        this->violations.push_back(std::to_string(descriptors) + " open descriptors are over the bound");
+    std::printf("%s: VmRSS %zu kB, VmHWM %zu kB, queued %zu kB (bound %zu), descriptors %zu (bound %zu)\n",
+        name.c_str(), resident, peak, queued, bound, descriptors, this->limits.usableDescriptors());
+    if (std::max(peak, resident + queued) > bound)
+        this->violations.push_back(
+            name + ": memory of " + std::to_string(std::max(peak, resident + queued)) + " kB is over the bound");
+    if (descriptors > this->limits.usableDescriptors())
+        this->violations.push_back(name + ": " + std::to_string(descriptors) + " open descriptors are over the bound");
+}
+
+void CrowdRun::checkAnswered()
+{
+    if (!this->isAnswered())
+        this->violations.push_back("no ordinary request is answered beside the crowd");
 }
 
 bool CrowdRun::isAnswered()
 {
-    const std::string address = this->settings.role == "entry" ? this->fleet.entryAddress(this->process)
-                                                               : this->fleet.controlAddress(this->process);
     const auto limit = now() + answerLimit;
-    while (now() < limit && this->fleet.isRunning(this->process)) {
-        const auto response = Http::httpCall(address, this->ordinaryRequest(), std::chrono::seconds(3));
+    while (now() < limit && this->fleet.isRunning(this->process())) {
+        const auto response = Http::httpCall(this->address(), this->ordinaryRequest(), std::chrono::seconds(3));
         if (response && response.value().statusCode == 200)
             return true;
-        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        std::this_thread::sleep_for(retryDelay);
     }
     return false;
 }
--- a/Soak/CrowdRun.h
+++ b/Soak/CrowdRun.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Soak/CrowdClients.h"
+#include "Soak/CrowdPlay.h"
 #include "Soak/SoakFleet.h"
 #include "Soak/SoakWorker.h"
 #include <thread>
@@ -11,13 +13,15 @@
     std::string program;
     std::string folder;
     std::string network;
-    /// "entry", "sidecar" or "state".
-    std::string role;
+    /// Listener that the crowd connects to: that of an "entry", a "sidecar" or a "state" replica, or the "readiness"
+    /// check of an entry.
+    std::string listener;
+    CrowdPlay play = CrowdPlay::Stalled;
 };
 
-/// A fleet of real processes with low limits, one of which meets a crowd: trailers without end, large bodies that stop
-/// short of their end, silent connections. Checks that the process lives, stays within its memory and descriptors and
-/// then answers an ordinary request. Checks no times and no share of served requests.
+/// A fleet of real processes with low limits, one of which meets a crowd. Checks that every process lives and stays
+/// within its memory and descriptors, and that the listener answers an ordinary request. Checks no times and no share
+/// of served requests.
 class CrowdRun {
 public:
     explicit CrowdRun(CrowdSettings settings);
@@ -29,35 +33,37 @@
     std::vector<std::string> play();
 
 private:
-    /// A client of the crowd.
-    struct Client {
-        int descriptor = -1;
-        /// Bytes to send, in order: `head` once, `filler` again and again until `fillerBytes` are sent.
-        std::string head;
-        std::string filler;
-        std::size_t fillerBytes = 0;
-        std::size_t sent = 0;
-    };
-
-    bool startFleet();
-    void add(const std::string& address, std::size_t count, const Client& kind);
-    void sendAll();
-    // Sends a request whose last bytes arrive one by one.
-    void sendByteByByte(const std::string& address, const std::string& head, const std::string& tail);
-    // Sends what the socket takes now; returns the count.
-    static std::size_t sendSome(Client& client);
+    bool startProcesses(const std::vector<std::string>& processes);
+    // Starts the fleet and hands in its routing document, until an ordinary request is answered.
+    bool startService();
+    void playCrowd();
+    void playStalled();
+    void playFields();
+    void playJobs(const std::string& body, std::size_t count);
+    void playNested();
+    void playReads();
+    void playUnrouted();
+    void playFrozen();
+    void playRepeated();
     void measure();
+    void measure(const std::string& process);
+    void checkAnswered();
     bool isAnswered();
+    // Address and process of the listener under test.
+    std::string address() const;
+    std::string process() const;
     Http::HttpRequest ordinaryRequest() const;
-    std::string requestLine() const;
+    // Request line and fields of a request with a body, up to the fields that frame the body.
+    std::string requestHead() const;
+    std::string jobHead() const;
 
     CrowdSettings settings;
-    std::string process;
+    CrowdLimits limits;
     SoakFleet fleet;
     boost::asio::io_context context;
     std::unique_ptr<SoakWorker> worker;
     std::thread workerThread;
-    std::vector<Client> clients;
+    CrowdClients clients;
     std::vector<std::string> violations;
 };
 
--- a/Soak/Main.cpp
+++ b/Soak/Main.cpp
@@ -1,5 +1,6 @@
 #include "Soak/CrowdRun.h"
 #include "Soak/SoakRun.h"
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <docopt/docopt.h>
@@ -24,7 +25,10 @@
   --workers=N      Workers, each with a sidecar [default: 4].
   --entries=N      Entries [default: 2].
   --states=N       State replicas [default: 3].
-  --crowd=ROLE     Instead: a crowd of clients outside the limits against an entry, a sidecar or a state replica.
+  --crowd=LISTENER Instead: a crowd of clients outside the limits against an entry, a sidecar or a state replica, or the
+                   readiness check of an entry.
+  --play=NAME      What the crowd does: stalled, fields, tasks, steps, served, nested, reads, unrouted, frozen, repeated
+                   [default: stalled].
   --calm           No faults: the whole path on a calm day.
   --changes        Planned changes beside the faults: state replicas are replaced, limits change on open connections, and
                    workers return as another kind.
@@ -66,13 +70,20 @@
     return result.violations.empty();
 }
 
-// Plays a crowd against a process of `role`; returns whether the process withstood it.
-bool playCrowd(const std::string& program, const std::string& role)
+// Plays a crowd against a listener; returns whether the processes withstood it.
+bool playCrowd(const std::string& program, const std::string& listener, const std::string& name)
 {
+    const std::optional<Soak::CrowdPlay> crowdPlay = Core::enumValue<Soak::CrowdPlay>(name);
+    const std::vector<std::string> listeners { "entry", "sidecar", "state", "readiness" };
+    if (!crowdPlay || std::find(listeners.begin(), listeners.end(), listener) == listeners.end()) {
+        std::printf("no play \"%s\" against \"%s\"\n", name.c_str(), listener.c_str());
+        return false;
+    }
     char pattern[] = "/tmp/celeryswitch-crowd-XXXXXX";
     const std::string folder = ::mkdtemp(pattern);
     const std::string network = std::to_string(16 + ::getpid() % 200) + ".251";
-    const std::vector<std::string> violations = Soak::CrowdRun({ program, folder, network, role }).play();
+    const std::vector<std::string> violations
+        = Soak::CrowdRun({ program, folder, network, listener, *crowdPlay }).play();
     for (const std::string& violation : violations)
         std::printf("  violation: %s\n", violation.c_str());
     std::filesystem::remove_all(folder);
@@ -88,7 +99,10 @@
         = [&](const char* name) { return std::strtoull(arguments[name].asString().c_str(), nullptr, 10); };
     std::signal(SIGPIPE, SIG_IGN);
     if (arguments["--crowd"])
-        return playCrowd(arguments["--program"].asString(), arguments["--crowd"].asString()) ? 0 : 1;
+        return playCrowd(
+                   arguments["--program"].asString(), arguments["--crowd"].asString(), arguments["--play"].asString())
+            ? 0
+            : 1;
     Soak::SoakSettings settings;
     settings.program = arguments["--program"].asString();
     settings.duration = std::chrono::seconds(number("--seconds"));
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -13,7 +13,7 @@
 outputs=$(mktemp -d "${TMPDIR:-/tmp}/celeryswitch-tests.XXXXXX")
 trap 'rm -rf "$outputs"' EXIT
 
-# Names listed in KNOWN-RED.txt as "unit: NAME" or "scenario: NAME".
+# Names listed in KNOWN-RED.txt as "unit: NAME", "scenario: NAME" or "crowd: LISTENER, PLAY".
 known_red() { sed -n "s/^$1: //p" KNOWN-RED.txt; }
 
 # Starts a case in the background, once fewer than LIMIT of them run.
@@ -131,9 +131,18 @@
 
 echo "== crowds"
 # Each runs alone: the crowd takes the memory and the connections that other cases need.
-for role in entry sidecar state; do
-    run_case "crowd against a process, $role" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--crowd=$role"
-done
+while read -r listener play; do
+    name="crowd against a process, $listener"
+    [ "$play" = stalled ] || name+=", $play"
+    if known_red crowd | grep -qxF "$listener, $play"; then
+        # Nothing else runs, so that the case leaves its status like one in the background.
+        start_case 1 "$name" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--crowd=$listener" "--play=$play"
+        wait
+        finish_known_red "$name"
+    else
+        run_case "$name" "$build/celeryswitch-soak" "--program=$build/celeryswitch" "--crowd=$listener" "--play=$play"
+    fi
+done < <(grep -v '^#' Soak/crowds.txt)
 
 echo "== scenarios"
 # Scenarios mostly wait; their processes listen on addresses that the system or their own runner chose.
