Keep the fields of a request as one text

What callers saw: processes over their memory, which the platform then ends. A header of 16 KB of short fields cost 260 KB while its body was missing and 350 KB more once it was whole; the budget counted 32 KB. Cause: the library's parser keeps an object a field, heldBytes capped what it said of them, the request copied them into a map, and the announced length of a body was reserved at once. Why this works: RequestParser keeps one text, so that a field can't cost more than its bytes; a body grows with what arrives; heldBytes is the sum of the blocks. Trailers are checked and dropped.

--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -238,7 +238,7 @@
     if (status == 503 || status == 429) {
         ++job.refusals;
         job.isRefusedFull = this->isFull();
-        if (response.value().headers.count("Retry-After") == 0)
+        if (!response.value().headers.contains("Retry-After"))
             this->violation(entry + " refused job " + job.id + " without telling when to come back");
     } else if (status == 200) {
         job.isCompleted = response.value().body.find("completed") != std::string::npos;
--- a/Soak/SoakWire.cpp
+++ b/Soak/SoakWire.cpp
@@ -61,7 +61,7 @@
 
 std::optional<Workers::WorkerCall> readOrder(const Http::HttpRequest& request, std::string& expectedWorker)
 {
-    expectedWorker = std::string(Http::headerValue(request.headers, "X-Expect-Instance"));
+    expectedWorker = std::string(request.headers.value("X-Expect-Instance"));
     const std::optional<json::object> body = Platform::parseObject(request.body);
     if (request.method != "POST" || !body)
         return std::nullopt;
--- a/UnitTests/Platform/OperatorCallsTest.cpp
+++ b/UnitTests/Platform/OperatorCallsTest.cpp
@@ -40,7 +40,7 @@
     // Status of a call at one replica.
     std::uint16_t call(const std::string& name, Http::HttpRequest request, std::string* body = nullptr) const
     {
-        request.headers["Content-Type"] = "application/json";
+        request.headers.set("Content-Type", "application/json");
         const auto response = Http::httpCall(this->controls.at(name), std::move(request), std::chrono::seconds(3));
         REQUIRE(response);
         if (body)
--- a/UnitTests/Platform/WireTest.cpp
+++ b/UnitTests/Platform/WireTest.cpp
@@ -175,7 +175,7 @@
     REQUIRE(done.body == R"({"state":"completed"})");
     const auto refused = api.encode({ AnswerKind::NotRun, {}, 0, std::chrono::milliseconds(1200), "no room" });
     REQUIRE(refused.statusCode == 503);
-    REQUIRE(Http::headerValue(refused.headers, "Retry-After") == "2");
+    REQUIRE(refused.headers.value("Retry-After") == "2");
     REQUIRE(api.encode({ AnswerKind::GivenUp, {}, 0, {}, {} }).statusCode == 504);
     REQUIRE(api.encode({ AnswerKind::UnknownJob, {}, 0, {}, {} }).statusCode == 410);
     REQUIRE(api.encode({ AnswerKind::UnknownQueue, {}, 0, {}, {} }).statusCode == 404);
@@ -189,13 +189,13 @@
     const Messages::TaskId task { 0x5c0e7a21d94b36f8, 0, 1, 17 };
     const Http::HttpRequest start = api.encode(Workers::StartCall { task, 2, "text", 486000, 7 }, "i-1");
     REQUIRE(start.path == "/v1/run-start");
-    REQUIRE(Http::headerValue(start.headers, "X-Expect-Instance") == "i-1");
+    REQUIRE(start.headers.value("X-Expect-Instance") == "i-1");
     REQUIRE(json::parse(start.body)
         == json::parse(R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"text","deadline_ms":486000,)"
                        R"("fencing_token":7})"));
     const Http::HttpRequest hold
         = api.encode(Workers::RenewLeaseCall { 7, 57, 486000, std::chrono::milliseconds(400) }, "");
-    REQUIRE(hold.headers.count("X-Expect-Instance") == 0);
+    REQUIRE(!hold.headers.contains("X-Expect-Instance"));
     REQUIRE(json::parse(hold.body)
         == json::parse(R"({"fencing_token":7,"last_seen":57,"deadline_ms":486000,"wait_ms":400})"));
     REQUIRE(api.encode(Workers::StopCall { task, 2, 7 }, "i-1").path == "/v1/run-stop");
@@ -409,7 +409,7 @@
     const Http::HttpRequest request = post("/v1/config/put", "");
     const auto moved = api.encode({ State::ControlOutcome::Moved, "10.0.0.4:8080" }, request);
     REQUIRE(moved.statusCode == 307);
-    REQUIRE(Http::headerValue(moved.headers, "Location") == "http://10.0.0.4:8080/v1/config/put");
+    REQUIRE(moved.headers.value("Location") == "http://10.0.0.4:8080/v1/config/put");
     REQUIRE(api.encode({ State::ControlOutcome::Acknowledged, "" }, request).statusCode == 200);
     REQUIRE(api.encode({ State::ControlOutcome::Invalid, "why" }, request).statusCode == 400);
     REQUIRE(api.encode({ State::ControlOutcome::Unavailable, "" }, request).statusCode == 503);
--- a/UnitTests/Workers/WorkerClientTest.cpp
+++ b/UnitTests/Workers/WorkerClientTest.cpp
@@ -22,7 +22,7 @@
     {
         CallResult result;
         result.status = response.statusCode == 200 ? CallStatus::Accepted : CallStatus::Refused;
-        if (const std::string_view born = Http::headerValue(response.headers, "Born"); !born.empty())
+        if (const std::string_view born = response.headers.value("Born"); !born.empty())
             result.workerStartedAt = std::stoll(std::string(born));
         return result;
     }
@@ -46,7 +46,7 @@
                     this->paths.push_back(request.path);
                     Http::HttpResponse response { 200, {}, {} };
                     if (request.path == "/list")
-                        response.headers["Born"] = std::to_string(bornAt);
+                        response.headers.set("Born", std::to_string(bornAt));
                     session->respond(response);
                 },
                 {}, [](const Http::HttpSession::Pointer&) {} });
--- a/celeryswitch/Entry/JobApi.cpp
+++ b/celeryswitch/Entry/JobApi.cpp
@@ -39,9 +39,9 @@
 {
     Http::HttpResponse response { answer.statusCode, { { "Content-Type", answer.contentType } }, answer.body };
     if (answer.retryAfterSeconds > 0)
-        response.headers["Retry-After"] = std::to_string(answer.retryAfterSeconds);
+        response.headers.set("Retry-After", std::to_string(answer.retryAfterSeconds));
     if (!location.empty())
-        response.headers["Location"] = location;
+        response.headers.set("Location", location);
     return response;
 }
 
@@ -114,7 +114,7 @@
         return;
     }
     this->enqueueRequest(session,
-        { 0, Messages::JobOperation::Submit, parseWait(std::string(Http::headerValue(request.headers, "Prefer"))),
+        { 0, Messages::JobOperation::Submit, parseWait(std::string(request.headers.value("Prefer"))),
             std::move(submission.value()) });
 }
 
@@ -135,7 +135,7 @@
         session->respond(toResponse(Problem { 404, "unknown-path", "There is nothing under this path" }));
         return;
     }
-    CallerRequest jobRequest { 0, operation, parseWait(std::string(Http::headerValue(request.headers, "Prefer"))), {} };
+    CallerRequest jobRequest { 0, operation, parseWait(std::string(request.headers.value("Prefer"))), {} };
     jobRequest.submission.team = std::move(names[0]);
     jobRequest.submission.caller = std::move(names[1]);
     jobRequest.submission.idempotencyKey = std::move(names[2]);
@@ -159,7 +159,7 @@
     if (this->settings.tokens.empty())
         return true;
     constexpr std::string_view scheme = "Bearer ";
-    const std::string_view authorization = Http::headerValue(request.headers, "Authorization");
+    const std::string_view authorization = request.headers.value("Authorization");
     if (!authorization.starts_with(scheme))
         return false;
     const std::string_view presented = authorization.substr(scheme.size());
--- a/celeryswitch/Http/HttpConnection.cpp
+++ b/celeryswitch/Http/HttpConnection.cpp
@@ -43,8 +43,8 @@
         this->outgoing.method_string(request.method);
         this->outgoing.target(request.path);
         this->outgoing.set(http::field::host, this->address);
-        for (const auto& [name, value] : request.headers)
-            this->outgoing.set(name, value);
+        request.headers.forEach(
+            [this](std::string_view name, std::string_view value) { this->outgoing.set(name, value); });
         this->outgoing.body() = std::move(request.body);
         this->outgoing.prepare_payload();
         this->isReused = this->stream.has_value();
@@ -123,7 +123,7 @@
         http::response<http::string_body> response = this->parser->release();
         answer.statusCode = static_cast<std::uint16_t>(response.result_int());
         for (const auto& field : response)
-            answer.headers[std::string(field.name_string())] = std::string(field.value());
+            answer.headers.add(field.name_string(), field.value());
         answer.body = std::move(response.body());
         if (response.keep_alive())
             this->stream->expires_never();
@@ -167,7 +167,7 @@
 
 std::uint32_t retryAfterSeconds(const HttpResponse& response)
 {
-    const std::string_view text = headerValue(response.headers, "Retry-After");
+    const std::string_view text = response.headers.value("Retry-After");
     std::uint32_t seconds = 0;
     const auto [next, failure] = std::from_chars(text.data(), text.data() + text.size(), seconds);
     return failure == std::errc {} ? seconds : 0;
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -84,8 +84,8 @@
         this->response = {};
         this->response.version(11);
         this->response.result(answer.statusCode);
-        for (const auto& [name, value] : answer.headers)
-            this->response.set(name, value);
+        answer.headers.forEach(
+            [this](std::string_view name, std::string_view value) { this->response.set(name, value); });
         this->response.keep_alive(this->isKeptAlive && !this->isFinishing);
         this->response.body() = std::move(answer.body);
         this->response.prepare_payload();
--- a/celeryswitch/Http/RequestReader.cpp
+++ b/celeryswitch/Http/RequestReader.cpp
@@ -1,7 +1,7 @@
 #include "celeryswitch/Http/RequestReader.h"
 
 #include <boost/beast/core/string.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/error.hpp>
 
 namespace celeryswitch::Http {
 
@@ -18,26 +18,15 @@
 
 }
 
-RequestReader::RequestReader()
-    : onChunk([this](std::uint64_t, boost::beast::string_view extensions, error_code& error) {
-        this->extensionBytes += extensions.size();
-        if (this->extensionBytes > this->headerBytesLimit)
-            error = http::error::header_limit;
-    })
-{
-}
-
 void RequestReader::begin(std::size_t headerBytesLimit, std::size_t bodyBytesLimit)
 {
     this->headerBytesLimit = headerBytesLimit;
-    this->extensionBytes = 0;
     this->parsedBytes = 0;
-    this->parser.emplace();
+    this->parser.emplace(headerBytesLimit);
     this->parser->body_limit(bodyBytesLimit);
     this->parser->header_limit(static_cast<std::uint32_t>(headerBytesLimit));
     // Takes the body as well when it has arrived with the header.
     this->parser->eager(true);
-    this->parser->on_chunk_header(this->onChunk);
 }
 
 boost::asio::mutable_buffer RequestReader::prepare()
@@ -70,29 +59,21 @@
 
 bool RequestReader::expectsContinue() const
 {
-    return boost::beast::iequals(this->parser->get()[http::field::expect], "100-continue");
+    return boost::beast::iequals(this->parser->request().headers.value("Expect"), "100-continue");
 }
 
-std::size_t RequestReader::bodyBytes() const { return this->parser ? this->parser->get().body().size() : 0; }
+std::size_t RequestReader::bodyBytes() const { return this->parser ? this->parser->request().body.size() : 0; }
 
 std::size_t RequestReader::heldBytes() const
 {
-    if (!this->parser)
-        return this->buffer.size();
-    const std::size_t other = this->parsedBytes - std::min(this->parsedBytes, this->bodyBytes());
-    const std::size_t body = this->parser->chunked() ? this->parser->get().body().capacity() : this->bodyBytes();
-    return this->buffer.capacity() + body + std::min(other, 2 * this->headerBytesLimit);
+    return Core::blockBytes(this->buffer.capacity()) + (this->parser ? this->parser->memoryBytes() : 0);
 }
 
 HttpRequest RequestReader::release(bool& isKeptAlive)
 {
-    http::request<http::string_body> message = this->parser->release();
+    isKeptAlive = this->parser->keep_alive();
+    HttpRequest request = std::move(this->parser->request());
     this->parser.reset();
-    isKeptAlive = message.keep_alive();
-    HttpRequest request { std::string(message.method_string()), std::string(message.target()), {},
-        std::move(message.body()) };
-    for (const auto& field : message)
-        request.headers[std::string(field.name_string())] = std::string(field.value());
     if (this->buffer.size() == 0 && this->buffer.capacity() > firstReadBytes)
         this->discard();
     return request;
--- a/celeryswitch/Http/RequestReader.h
+++ b/celeryswitch/Http/RequestReader.h
@@ -1,12 +1,8 @@
 #pragma once
 
-#include "celeryswitch/Http/HttpMessage.h"
+#include "celeryswitch/Http/RequestParser.h"
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/system/error_code.hpp>
-#include <functional>
 #include <optional>
 
 namespace celeryswitch::Http {
@@ -18,7 +14,7 @@
     /// How far a request has come.
     enum class Progress : std::uint8_t { HeaderMissing, BodyMissing, Complete, Failed };
 
-    RequestReader();
+    RequestReader() = default;
     RequestReader(const RequestReader&) = delete;
     RequestReader& operator=(const RequestReader&) = delete;
 
@@ -44,14 +40,9 @@
     void discard();
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
-    // Counts the extensions of a chunk; called by the parser.
-    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)> onChunk;
     boost::beast::flat_buffer buffer;
-    std::optional<Parser> parser;
+    std::optional<RequestParser> parser;
     std::size_t headerBytesLimit = 0;
-    std::size_t extensionBytes = 0;
     std::size_t parsedBytes = 0;
 };
 
--- a/celeryswitch/Load/FleetProbe.cpp
+++ b/celeryswitch/Load/FleetProbe.cpp
@@ -15,7 +15,7 @@
 {
     Http::HttpRequest request { "GET", path, {}, {} };
     if (!token.empty())
-        request.headers["Authorization"] = "Bearer " + token;
+        request.headers.set("Authorization", "Bearer " + token);
     Core::Result<Http::HttpResponse> answer = Http::httpCall(address, std::move(request), probeTimeout);
     if (!answer || answer.value().statusCode != 200)
         return std::nullopt;
--- a/celeryswitch/Load/JobApiClient.cpp
+++ b/celeryswitch/Load/JobApiClient.cpp
@@ -34,7 +34,7 @@
 {
     Http::HttpRequest request { method, path, {}, {} };
     if (!token.empty())
-        request.headers["Authorization"] = "Bearer " + token;
+        request.headers.set("Authorization", "Bearer " + token);
     return request;
 }
 
@@ -42,7 +42,7 @@
 void setWait(Http::HttpRequest& request, std::uint32_t waitMilliseconds)
 {
     if (waitMilliseconds != 0)
-        request.headers["Prefer"] = "wait=" + std::to_string((waitMilliseconds + 999) / 1000);
+        request.headers.set("Prefer", "wait=" + std::to_string((waitMilliseconds + 999) / 1000));
 }
 
 std::optional<std::int64_t> numberOf(const json::object& object, const char* name)
@@ -148,7 +148,7 @@
         { "urgency", Core::enumName(submission.urgency) }, { "deadlineMs", submission.deadlineMilliseconds },
         { "declaredRunMs", submission.declaredRunMilliseconds }, { "idempotent", submission.isIdempotent },
         { "tasks", std::move(tasks) } });
-    request.headers["Content-Type"] = "application/json";
+    request.headers.set("Content-Type", "application/json");
     return request;
 }
 
