Give new connections a turn among those that are served

What callers saw: every new connection reset for as long as other callers ask and read their answers; readiness checks too. Cause: a connection without a place was closed at once, and no connection that had been answered within the last second gave way. Ruled out: closing connections that were just answered (loses requests), a reserve for newcomers (the crowd takes it). Why this works: one connection waits, the order of arrival is kept by the system's queue, and the oldest connections end with their next answer, more of them the longer others wait; a place changes hands without a request lost. Connections are looked at once in 100 ms at most.

--- a/UnitTests/Http/ConnectionChoiceTest.cpp
+++ b/UnitTests/Http/ConnectionChoiceTest.cpp
@@ -47,6 +47,21 @@
     CHECK(order == std::vector<std::uint64_t> { 5, 4, 2 });
 }
 
+// Guards against newcomers that wait for ever behind connections that are served, and against one that is asked twice.
+TEST_CASE("the oldest connections leave first when others wait for their places", "[Http]")
+{
+    const std::vector<ConnectionState> open { { 9, Phase::Idle, 0, 100ms }, { 2, Phase::Closed, 0, 9s },
+        { 4, Phase::Waiting, 100, 3s }, { 3, Phase::Idle, 0, 100ms, true }, { 7, Phase::Idle, 0, 0ms } };
+    CHECK(connectionsToRelease(open, 0).empty());
+    CHECK(connectionsToRelease(open, 1).empty());
+    CHECK(connectionsToRelease(open, 3) == std::vector<std::uint64_t> { 4, 7 });
+    CHECK(connectionsToRelease(open, 100) == std::vector<std::uint64_t> { 4, 7, 9 });
+    CHECK(releaseCount(64, 0ms) == 8);
+    CHECK(releaseCount(64, 250ms) == 16);
+    CHECK(releaseCount(64, 1h) == 64);
+    CHECK(releaseCount(2, 0ms) == 1);
+}
+
 namespace {
 
 struct FakeConnection final : BudgetedConnection {
--- a/UnitTests/Http/HttpLimitsTest.cpp
+++ b/UnitTests/Http/HttpLimitsTest.cpp
@@ -259,3 +259,73 @@
     auto ordinary = fixture.connect();
     CHECK(fixture.statusOf(ordinary, "", 300) == 200);
 }
+
+// Guards against callers who keep every place by asking again and again, and against a caller whose request is lost
+// because another one needs the place.
+TEST_CASE("a new connection gets its turn among connections that are served", "[Http]")
+{
+    LimitedServer fixture({ 65'536, 16'384, 60s, 60s, 60s }, 4);
+    // Each asks again as soon as it has its answer, until an answer says that it is the last one.
+    struct Caller {
+        boost::asio::ip::tcp::socket socket;
+        std::array<char, 1024> bytes {};
+        int answers = 0;
+        bool isOver = false;
+        bool isLost = false;
+    };
+    const std::string request = "GET /q HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::list<Caller> crowd;
+    const std::function<void(Caller&)> ask = [&](Caller& caller) {
+        boost::asio::write(caller.socket, boost::asio::buffer(request));
+        caller.socket.async_read_some(boost::asio::buffer(caller.bytes), [&](const auto& error, std::size_t count) {
+            caller.isLost = static_cast<bool>(error);
+            caller.isOver = std::string_view(caller.bytes.data(), count).find("Connection: close") != std::string::npos;
+            ++caller.answers;
+            if (!caller.isLost && !caller.isOver)
+                ask(caller);
+        });
+    };
+    for (int number = 0; number < 4; ++number)
+        ask(crowd.emplace_back(Caller { fixture.connect() }));
+    fixture.run([&] { return crowd.back().answers > 10; });
+    auto newcomer = fixture.connect();
+    CHECK(fixture.statusOf(newcomer, "", 10) == 200);
+    // The oldest one made room, and every request was answered.
+    CHECK(crowd.front().isOver);
+    CHECK(std::none_of(crowd.begin(), crowd.end(), [](const Caller& caller) { return caller.isLost; }));
+    CHECK(fixture.server.connectionCount() <= 4);
+}
+
+// Guards against new connections that wait without end for a place that nobody gives up.
+TEST_CASE("a new connection is closed when every other one waits for its answer", "[Http]")
+{
+    boost::asio::io_context context;
+    std::vector<Http::HttpSession::Pointer> waiting;
+    const auto budget = std::make_shared<Http::ReceiveBudget>(1'000'000);
+    Http::HttpServer server(context, { 65'536, 16'384, 60s, 60s, 60s }, 2,
+        { [&](const Http::HttpSession::Pointer& session, const Http::HttpRequest&) { waiting.push_back(session); }, {},
+            {} },
+        budget);
+    const std::string address = server.listen("127.0.0.1:0").value();
+    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    for (int number = 0; number < 6; ++number) {
+        callers.emplace_back(context);
+        callers.back().connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        boost::asio::write(callers.back(), boost::asio::buffer(std::string("GET /q HTTP/1.1\r\nHost: a\r\n\r\n")));
+    }
+    const auto end = std::chrono::steady_clock::now() + 20s;
+    while (budget->closedCount(Http::CloseReason::ConnectionLimit) < 4 && std::chrono::steady_clock::now() < end)
+        context.run_one_for(20ms);
+    CHECK(budget->closedCount(Http::CloseReason::ConnectionLimit) == 4);
+    CHECK(waiting.size() == 2);
+    // A place that is given up is taken again.
+    waiting.clear();
+    callers.clear();
+    callers.emplace_back(context);
+    callers.back().connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+    boost::asio::write(callers.back(), boost::asio::buffer(std::string("GET /q HTTP/1.1\r\nHost: a\r\n\r\n")));
+    while (waiting.empty() && std::chrono::steady_clock::now() < end)
+        context.run_one_for(20ms);
+    CHECK(waiting.size() == 1);
+}
--- a/celeryswitch/Http/ConnectionChoice.cpp
+++ b/celeryswitch/Http/ConnectionChoice.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/Http/ConnectionChoice.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace celeryswitch::Http {
@@ -8,6 +9,9 @@
 
 // Connections that were answered a moment ago are about to be used again.
 constexpr Core::Duration shortestIdleTime = std::chrono::seconds(1);
+// Part of the places that is released at first, and the time in which that part doubles.
+constexpr std::size_t firstReleaseDivisor = 8;
+constexpr Core::Duration releaseDoublingTime = std::chrono::milliseconds(250);
 
 bool isIncomplete(ConnectionPhase phase)
 {
@@ -56,4 +60,31 @@
     });
 }
 
+std::vector<std::uint64_t> connectionsToRelease(std::vector<ConnectionState> connections, std::size_t count)
+{
+    std::erase_if(connections, [](const ConnectionState& state) { return state.phase == ConnectionPhase::Closed; });
+    std::sort(connections.begin(), connections.end(),
+        [](const ConnectionState& left, const ConnectionState& right) { return left.number < right.number; });
+    auto leaving = static_cast<std::size_t>(
+        std::count_if(connections.begin(), connections.end(), [](const auto& state) { return state.isLeaving; }));
+    std::vector<std::uint64_t> released;
+    for (const ConnectionState& state : connections) {
+        if (leaving >= count)
+            break;
+        if (state.isLeaving)
+            continue;
+        released.push_back(state.number);
+        ++leaving;
+    }
+    return released;
+}
+
+std::size_t releaseCount(std::size_t places, Core::Duration crowdedFor)
+{
+    std::size_t count = std::max<std::size_t>(1, places / firstReleaseDivisor);
+    for (Core::Duration time = releaseDoublingTime; time <= crowdedFor && count < places; time += releaseDoublingTime)
+        count *= 2;
+    return std::min(count, places);
+}
+
 }
--- a/celeryswitch/Http/ConnectionChoice.h
+++ b/celeryswitch/Http/ConnectionChoice.h
@@ -35,6 +35,8 @@
     std::size_t heldBytes = 0;
     /// Time since the bytes of the request last doubled; since the phase began for the phases without a request.
     Core::Duration stalledFor {};
+    /// Whether the connection ends with its next answer.
+    bool isLeaving = false;
 };
 
 /// Connection to close when the bytes of all connections exceed the budget: of the incomplete ones that with the least
@@ -46,6 +48,14 @@
 /// the last second.
 std::optional<std::uint64_t> connectionToReplace(const std::vector<ConnectionState>& connections);
 
+/// Connections to end with their next answers while new ones wait for a place: the oldest, so that `count` are leaving
+/// in all. Their callers lose nothing, and connect again behind those who wait.
+std::vector<std::uint64_t> connectionsToRelease(std::vector<ConnectionState> connections, std::size_t count);
+
+/// Number of connections that are to be leaving when new ones have waited for places without a break for this time:
+/// an eighth of the places at first, all of them in the end.
+std::size_t releaseCount(std::size_t places, Core::Duration crowdedFor);
+
 }
 
 namespace celeryswitch::Core {
--- a/celeryswitch/Http/HttpServer.cpp
+++ b/celeryswitch/Http/HttpServer.cpp
@@ -2,6 +2,8 @@
 
 #include "celeryswitch/Core/SocketAddress.h"
 #include "celeryswitch/Http/ProcessLimits.h"
+#include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace celeryswitch::Http {
 
@@ -11,6 +13,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds acceptRetryDelay { 100 };
+// Time between two looks for a place, and the time without a free place after which new connections are closed.
+constexpr std::chrono::milliseconds newcomerInterval { 100 };
+constexpr std::chrono::seconds newcomerPatience { 1 };
+// Time without a wait after which a crowd has ended.
+constexpr std::chrono::seconds crowdEnd { 1 };
 
 Core::Result<tcp::endpoint> parseEndpoint(const std::string& text)
 {
@@ -32,9 +39,13 @@
     , acceptor(context)
     , acceptTimer(context)
     , sessions(std::make_shared<Sessions>())
+    , newcomerTimer(context)
 {
+    this->sessions->onEnd = [this] { this->sessionEnded(); };
 }
 
+HttpServer::~HttpServer() { this->sessions->onEnd = nullptr; }
+
 Core::Result<std::string> HttpServer::listen(const std::string& address)
 {
     BOOST_OUTCOME_TRY(const tcp::endpoint endpoint, parseEndpoint(address));
@@ -61,11 +72,8 @@
     this->acceptor.async_accept([this](error_code error, tcp::socket socket) {
         if (error == boost::asio::error::operation_aborted || !this->acceptor.is_open())
             return;
-        if (!error) {
-            this->accepted(std::move(socket));
-            this->accept();
-            return;
-        }
+        if (!error)
+            return this->accepted(std::move(socket));
         // For example too many open files; accepting again at once would spin.
         this->acceptTimer.expires_after(acceptRetryDelay);
         this->acceptTimer.async_wait([this](error_code waitError) {
@@ -77,41 +85,115 @@
 
 void HttpServer::accepted(tcp::socket socket)
 {
-    if (this->sessions->size() >= this->connectionsLimit && !this->makeRoom())
-        return;
+    this->newcomer = std::move(socket);
+    if (this->placeNewcomer())
+        this->accept();
+}
+
+HttpSession::Pointer HttpServer::startSession(tcp::socket socket)
+{
     const std::uint64_t number = ++this->lastSession;
-    (*this->sessions)[number] = {};
+    this->sessions->byNumber[number] = {};
     HttpSession::Handlers sessionHandlers { this->handlers.onRequest, this->handlers.onMalformed,
         [open = std::weak_ptr<Sessions>(this->sessions), number] {
-            if (const std::shared_ptr<Sessions> known = open.lock())
-                known->erase(number);
+            const std::shared_ptr<Sessions> known = open.lock();
+            if (known && known->byNumber.erase(number) > 0 && known->onEnd)
+                known->onEnd();
         },
         this->handlers.onAbandoned };
-    (*this->sessions)[number]
+    HttpSession::Pointer session
         = HttpSession::start(std::move(socket), this->limits, this->budget, std::move(sessionHandlers));
+    this->sessions->byNumber[number] = session;
+    return session;
+}
+
+std::size_t HttpServer::leavingCount(Timer::time_point now) const
+{
+    return releaseCount(this->connectionsLimit, now - *this->crowdedSince);
 }
 
-bool HttpServer::makeRoom()
+std::vector<ConnectionState> HttpServer::states(Timer::time_point now) const
 {
-    const auto now = std::chrono::steady_clock::now();
-    std::vector<ConnectionState> states;
-    std::size_t openCount = 0;
-    for (const auto& [number, session] : *this->sessions) {
+    std::vector<ConnectionState> result;
+    result.reserve(this->sessions->byNumber.size());
+    for (const auto& [number, session] : this->sessions->byNumber) {
         const HttpSession::Pointer open = session.lock();
         if (!open)
             continue;
-        states.push_back(open->state(now));
-        states.back().number = number;
-        openCount += states.back().phase != ConnectionPhase::Closed ? 1 : 0;
+        result.push_back(open->state(now));
+        result.back().number = number;
     }
+    return result;
+}
+
+bool HttpServer::findPlace(Timer::time_point now)
+{
+    if (this->sessions->byNumber.size() < this->connectionsLimit)
+        return true;
+    if (now < this->nextLookAt)
+        return false;
+    const std::vector<ConnectionState> open = this->states(now);
+    const auto openCount = static_cast<std::size_t>(std::count_if(
+        open.begin(), open.end(), [](const auto& state) { return state.phase != ConnectionPhase::Closed; }));
     if (openCount < this->connectionsLimit)
         return true;
-    const std::optional<std::uint64_t> number = connectionToReplace(states);
-    if (number)
-        this->sessions->at(*number).lock()->closeFor(CloseReason::ConnectionLimit);
-    else
-        this->budget->countClosed(CloseReason::ConnectionLimit);
-    return number.has_value();
+    if (const std::optional<std::uint64_t> number = connectionToReplace(open)) {
+        this->sessions->byNumber.at(*number).lock()->closeFor(CloseReason::ConnectionLimit);
+        return true;
+    }
+    this->nextLookAt = now + newcomerInterval;
+    if (!this->crowdedSince)
+        this->crowdedSince = now;
+    for (const std::uint64_t number : connectionsToRelease(open, this->leavingCount(now))) {
+        if (const HttpSession::Pointer session = this->sessions->byNumber.at(number).lock())
+            session->release();
+    }
+    return false;
+}
+
+bool HttpServer::placeNewcomer()
+{
+    const Timer::time_point now = Timer::clock_type::now();
+    if (this->findPlace(now)) {
+        this->placeFreeAt = now;
+        if (this->crowdedSince && now > this->waitedAt + crowdEnd)
+            this->crowdedSince.reset();
+        const HttpSession::Pointer session = this->startSession(*std::exchange(this->newcomer, std::nullopt));
+        // While all have to leave, a place is taken for one request only.
+        if (this->crowdedSince && this->leavingCount(now) >= this->connectionsLimit)
+            session->release();
+        return true;
+    }
+    this->waitedAt = now;
+    if (now < std::max(this->placeFreeAt, *this->crowdedSince) + newcomerPatience) {
+        this->newcomerTimer.expires_at(now + newcomerInterval);
+        this->newcomerTimer.async_wait([this, open = std::weak_ptr<Sessions>(this->sessions)](error_code error) {
+            if (!error && !open.expired())
+                this->placeWaiting();
+        });
+        return false;
+    }
+    this->budget->countClosed(CloseReason::ConnectionLimit);
+    this->newcomer.reset();
+    this->accept();
+    return false;
+}
+
+void HttpServer::placeWaiting()
+{
+    if (this->newcomer && this->placeNewcomer())
+        this->accept();
+}
+
+void HttpServer::sessionEnded()
+{
+    if (!this->newcomer)
+        return;
+    // The session may end inside any other function.
+    boost::asio::post(this->acceptor.get_executor(), [this, open = std::weak_ptr<Sessions>(this->sessions)] {
+        if (!open.expired())
+            this->placeWaiting();
+    });
 }
 
 void HttpServer::setLimits(const HttpLimits& value)
@@ -120,7 +202,7 @@
     *this->limits = value;
     if (!isIdleTimeChanged)
         return;
-    for (const auto& [number, session] : *this->sessions) {
+    for (const auto& [number, session] : this->sessions->byNumber) {
         if (const HttpSession::Pointer open = session.lock())
             open->idleLimitChanged();
     }
@@ -131,12 +213,14 @@
     error_code ignored;
     this->acceptor.close(ignored);
     this->acceptTimer.cancel();
+    this->newcomerTimer.cancel();
+    this->newcomer.reset();
 }
 
 void HttpServer::stop()
 {
     this->stopAccepting();
-    for (const auto& [number, session] : Sessions(*this->sessions)) {
+    for (const auto& [number, session] : std::unordered_map(this->sessions->byNumber)) {
         if (const HttpSession::Pointer open = session.lock())
             open->finish();
     }
--- a/celeryswitch/Http/HttpServer.h
+++ b/celeryswitch/Http/HttpServer.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace celeryswitch::Http {
@@ -16,6 +17,10 @@
 };
 
 /// Listens on one address and runs a session for each connection. Every function runs on the io_context's thread.
+///
+/// When every place is taken, a new connection replaces one that makes no progress. When there is none either, it waits
+/// for one of the oldest connections to end with its next answer; nothing more is accepted meanwhile, so that callers
+/// get their places in the order in which they came. It is closed when no place has become free for a second.
 class HttpServer {
 public:
     /// What a server asks of its owner.
@@ -26,8 +31,8 @@
         std::function<void(const HttpSession::Pointer&)> onAbandoned;
     };
 
-    /// A connection beyond `connectionsLimit` replaces one that makes no progress, or is closed at once. `budget` is
-    /// that of the process; without one the server has one of its own, derived from the machine's memory.
+    /// At most `connectionsLimit` connections are served. `budget` is that of the process; without one the server has
+    /// one of its own, derived from the machine's memory.
     HttpServer(boost::asio::io_context& context, HttpLimits limits, std::size_t connectionsLimit, Handlers handlers,
         std::shared_ptr<ReceiveBudget> budget = nullptr);
 
@@ -41,16 +46,37 @@
     /// Stops accepting and ends each connection after its request in progress.
     void stop();
     /// Connections that are open.
-    std::size_t connectionCount() const { return this->sessions->size(); }
+    std::size_t connectionCount() const { return this->sessions->byNumber.size(); }
+
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
 
 private:
+    using Timer = boost::asio::steady_timer;
+
     // Open sessions by number; shared with their close handlers, which may outlive this object.
-    using Sessions = std::unordered_map<std::uint64_t, std::weak_ptr<HttpSession>>;
+    struct Sessions {
+        std::unordered_map<std::uint64_t, std::weak_ptr<HttpSession>> byNumber;
+        /// Called when one has ended.
+        std::function<void()> onEnd;
+    };
 
     void accept();
     void accepted(boost::asio::ip::tcp::socket socket);
-    // Closes a connection in favour of a new one; false when none can be spared.
-    bool makeRoom();
+    HttpSession::Pointer startSession(boost::asio::ip::tcp::socket socket);
+    // Number of connections that have to leave in the present crowd.
+    std::size_t leavingCount(Timer::time_point now) const;
+    std::vector<ConnectionState> states(Timer::time_point now) const;
+    // Whether there is a place for a new connection, if need be that of one that makes no progress. If not, asks the
+    // oldest connections to leave.
+    bool findPlace(Timer::time_point now);
+    // Serves the connection that waits for a place; false when there is none. Closes it when it has waited for too
+    // long.
+    bool placeNewcomer();
+    // Goes on accepting once the connection that waits has its place.
+    void placeWaiting();
+    void sessionEnded();
 
     // Shared with the sessions, which may outlive this object.
     std::shared_ptr<HttpLimits> limits;
@@ -58,8 +84,17 @@
     std::size_t connectionsLimit;
     Handlers handlers;
     boost::asio::ip::tcp::acceptor acceptor;
-    boost::asio::steady_timer acceptTimer;
+    Timer acceptTimer;
     std::shared_ptr<Sessions> sessions;
+    // Connection that waits for a place.
+    std::optional<boost::asio::ip::tcp::socket> newcomer;
+    Timer newcomerTimer;
+    // When the present crowd began, when a connection last had to wait for its place, and when one last found a place.
+    std::optional<Timer::time_point> crowdedSince;
+    Timer::time_point waitedAt {};
+    Timer::time_point placeFreeAt {};
+    // All connections are looked at only now and then, however many new ones come.
+    Timer::time_point nextLookAt {};
     std::uint64_t lastSession = 0;
 };
 
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -86,7 +86,7 @@
         this->response.result(answer.statusCode);
         answer.headers.forEach(
             [this](std::string_view name, std::string_view value) { this->response.set(name, value); });
-        this->response.keep_alive(this->isKeptAlive && !this->isFinishing);
+        this->response.keep_alive(this->isKeptAlive && !this->isFinishing && !this->isLeaving);
         this->response.body() = std::move(answer.body);
         this->response.prepare_payload();
         this->isAnswered = true;
@@ -125,6 +125,8 @@
 
     void closeAfterResponse() override { this->isKeptAlive = false; }
 
+    void release() override { this->isLeaving = true; }
+
     void idleLimitChanged() override
     {
         if (this->phase == ConnectionPhase::Silent || this->phase == ConnectionPhase::Idle)
@@ -133,7 +135,7 @@
 
     ConnectionState state(Timer::time_point now) const override
     {
-        return { 0, this->phase, this->heldBytes, now - this->progressAt };
+        return { 0, this->phase, this->heldBytes, now - this->progressAt, this->isLeaving };
     }
 
     void closeFor(CloseReason reason) override
@@ -432,6 +434,7 @@
     bool isMalformed = false;
     bool isKeptAlive = false;
     bool isFinishing = false;
+    bool isLeaving = false;
     bool isAnswered = false;
     std::uint64_t requestNumber = 0;
 };
--- a/celeryswitch/Http/HttpSession.h
+++ b/celeryswitch/Http/HttpSession.h
@@ -59,6 +59,8 @@
     static std::vector<HttpSession*> closedByCallers(const std::vector<HttpSession*>& sessions);
     /// Makes the response to the current request the last one of this connection.
     virtual void closeAfterResponse() = 0;
+    /// Ends the connection after the next response, also if its request has not arrived yet.
+    virtual void release() = 0;
     /// Holds the connection to a changed idle limit if it is idle now.
     virtual void idleLimitChanged() = 0;
 
