Keep records only of tasks that were ordered

What callers saw: an entry over its memory by requests of 100 bytes, all of which it refused. Cause: submit made a record for each of up to 100,000 tasks of a job before it knew whether the job could run. Why this works: a task that was never ordered is known by its number alone; TaskTable keeps the others until they are done, so that memory and the loops over tasks follow the work under way.

--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -82,11 +82,12 @@
 
 bool JobScheduler::hasRuns(const Core::InstanceId& sidecar) const
 {
-    const auto isThere = [&](const Task& task) { return task.phase == TaskPhase::Ordered && task.sidecar == sidecar; };
-    return std::any_of(this->jobs.begin(), this->jobs.end(), [&](const auto& job) {
-        return std::any_of(job.second.steps.begin(), job.second.steps.end(),
-            [&](const Step& step) { return std::any_of(step.tasks.begin(), step.tasks.end(), isThere); });
-    });
+    bool isFound = false;
+    for (const auto& [id, job] : this->jobs) {
+        for (const Step& step : job.steps)
+            step.tasks.forEachOrdered([&](const Task& task) { isFound = isFound || task.sidecar == sidecar; });
+    }
+    return isFound;
 }
 
 void JobScheduler::removeSidecar(const Core::InstanceId& sidecar)
@@ -208,11 +209,9 @@
     Core::Duration callerTimeout = submission.callerTimeout;
     if (callerTimeout <= Core::Duration::zero())
         callerTimeout = std::chrono::milliseconds(queue.timeoutMilliseconds);
-    for (const StepSpecification& step : submission.job.steps) {
-        job.steps.emplace_back();
-        job.steps.back().tasks.resize(step.count);
-        job.steps.back().waiting = step.count;
-    }
+    job.steps.reserve(submission.job.steps.size());
+    for (const StepSpecification& step : submission.job.steps)
+        job.steps.push_back(Step { TaskTable(step.count) });
     job.callerTimeout = callerTimeout;
     job.specification = std::move(submission.job);
     this->estimateJob(now, job);
@@ -376,13 +375,10 @@
     this->jobs.erase(found);
     const StepJobId id = job.specification.id;
     std::map<Core::InstanceId, Messages::StopRuns> stops;
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
-            const Task& task = job.steps[step].tasks[index];
-            if (task.phase == TaskPhase::Ordered)
-                stops[task.sidecar].tasks.push_back({ { id, 0, step, index }, task.order });
-        }
-    }
+    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+        job.steps[step].tasks.forEachOrdered([&](const Task& task) {
+            stops[task.sidecar].tasks.push_back({ { id, 0, step, task.index }, task.order });
+        });
     for (auto& [sidecar, stop] : stops) {
         stop.clockEcho = this->workerTable[sidecar].clockEcho;
         this->actions.push_back(SendToSidecar { sidecar, std::move(stop) });
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -6,6 +6,7 @@
 #include "celeryswitch/Scheduling/JobTypes.h"
 #include "celeryswitch/Scheduling/QueueModel.h"
 #include "celeryswitch/Scheduling/SchedulerMetrics.h"
+#include "celeryswitch/Scheduling/TaskTable.h"
 #include "celeryswitch/Scheduling/WorkerTable.h"
 #include <deque>
 #include <map>
@@ -141,28 +142,6 @@
     const SchedulerWork& work() const { return this->workDone; }
 
 private:
-    enum class TaskPhase : std::uint8_t {
-        Waiting,
-        Ordered,
-        Done,
-    };
-    struct Task {
-        TaskPhase phase = TaskPhase::Waiting;
-        /// Number of the task's current run, or of its next one while it waits.
-        std::uint32_t run = 1;
-        /// Number of the start order that the task waits for; valid while it is ordered.
-        std::uint64_t order = 0;
-        /// Whether the sidecar reported that the run of the order has started.
-        bool isStarted = false;
-        std::uint32_t failures = 0;
-        Core::InstanceId sidecar;
-        /// Whether the run was told to stop so that the task can run on another worker.
-        bool isRestarting = false;
-        /// Predicted end of the run; the maximum time before the first prediction.
-        Core::SteadyTime expectedEnd = Core::SteadyTime::max();
-        /// Sidecars whose workers failed or stalled this task.
-        std::vector<Core::InstanceId> avoidedSidecars;
-    };
     /// Wait of a step for workers of the rack that it prefers.
     struct RackWait {
         Core::SteadyTime begunAt;
@@ -171,9 +150,7 @@
         Core::SteadyTime until;
     };
     struct Step {
-        std::vector<Task> tasks;
-        std::uint32_t waiting = 0;
-        std::uint32_t done = 0;
+        TaskTable tasks;
         /// Times of the completed tasks, scaled to a worker of median speed, in seconds.
         double longestSeconds = 0;
         double sumSeconds = 0;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -97,8 +97,9 @@
 
 float JobScheduler::rankOfWaiting(const Job& job, const Step& step)
 {
-    const float rank
-        = job.hasBegun ? job.rank * static_cast<float>(step.tasks.size()) / static_cast<float>(step.waiting) : job.rank;
+    const float rank = job.hasBegun
+        ? job.rank * static_cast<float>(step.tasks.count()) / static_cast<float>(step.tasks.waiting())
+        : job.rank;
     return job.hasRun ? rank * startedJobWeight : rank;
 }
 
@@ -107,7 +108,8 @@
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
         const Step& waitingStep = job.steps[step];
         // Without reservations the tasks are placed together, which takes more than the room of one worker.
-        if (waitingStep.waiting == 0 || (waitingStep.waiting > 1 && !this->hasReservations(job, step)))
+        const std::uint32_t waiting = waitingStep.tasks.waiting();
+        if (waiting == 0 || (waiting > 1 && !this->hasReservations(job, step)))
             continue;
         // A placement may have a lower rank when the goal is missed already.
         const float rank = rankOfWaiting(job, waitingStep);
@@ -126,10 +128,11 @@
 {
     SteadyTime next = SteadyTime::max();
     for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        if (job.steps[step].waiting > 0 && !this->hasReservations(job, step))
+        const bool isWaiting = job.steps[step].tasks.waiting() > 0;
+        if (isWaiting && !this->hasReservations(job, step))
             return now + fullPlacementInterval;
         // A wait is decided again even if no worker reports a change: its sidecars may have gone silent.
-        if (job.steps[step].waiting > 0 && job.steps[step].rackWait)
+        if (isWaiting && job.steps[step].rackWait)
             next = std::min({ next, now + fullPlacementInterval, job.steps[step].rackWait->until });
     }
     return next;
@@ -137,11 +140,7 @@
 
 std::map<Core::InstanceId, std::uint32_t> JobScheduler::tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const
 {
-    std::map<Core::InstanceId, std::uint32_t> tasks;
-    for (const Task& task : job.steps[stepIndex].tasks) {
-        if (task.phase != TaskPhase::Waiting)
-            ++tasks[task.sidecar];
-    }
+    std::map<Core::InstanceId, std::uint32_t> tasks = job.steps[stepIndex].tasks.tasksAtSidecars();
     for (const Reservation& reservation : job.reservations) {
         if (reservation.step == stepIndex)
             tasks[reservation.sidecar] += reservation.units;
@@ -156,7 +155,7 @@
     PlacementRequest request;
     request.service = job.queue.service;
     request.need = specification.need;
-    request.count = step.waiting;
+    request.count = step.tasks.waiting();
     request.requiredLabel = specification.requiredLabel;
     request.farRuns = this->farRuns(specification);
     request.tasksPerWorker = specification.tasksPerWorker;
@@ -184,14 +183,13 @@
     }
     request.maximumWaitSeconds = std::max(0.0, maximumWait);
     bool hasFailed = false;
-    for (const Task& task : step.tasks) {
-        if (task.phase != TaskPhase::Waiting)
-            continue;
+    request.isLastAttempt = request.count > 0 && job.queue.maximumAttempts <= 1;
+    step.tasks.forEachReturned([&](const Task& task) {
         hasFailed = hasFailed || !task.avoidedSidecars.empty();
         request.isLastAttempt = request.isLastAttempt || task.failures + 1 >= job.queue.maximumAttempts;
         request.avoidedSidecars.insert(
             request.avoidedSidecars.end(), task.avoidedSidecars.begin(), task.avoidedSidecars.end());
-    }
+    });
     request.isProbeAllowed = !hasFailed && job.queue.maximumAttempts > 1
         && request.slackSeconds + request.time.medianSeconds * (request.stretch - 2) > minimumProbeSlackSeconds;
     return request;
@@ -201,10 +199,10 @@
 {
     Step& step = job.steps[stepIndex];
     const StepSpecification& specification = job.specification.steps[stepIndex];
-    if (step.waiting == 0)
+    if (step.tasks.waiting() == 0)
         return true;
     for (std::uint32_t earlier : specification.dependencies) {
-        if (job.steps[earlier].done < job.steps[earlier].tasks.size())
+        if (!job.steps[earlier].tasks.isDone())
             return true;
     }
     PlacementRequest request = this->placementRequest(now, job, stepIndex);
@@ -226,11 +224,12 @@
         else
             this->orderRuns(now, job, stepIndex, placement, request);
     }
-    if (step.waiting == 0) {
+    const bool isPlaced = step.tasks.waiting() == 0;
+    if (isPlaced) {
         this->releaseReservations(job, stepIndex);
         step.rackWait.reset();
     }
-    return step.waiting == 0;
+    return isPlaced;
 }
 
 Messages::StartRuns JobScheduler::startOrder(
@@ -255,16 +254,12 @@
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.expiresAt) * 1e6));
     start.bornAt = worker.profile.bornAt;
-    for (std::uint32_t index = 0; index < step.tasks.size() && start.tasks.size() < count; ++index) {
-        Task& task = step.tasks[index];
-        if (task.phase != TaskPhase::Waiting)
-            continue;
-        task.phase = TaskPhase::Ordered;
+    while (step.tasks.waiting() > 0 && start.tasks.size() < count) {
+        Task& task = step.tasks.takeWaiting();
         task.sidecar = worker.sidecar;
         task.order = start.order;
         task.isStarted = false;
-        --step.waiting;
-        start.tasks.emplace_back(index, task.run);
+        start.tasks.emplace_back(task.index, task.run);
     }
     this->lastSentAt[worker.sidecar] = now;
     job.hasBegun = true;
--- a/celeryswitch/Scheduling/JobSchedulerRecords.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerRecords.cpp
@@ -53,7 +53,7 @@
             { "late", isLate ? 1 : 0 }, { "response_ms", toMilliseconds(now - job.arrivedAt) },
             { "waited_ms", job.orders > 0 ? toMilliseconds(job.firstOrderAt - job.arrivedAt) : -1 },
             { "longest_run_ms", static_cast<std::int64_t>(job.longestRunSeconds * 1000) }, { "orders", job.orders },
-            { "tasks", static_cast<std::uint64_t>(job.steps.front().tasks.size()) },
+            { "tasks", static_cast<std::uint64_t>(job.steps.front().tasks.count()) },
             { "millicores", job.specification.steps.front().need.milliCores },
             { "declared_ms", job.specification.steps.front().declaredMilliseconds } });
     if (!isCompleted || isLate || id.number % traceSampleInterval == 0)
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -54,12 +54,11 @@
     Messages::ClaimRuns claims;
     for (const auto& [id, job] : this->jobs) {
         for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-            for (std::uint32_t index = 0; index < job.steps[step].tasks.size(); ++index) {
-                const Task& task = job.steps[step].tasks[index];
-                if (task.phase == TaskPhase::Ordered && task.sidecar == sidecar)
+            job.steps[step].tasks.forEachOrdered([&, &id = id, &job = job](const Task& task) {
+                if (task.sidecar == sidecar)
                     claims.runs.push_back(
-                        { { { id, 0, step, index }, task.order }, task.run, job.specification.steps[step].need });
-            }
+                        { { { id, 0, step, task.index }, task.order }, task.run, job.specification.steps[step].need });
+            });
         }
     }
     this->actions.push_back(SendToSidecar { sidecar, std::move(claims) });
@@ -106,15 +105,14 @@
     this->isPlacementDue = true;
 }
 
-JobScheduler::Task* JobScheduler::findOrdered(const Core::InstanceId& sidecar, const Messages::OrderedTask& ordered)
+Task* JobScheduler::findOrdered(const Core::InstanceId& sidecar, const Messages::OrderedTask& ordered)
 {
     const TaskId& id = ordered.task;
     const auto found = this->jobs.find(id.job);
-    if (found == this->jobs.end() || id.step >= found->second.steps.size()
-        || id.index >= found->second.steps[id.step].tasks.size())
+    if (found == this->jobs.end() || id.step >= found->second.steps.size())
         return nullptr;
-    Task& task = found->second.steps[id.step].tasks[id.index];
-    return task.phase == TaskPhase::Ordered && task.sidecar == sidecar && task.order == ordered.order ? &task : nullptr;
+    Task* const task = found->second.steps[id.step].tasks.find(id.index);
+    return task && task->isOrdered && task->sidecar == sidecar && task->order == ordered.order ? task : nullptr;
 }
 
 void JobScheduler::stopUnwantedRun(const Core::InstanceId& sidecar, const Messages::RunReport& report)
@@ -174,11 +172,10 @@
     Job& job = found->second;
     const TaskId& taskId = report.ordered.task;
     Step& step = job.steps[taskId.step];
-    Task& task = step.tasks[taskId.index];
     const StepJobId id = found->first;
-    task.phase = TaskPhase::Done;
-    ++step.done;
+    Task& task = *step.tasks.find(taskId.index);
     const WorkerView& worker = this->workerTable.at(task.sidecar);
+    step.tasks.finish(task, job.specification.steps[taskId.step].tasksPerWorker > 0);
     const FarRuns farRuns = this->farRuns(job.specification.steps[taskId.step]);
     const double factor = farRuns.factorOn(worker);
     const double runSeconds = static_cast<double>(report.runMicroseconds) / 1e6;
@@ -189,13 +186,13 @@
         this->modelOf(now, job.queue).recordPlace(now, runSeconds, factor > 1);
     step.longestSeconds = std::max(step.longestSeconds, seconds);
     step.sumSeconds += seconds;
-    if (step.done < step.tasks.size())
+    if (!step.tasks.isDone())
         return;
     this->modelOf(now, job.queue)
         .recordStep(job.specification.steps[taskId.step].declaredMilliseconds / 1000.0, step.longestSeconds,
-            step.sumSeconds / static_cast<double>(step.tasks.size()));
-    const bool isComplete = std::all_of(
-        job.steps.begin(), job.steps.end(), [](const Step& each) { return each.done == each.tasks.size(); });
+            step.sumSeconds / static_cast<double>(step.tasks.count()));
+    const bool isComplete
+        = std::all_of(job.steps.begin(), job.steps.end(), [](const Step& each) { return each.tasks.isDone(); });
     if (isComplete)
         this->endJob(now, found, { AnswerKind::State, JobState::Completed, 0, {}, {} });
     else
@@ -206,7 +203,7 @@
 {
     Job& job = found->second;
     const TaskId& id = report.ordered.task;
-    Task& task = job.steps[id.step].tasks[id.index];
+    Task& task = *job.steps[id.step].tasks.find(id.index);
     if (task.isRestarting || now < this->decisionsFrom)
         return;
     const double elapsed = static_cast<double>(report.runMicroseconds) / 1e6;
@@ -270,16 +267,14 @@
 
 void JobScheduler::requeueTask(Job& job, std::uint32_t stepIndex, Task& task)
 {
-    task.phase = TaskPhase::Waiting;
+    job.steps[stepIndex].tasks.putBack(task);
     task.order = 0;
     task.sidecar.clear();
     task.isRestarting = false;
     task.expectedEnd = SteadyTime::max();
-    ++job.steps[stepIndex].waiting;
     // When all orders were returned without a start the job may again be refused as not run.
-    job.hasBegun = job.hasRun || std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) {
-        return step.waiting + step.done < step.tasks.size();
-    });
+    job.hasBegun = job.hasRun
+        || std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) { return step.tasks.hasOrdered(); });
     this->noteDue(job);
     this->enqueue(job);
 }
@@ -290,9 +285,13 @@
     std::uint64_t inDoubt = 0;
     for (auto& [id, job] : this->jobs) {
         for (std::uint32_t stepIndex = 0; stepIndex < job.steps.size(); ++stepIndex) {
-            for (Task& task : job.steps[stepIndex].tasks) {
-                if (task.phase != TaskPhase::Ordered || task.sidecar != sidecar)
-                    continue;
+            std::vector<std::uint32_t> there;
+            job.steps[stepIndex].tasks.forEachOrdered([&](const Task& each) {
+                if (each.sidecar == sidecar)
+                    there.push_back(each.index);
+            });
+            for (const std::uint32_t index : there) {
+                Task& task = *job.steps[stepIndex].tasks.find(index);
                 // Leases bound runs that have started. A start that the worker has not answered may be executed at any
                 // time until its sidecar has voided it, so that the task waits for the sidecar or for its job's end.
                 if (!task.isStarted) {
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -64,7 +64,7 @@
     // A sidecar that took the address of another one may be reached as both of them.
     if (!job || reservation->sidecar != sidecar || reservation->units == 0 || now >= reservation->until
         || !worker.isUsable() || reservation->bornAt != worker.profile.bornAt
-        || job->steps[reservation->step].waiting == 0) {
+        || job->steps[reservation->step].tasks.waiting() == 0) {
         this->actions.push_back(SendToSidecar { sidecar, Messages::ReleaseRoom { worker.clockEcho, { number } } });
         return;
     }
@@ -74,7 +74,7 @@
     reserved.start.rank = reservation->rank;
     this->recordOrder(now, *job, worker, reserved.start, 0);
     this->actions.push_back(SendToSidecar { sidecar, std::move(reserved) });
-    if (job->steps[stepIndex].waiting == 0)
+    if (job->steps[stepIndex].tasks.waiting() == 0)
         this->releaseReservations(*job, stepIndex);
 }
 
