Count a least room for every task

What callers saw: a sidecar that answers nobody for 40 s, and entry and sidecar over their memory, by requests of 100 bytes. Cause: tasks that ask for no room fit on a worker without end, so that 100,000 of them were ordered at once; each costs the sidecar a record and calls. Evidence: the crowd "tasks" against a sidecar on: 337,704 and 67,915 kB of 64 MB, no answer. Ruled out: a limit of runs at the sidecar (orders that are refused and made again), a twentieth of a core (a single job of 100,000 tasks is refused). Why this works: a hundredth of a core a task bounds the runs by the worker's size, in every decision that looks at room.

--- a/UnitTests/Scheduling/DecisionWorkTest.cpp
+++ b/UnitTests/Scheduling/DecisionWorkTest.cpp
@@ -116,3 +116,27 @@
     CHECK(ordered == expected);
     CHECK(fixture.answers.empty());
 }
+
+// Guards against tasks that ask for no room and are started without end: each run costs its sidecar a record and calls.
+TEST_CASE("tasks that ask for no room take some", "[Scheduling]")
+{
+    SchedulerFixture fixture(2);
+    SubmitJob submission = fixture.makeJob(100, 2000);
+    submission.job.steps.front().need = {};
+    SECTION("a job of the size that is designed for runs at once") { }
+    SECTION("more than the workers can keep records of")
+    {
+        submission.job.steps.front().count = manyTasks;
+        fixture.load.freedMilliCoresPerSecond = 1'000'000'000;
+        fixture.update("side-1", { 32'000, 65'536, 0 });
+        fixture.update("side-2", { 32'000, 65'536, 0 });
+    }
+    const std::size_t count = submission.job.steps.front().count;
+    submission.callerTimeout = 600s;
+    submission.job.steps.front().declaredMilliseconds = 60'000;
+    fixture.submit(1, std::move(submission));
+    std::size_t ordered = 0;
+    for (const auto& [sidecar, start] : fixture.starts)
+        ordered += start.tasks.size();
+    CHECK(ordered == std::min<std::size_t>(count, 2 * 32'000 / 10));
+}
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -210,8 +210,10 @@
     if (callerTimeout <= Core::Duration::zero())
         callerTimeout = std::chrono::milliseconds(queue.timeoutMilliseconds);
     job.steps.reserve(submission.job.steps.size());
-    for (const StepSpecification& step : submission.job.steps)
+    for (StepSpecification& step : submission.job.steps) {
+        step.need.milliCores = std::max(step.need.milliCores, this->settings.minimumTaskMilliCores);
         job.steps.push_back(Step { TaskTable(step.count) });
+    }
     job.callerTimeout = callerTimeout;
     job.specification = std::move(submission.job);
     this->estimateJob(now, job);
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -51,6 +51,9 @@
     double farFactor = 1;
     /// Decides whether a step waits for workers of its rack; asked where `farFactor` is above 1.
     PlacementWaitPolicy placementWait = decidePlacementWait;
+    /// Processor room that a task is taken to need at least, in thousandths of a core: each run costs its sidecar a record
+    /// and calls, also when its caller asks for no room.
+    std::int64_t minimumTaskMilliCores = 10;
     /// Retention period of the outcomes of ended jobs; a repeated request within it gets the same answer instead of a
     /// second run.
     Core::Duration outcomeRetention = std::chrono::seconds(10);
