Bound the work of one decision, and let jobs take turns

What callers saw: no answer for 22 s while an entry goes through the steps of other callers' jobs again and again. Cause: decisions looked at every step of every waiting job, times the workers, times the choices; admission and refusal looked at every step times every worker. The pacer bounds how often an entry decides, not how long a decision lasts. Why this works: each part of a decision stops at 15,000 candidates and steps, and what is left goes on in the next one; jobs that had no turn go first, by rank, 16 steps each. Placeable steps, open orders and reservations are counted where they change, and a queue of candidates evaluates again only the one that was chosen.

--- a/UnitTests/Scheduling/DecisionWorkTest.cpp
+++ b/UnitTests/Scheduling/DecisionWorkTest.cpp
@@ -15,7 +15,7 @@
 std::uint64_t workOf(const JobScheduler& scheduler)
 {
     const SchedulerWork& work = scheduler.work();
-    return work.jobsVisited + work.workersVisited + work.candidatesEvaluated;
+    return work.jobsVisited + work.workersVisited + work.candidatesEvaluated + work.stepsVisited;
 }
 
 SubmitJob jobOfSteps(const SchedulerFixture& fixture, const StepJobId& id)
--- a/celeryswitch/Experiment/LeasedProcessor.h
+++ b/celeryswitch/Experiment/LeasedProcessor.h
@@ -24,6 +24,7 @@
     Core::Duration jobVisitCost = std::chrono::nanoseconds(10);
     Core::Duration workerVisitCost = std::chrono::nanoseconds(10);
     Core::Duration candidateCost = std::chrono::nanoseconds(70);
+    Core::Duration stepVisitCost = std::chrono::nanoseconds(10);
 
     /// Cost of the scheduler's work between two counts.
     Core::Duration costOf(const Scheduling::SchedulerWork& before, const Scheduling::SchedulerWork& after) const
@@ -31,7 +32,8 @@
         return this->pollCost * (after.polls - before.polls)
             + this->jobVisitCost * (after.jobsVisited - before.jobsVisited)
             + this->workerVisitCost * (after.workersVisited - before.workersVisited)
-            + this->candidateCost * (after.candidatesEvaluated - before.candidatesEvaluated);
+            + this->candidateCost * (after.candidatesEvaluated - before.candidatesEvaluated)
+            + this->stepVisitCost * (after.stepsVisited - before.stepsVisited);
     }
     /// Cost of carrying out an action.
     Core::Duration costOf(const Scheduling::SchedulerAction& action) const
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -18,6 +18,8 @@
 constexpr Core::Duration discoveryWaitStep = std::chrono::milliseconds(50);
 // Minimum share of the total demand that a queue is taken to have.
 constexpr double minimumDemandShare = 0.001;
+// Steps of a refused job that the time to come back follows from.
+constexpr std::size_t maximumAdvisedSteps = 4;
 // Ratio of the values of work of two adjacent queue priorities.
 constexpr double priorityWeight = 2;
 // Share of a job's value that does not depend on its amount of work.
@@ -71,6 +73,7 @@
         if (worker.isEvacuated && !wasEvacuated)
             this->forgetReservationsAt(sidecar);
     }
+    this->isCapacityIndexStale = true;
     for (auto next = this->jobs.begin(); next != this->jobs.end();) {
         const auto found = next++;
         if (!found->second.hasBegun && this->isRefusedAtOnce(now, found->second))
@@ -84,8 +87,9 @@
 {
     bool isFound = false;
     for (const auto& [id, job] : this->jobs) {
-        for (const Step& step : job.steps)
-            step.tasks.forEachOrdered([&](const Task& task) { isFound = isFound || task.sidecar == sidecar; });
+        for (const std::uint32_t step : job.startedSteps)
+            job.steps[step].tasks.forEachOrdered(
+                [&](const Task& task) { isFound = isFound || task.sidecar == sidecar; });
     }
     return isFound;
 }
@@ -95,6 +99,7 @@
     CELERY_ASSERT(!this->hasRuns(sidecar));
     this->forgetReservationsAt(sidecar);
     this->workerTable.erase(sidecar);
+    this->isCapacityIndexStale = true;
     this->lastSentAt.erase(sidecar);
 }
 
@@ -115,20 +120,28 @@
     std::vector<double> chains;
     TimeEstimate longest;
     double coreSeconds = 0;
+    std::optional<std::uint32_t> estimatedFor;
+    TimeEstimate time;
+    double taskSeconds = 0;
+    this->workDone.stepsVisited += job.specification.steps.size();
     for (const StepSpecification& step : job.specification.steps) {
-        const double declared = step.declaredMilliseconds / 1000.0;
-        const TimeEstimate time = model.stepTime(declared);
+        if (estimatedFor != step.declaredMilliseconds) {
+            estimatedFor = step.declaredMilliseconds;
+            time = model.stepTime(step.declaredMilliseconds / 1000.0);
+            taskSeconds = model.taskSeconds(step.declaredMilliseconds / 1000.0);
+        }
         double before = 0;
         for (std::uint32_t earlier : step.dependencies)
             before = std::max(before, chains[earlier]);
         chains.push_back(before + time.medianSeconds);
         if (chains.back() > longest.medianSeconds)
             longest = { chains.back(), time.logDeviation };
-        coreSeconds += model.taskSeconds(declared) * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
+        coreSeconds += taskSeconds * step.count * static_cast<double>(step.need.milliCores) / 1000.0;
     }
     model.recordArrival(now, coreSeconds);
-    job.rank = static_cast<float>(this->rankOf(now, model) * sizeFactor(coreSeconds, model.meanWork(now)));
-    job.waitConfidence = std::max(0.0, 1 - this->higherRankedShare(now, model) / untrustedWaitShare);
+    const double demand = this->allDemand(now);
+    job.rank = static_cast<float>(this->rankOf(now, model, demand) * sizeFactor(coreSeconds, model.meanWork(now)));
+    job.waitConfidence = std::max(0.0, 1 - this->higherRankedShare(now, model, demand) / untrustedWaitShare);
     job.callerDeadline = addSeconds(
         job.arrivedAt, std::chrono::duration<double>(job.callerTimeout - this->settings.callerRoundTrip).count());
     // The goal depends on the actual run time, which is not known yet: use a high estimate for the expiry and a low one
@@ -139,27 +152,28 @@
         = this->goalTime(job, longest.medianSeconds * std::exp(-longest.logDeviation), this->settings.maximumWaitShare);
 }
 
-double JobScheduler::rankOf(SteadyTime now, const QueueModel& model) const
+double JobScheduler::allDemand(SteadyTime now) const
 {
     double all = 0;
-    for (const auto& [name, other] : this->models)
-        all += other.demand(now);
+    for (const auto& [name, model] : this->models)
+        all += model.demand(now);
+    return all;
+}
+
+double JobScheduler::rankOf(SteadyTime now, const QueueModel& model, double allDemand) const
+{
     // Without any arrivals queues differ by their priority alone.
     const double weight = std::pow(priorityWeight, -static_cast<double>(model.priority()));
-    return weight * (all > 0 ? all / std::max(model.demand(now), minimumDemandShare * all) : 1);
+    return weight * (allDemand > 0 ? allDemand / std::max(model.demand(now), minimumDemandShare * allDemand) : 1);
 }
 
-double JobScheduler::higherRankedShare(SteadyTime now, const QueueModel& model) const
+double JobScheduler::higherRankedShare(SteadyTime now, const QueueModel& model, double allDemand) const
 {
-    const double own = this->rankOf(now, model);
+    const double own = this->rankOf(now, model, allDemand);
     double before = 0;
-    double all = 0;
-    for (const auto& [name, other] : this->models) {
-        const double demand = other.demand(now);
-        all += demand;
-        before += this->rankOf(now, other) > own ? demand : 0;
-    }
-    return all > 0 ? before / all : 0;
+    for (const auto& [name, other] : this->models)
+        before += this->rankOf(now, other, allDemand) > own ? other.demand(now) : 0;
+    return allDemand > 0 ? before / allDemand : 0;
 }
 
 SteadyTime JobScheduler::goalTime(const Job& job, double chainSeconds, double factor) const
@@ -193,7 +207,8 @@
     if (const auto open = this->jobs.find(id); open != this->jobs.end()) {
         // The caller repeated its request; only the newest one is answered with the outcome.
         this->sendAnswer(open->second.request, { AnswerKind::GivenUp, {}, 0, {}, "sent again" });
-        open->second.request = request;
+        this->jobsByRequest.erase(std::exchange(open->second.request, request));
+        this->jobsByRequest[request] = id;
         return;
     }
     std::string reason;
@@ -216,12 +231,14 @@
     }
     job.callerTimeout = callerTimeout;
     job.specification = std::move(submission.job);
+    linkSteps(job);
     this->estimateJob(now, job);
     job.trace.add(now, "job admitted",
         { { "job", Messages::jobText(id) }, { "queue", queue.name }, { "held_ms", toMilliseconds(now - arrivedAt) },
             { "patience_ms", toMilliseconds(callerTimeout) }, { "rank_class", Messages::rankClassOf(job.rank) },
             { "limit_ms", toMilliseconds(job.expiresAt - now) },
             { "refused_after_ms", toMilliseconds(job.refuseAt - now) } });
+    this->jobsByRequest[request] = id;
     const auto admitted = this->jobs.emplace(id, std::move(job)).first;
     this->noteDue(admitted->second);
     if (this->isRefusedAtOnce(now, admitted->second))
@@ -232,24 +249,28 @@
 
 bool JobScheduler::isRefusedAtOnce(SteadyTime now, const Job& job)
 {
-    return !this->isDiscoveringWorkers(now) && this->isHopeless(now, job);
+    return !this->isDiscoveringWorkers(now) && this->isHopeless(job);
 }
 
-bool JobScheduler::isHopeless(SteadyTime now, const Job& job)
+bool JobScheduler::isHopeless(const Job& job)
 {
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+    if (std::exchange(this->isCapacityIndexStale, false)) {
         this->workDone.workersVisited += this->workerTable.size();
-        if (!hasSuitableWorker(this->workerTable, this->placementRequest(now, job, step)))
-            return true;
+        this->capacityIndex.rebuild(this->workerTable);
     }
-    return false;
+    this->workDone.stepsVisited += job.specification.steps.size();
+    const auto& steps = job.specification.steps;
+    return std::any_of(steps.begin(), steps.end(), [&](const StepSpecification& step) {
+        return !this->capacityIndex.hasSuitable(job.queue.service, step.requiredLabel, step.need);
+    });
 }
 
 CallerAnswer JobScheduler::refusal(SteadyTime now, const Job& job, const std::string& reason)
 {
     double waitSeconds = 0;
-    this->workDone.candidatesEvaluated += job.steps.size() * this->workerTable.size();
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
+    const auto advised = static_cast<std::uint32_t>(std::min(job.steps.size(), maximumAdvisedSteps));
+    this->workDone.candidatesEvaluated += advised * this->workerTable.size();
+    for (std::uint32_t step = 0; step < advised; ++step)
         waitSeconds
             = std::max(waitSeconds, predictSharedWait(this->workerTable, this->placementRequest(now, job, step)));
     return { AnswerKind::NotRun, {}, 0, retryDelay(waitSeconds, job.specification.id.number), reason };
@@ -288,14 +309,13 @@
 
 void JobScheduler::callerDisconnected(SteadyTime now, RequestNumber request)
 {
-    this->workDone.jobsVisited += this->jobs.size();
-    for (auto found = this->jobs.begin(); found != this->jobs.end(); ++found) {
-        if (found->second.request != request)
-            continue;
-        found->second.request = 0;
-        this->endJob(now, found, { AnswerKind::GivenUp, {}, 0, {}, "caller gone" });
+    const auto known = this->jobsByRequest.find(request);
+    if (known == this->jobsByRequest.end())
         return;
-    }
+    const auto found = this->jobs.find(known->second);
+    this->jobsByRequest.erase(known);
+    found->second.request = 0;
+    this->endJob(now, found, { AnswerKind::GivenUp, {}, 0, {}, "caller gone" });
 }
 
 std::vector<SchedulerAction> JobScheduler::poll(SteadyTime now)
@@ -326,7 +346,8 @@
 void JobScheduler::endExpired(SteadyTime now)
 {
     this->workDone.jobsVisited += this->jobs.size();
-    for (auto next = this->jobs.begin(); next != this->jobs.end();) {
+    this->beginWork();
+    for (auto next = this->jobs.begin(); next != this->jobs.end() && !this->isWorkOver();) {
         const auto found = next++;
         if (now < found->second.expiresAt)
             continue;
@@ -337,7 +358,8 @@
 void JobScheduler::refuseWaiting(SteadyTime now)
 {
     this->workDone.jobsVisited += this->jobs.size();
-    for (auto next = this->jobs.begin(); next != this->jobs.end();) {
+    this->beginWork();
+    for (auto next = this->jobs.begin(); next != this->jobs.end() && !this->isWorkOver();) {
         const auto found = next++;
         Job& job = found->second;
         if (job.hasBegun || now < job.refuseAt || !job.reservations.empty())
@@ -375,10 +397,11 @@
     this->releaseReservations(found->second, std::nullopt);
     Job job = std::move(found->second);
     this->jobs.erase(found);
+    this->jobsByRequest.erase(job.request);
     const StepJobId id = job.specification.id;
     std::map<Core::InstanceId, Messages::StopRuns> stops;
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step)
-        job.steps[step].tasks.forEachOrdered([&](const Task& task) {
+    for (const std::uint32_t step : job.startedSteps)
+        job.steps[step].tasks.forEachOrdered([&, step](const Task& task) {
             stops[task.sidecar].tasks.push_back({ { id, 0, step, task.index }, task.order });
         });
     for (auto& [sidecar, stop] : stops) {
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -3,6 +3,7 @@
 #include "celeryswitch/Configuration/RoutingDocument.h"
 #include "celeryswitch/Logging/Trace.h"
 #include "celeryswitch/Messages/StateMessages.h"
+#include "celeryswitch/Scheduling/CapacityIndex.h"
 #include "celeryswitch/Scheduling/JobTypes.h"
 #include "celeryswitch/Scheduling/QueueModel.h"
 #include "celeryswitch/Scheduling/SchedulerMetrics.h"
@@ -10,6 +11,7 @@
 #include "celeryswitch/Scheduling/WorkerTable.h"
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -51,9 +53,12 @@
     double farFactor = 1;
     /// Decides whether a step waits for workers of its rack; asked where `farFactor` is above 1.
     PlacementWaitPolicy placementWait = decidePlacementWait;
-    /// Processor room that a task is taken to need at least, in thousandths of a core: each run costs its sidecar a record
-    /// and calls, also when its caller asks for no room.
+    /// Processor room that a task is taken to need at least, in thousandths of a core: each run costs its sidecar a
+    /// record and calls, also when its caller asks for no room.
     std::int64_t minimumTaskMilliCores = 10;
+    /// Candidates and steps that a part of a decision (placing, refusing, ending jobs) looks at before it leaves the
+    /// rest to the next decision. Jobs take turns: one of many steps does not keep others waiting.
+    std::uint64_t decisionWorkLimit = 15'000;
     /// Retention period of the outcomes of ended jobs; a repeated request within it gets the same answer instead of a
     /// second run.
     Core::Duration outcomeRetention = std::chrono::seconds(10);
@@ -78,8 +83,10 @@
     /// Jobs and workers looked at by walks over all of them.
     std::uint64_t jobsVisited = 0;
     std::uint64_t workersVisited = 0;
-    /// Workers examined for a step's tasks, and again for each choice of one of them.
+    /// Workers examined for a step's tasks, and each choice of one of them.
     std::uint64_t candidatesEvaluated = 0;
+    /// Steps looked at, to admit a job or to place their tasks.
+    std::uint64_t stepsVisited = 0;
 };
 
 /// Schedules the jobs of one entry: admission, placement, retries and answers. Pure: it has no sockets or clocks, and
@@ -154,10 +161,18 @@
     };
     struct Step {
         TaskTable tasks;
+        /// Steps that it depends on and that are not done, and steps that depend on it.
+        std::uint32_t openDependencies = 0;
+        std::vector<std::uint32_t> dependents;
+        /// Number of reservations for its tasks.
+        std::uint32_t reservations = 0;
+        /// Whether it is in the job's list of placeable steps, and whether a task of it was ever ordered.
+        bool isPlaceable = false;
+        bool hasStarted = false;
         /// Times of the completed tasks, scaled to a worker of median speed, in seconds.
         double longestSeconds = 0;
         double sumSeconds = 0;
-        std::optional<RackWait> rackWait;
+        std::unique_ptr<RackWait> rackWait;
         /// Whether it waited for its rack and then took other workers; it does not wait again.
         bool hasLeftRack = false;
     };
@@ -191,6 +206,17 @@
         /// Time at which the job is refused if none of its tasks was ordered.
         Core::SteadyTime refuseAt;
         std::vector<Step> steps;
+        /// Steps whose dependencies are done and that may have waiting tasks, in order; the next turn begins with the
+        /// one at `nextPlaceable`.
+        std::vector<std::uint32_t> placeableSteps;
+        std::size_t nextPlaceable = 0;
+        /// Steps of which a task was ever ordered.
+        std::vector<std::uint32_t> startedSteps;
+        std::uint32_t doneSteps = 0;
+        /// Tasks whose orders are open.
+        std::uint32_t orderedTasks = 0;
+        /// Round of turns in which it last had its turn.
+        std::uint64_t round = 0;
         std::vector<Reservation> reservations;
         /// Whether start orders were given whose runs may have started.
         bool hasBegun = false;
@@ -215,9 +241,11 @@
 
     // Value of a queue's work per core-second relative to that of all queues. The jobs of each queue are worth the same
     // in sum, so queues with a small demand rank above those with a large one.
-    double rankOf(Core::SteadyTime now, const QueueModel& model) const;
+    double rankOf(Core::SteadyTime now, const QueueModel& model, double allDemand) const;
+    // Work that arrives per second in all queues, in cores.
+    double allDemand(Core::SteadyTime now) const;
     // Share of the total demand that comes from queues of higher rank.
-    double higherRankedShare(Core::SteadyTime now, const QueueModel& model) const;
+    double higherRankedShare(Core::SteadyTime now, const QueueModel& model, double allDemand) const;
     bool isDiscoveringWorkers(Core::SteadyTime now) const;
     // Whether a job without runs can run on no worker, so that it is refused at once.
     bool isRefusedAtOnce(Core::SteadyTime now, const Job& job);
@@ -228,6 +256,30 @@
     // Time of the response goal, multiplied by `factor`, for a job whose critical path takes `chainSeconds`.
     Core::SteadyTime goalTime(const Job& job, double chainSeconds, double factor) const;
     void placeWaitingJobs(Core::SteadyTime now);
+    // Waiting jobs in the order of their turns: those that had none in this round first, then by rank.
+    std::vector<Job*> takeWaitingJobs();
+    // Number of steps in a job's next turn.
+    static std::size_t turnLength(const Job& job);
+    // Places the next steps of a job; returns how many it looked at.
+    std::size_t takeTurn(Core::SteadyTime now, double referenceSpeed, Job& job);
+    // Gives further turns to jobs that had more steps than a turn has, with the number of those steps.
+    void placeUnfinished(
+        Core::SteadyTime now, double referenceSpeed, std::vector<std::pair<Job*, std::size_t>> unfinished);
+    // Keeps a job in the list of waiting ones if a step of it still waits.
+    void endTurns(Core::SteadyTime now, Job& job);
+    // Leaves a job, whose placement is due, to the next decision.
+    void postpone(Job& job);
+    // Begins a part of a decision, whose work is limited; whether it has done as much as it may.
+    void beginWork() { this->workBegan = this->limitedWork(); }
+    bool isWorkOver() const { return this->limitedWork() - this->workBegan >= this->settings.decisionWorkLimit; }
+    std::uint64_t limitedWork() const
+    {
+        return this->workDone.candidatesEvaluated + this->workDone.stepsVisited + this->roomsCompared;
+    }
+    // Adds a step to the list of placeable ones.
+    static void makePlaceable(Job& job, std::uint32_t stepIndex);
+    // Links the steps of a new job to those that they depend on.
+    static void linkSteps(Job& job);
     // Makes the jobs that are due for refusal be placed on all workers once more.
     void placeBeforeRefusal(Core::SteadyTime now);
     // Notes that a worker may have more room than when the waiting jobs were last placed.
@@ -236,9 +288,9 @@
     // Rank of a step's waiting tasks, which carry the value of the whole job.
     static float rankOfWaiting(const Job& job, const Step& step);
     // Whether one of the workers has room for a waiting task of a job.
-    bool hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers) const;
+    bool hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers);
     // Time from which on placing a job on all workers may find more than placing it on those that change.
-    Core::SteadyTime nextFullPlacement(Core::SteadyTime now, const Job& job) const;
+    static Core::SteadyTime nextFullPlacement(Core::SteadyTime now, const Job& job);
     // Lets a step that prefers a rack wait for it, or ends its wait. While it waits, `request` is bound to the rack.
     void decideRackWait(
         Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex, PlacementRequest& request);
@@ -246,7 +298,7 @@
         const PlacementWaitQuery& query) const;
     // How much longer a step's tasks run far from their data.
     FarRuns farRuns(const StepSpecification& step) const { return { step.dataRack, this->settings.farFactor }; }
-    bool placeStep(Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex);
+    void placeStep(Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex);
     std::map<Core::InstanceId, std::uint32_t> tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const;
     PlacementRequest placementRequest(Core::SteadyTime now, const Job& job, std::uint32_t stepIndex);
     void orderRuns(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
@@ -259,7 +311,6 @@
         double expectedWaitSeconds);
     void reserveRoom(Core::SteadyTime now, Job& job, std::uint32_t stepIndex, const Placement& placement,
         const PlacementRequest& request);
-    bool hasReservations(const Job& job, std::uint32_t stepIndex) const;
     void answerOffers(Core::SteadyTime now);
     void answerOffer(Core::SteadyTime now, const Core::InstanceId& sidecar, std::uint64_t number);
     // Releases the reservations of one step of a job, or of all its steps.
@@ -285,7 +336,7 @@
     void endJob(Core::SteadyTime now, Jobs::iterator found, CallerAnswer answer);
     void sendAnswer(RequestNumber request, CallerAnswer answer);
     // Whether no worker could ever run some step of a job.
-    bool isHopeless(Core::SteadyTime now, const Job& job);
+    bool isHopeless(const Job& job);
     // Answer that a job was not run, with the time after which its caller may come back.
     CallerAnswer refusal(Core::SteadyTime now, const Job& job, const std::string& reason);
     // Ends a job without a result: as not run if none of its runs can have started, otherwise as given up.
@@ -314,7 +365,11 @@
     std::map<Core::InstanceId, Core::SteadyTime> lastSentAt;
     /// Statistics of each queue, by queue name.
     std::map<std::string, QueueModel> models;
+    CapacityIndex capacityIndex;
+    bool isCapacityIndexStale = true;
     Jobs jobs;
+    /// Jobs by the open requests of their callers.
+    std::unordered_map<RequestNumber, StepJobId> jobsByRequest;
     std::uint64_t lastOrder = 0;
     std::uint64_t lastReservation = 0;
     /// Sidecars and reservations of offers that have not been answered.
@@ -326,6 +381,11 @@
     std::unordered_map<StepJobId, Outcome> outcomes;
     std::deque<std::pair<Core::SteadyTime, StepJobId>> outcomesByAge;
     bool isPlacementDue = false;
+    /// Round of turns, and the limited work that was done when the present part of a decision began.
+    std::uint64_t round = 1;
+    std::uint64_t workBegan = 0;
+    /// Changed workers whose room was compared with what a waiting step needs.
+    std::uint64_t roomsCompared = 0;
     /// Number of the latest change of a worker, and of the latest one that waiting jobs were placed after.
     std::uint64_t lastChange = 0;
     std::uint64_t placedChange = 0;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -20,81 +20,11 @@
 constexpr double startWindowSeconds = 0.03;
 // Factor for the rank of jobs of which a run has started: their partial work would be lost.
 constexpr float startedJobWeight = 8;
-// Time between two placements on all workers of a job that has no room reserved.
-constexpr Core::Duration fullPlacementInterval = std::chrono::milliseconds(20);
+// Reservations of one job at a time. Its other tasks are placed where there is room.
+constexpr std::size_t maximumReservations = 256;
 
 }
 
-void JobScheduler::enqueue(Job& job)
-{
-    if (!std::exchange(job.isQueued, true))
-        this->waitingJobs.push_back(job.specification.id);
-    job.placeInFullAt = {};
-    this->isPlacementDue = true;
-}
-
-void JobScheduler::placeWaitingJobs(SteadyTime now)
-{
-    if (!std::exchange(this->isPlacementDue, false) || this->waitingJobs.empty())
-        return;
-    std::vector<std::pair<float, StepJobId>> order;
-    for (const StepJobId& id : std::exchange(this->waitingJobs, {})) {
-        if (const auto found = this->jobs.find(id); found != this->jobs.end())
-            order.emplace_back(-found->second.rank, id);
-    }
-    std::sort(order.begin(), order.end());
-    const std::vector<const WorkerView*> changed = this->takeChangedWorkers();
-    const bool isFull = std::exchange(this->isFullPlacementDue, false);
-    this->workDone.jobsVisited += order.size();
-    this->fullPlacementAt = SteadyTime::max();
-    this->workDone.workersVisited += this->workerTable.size();
-    const double referenceSpeed = medianSpeed(this->workerTable);
-    for (const auto& [rank, id] : order) {
-        Job& job = this->jobs.at(id);
-        if (!isFull && now < job.placeInFullAt && !this->hasRoomFor(job, changed)) {
-            this->waitingJobs.push_back(id);
-            this->fullPlacementAt = std::min(this->fullPlacementAt, job.placeInFullAt);
-            continue;
-        }
-        job.isQueued = false;
-        bool isPlaced = true;
-        for (std::uint32_t step = 0; step < job.steps.size(); ++step)
-            isPlaced = this->placeStep(now, referenceSpeed, job, step) && isPlaced;
-        job.placeInFullAt = this->nextFullPlacement(now, job);
-        if (isPlaced)
-            continue;
-        this->fullPlacementAt = std::min(this->fullPlacementAt, job.placeInFullAt);
-        if (!std::exchange(job.isQueued, true))
-            this->waitingJobs.push_back(id);
-    }
-}
-
-void JobScheduler::placeBeforeRefusal(SteadyTime now)
-{
-    this->workDone.jobsVisited += this->waitingJobs.size();
-    for (const StepJobId& id : this->waitingJobs) {
-        const auto found = this->jobs.find(id);
-        if (found == this->jobs.end() || found->second.hasBegun || now < found->second.refuseAt)
-            continue;
-        found->second.placeInFullAt = {};
-        this->isPlacementDue = true;
-    }
-}
-
-void JobScheduler::noteChange(WorkerView& worker) { worker.lastChange = ++this->lastChange; }
-
-std::vector<const WorkerView*> JobScheduler::takeChangedWorkers()
-{
-    std::vector<const WorkerView*> changed;
-    this->workDone.workersVisited += this->workerTable.size();
-    for (const auto& [sidecar, worker] : this->workerTable) {
-        if (worker.lastChange > this->placedChange && worker.isUsable())
-            changed.push_back(&worker);
-    }
-    this->placedChange = this->lastChange;
-    return changed;
-}
-
 float JobScheduler::rankOfWaiting(const Job& job, const Step& step)
 {
     const float rank = job.hasBegun
@@ -103,41 +33,6 @@
     return job.hasRun ? rank * startedJobWeight : rank;
 }
 
-bool JobScheduler::hasRoomFor(const Job& job, const std::vector<const WorkerView*>& workers) const
-{
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        const Step& waitingStep = job.steps[step];
-        // Without reservations the tasks are placed together, which takes more than the room of one worker.
-        const std::uint32_t waiting = waitingStep.tasks.waiting();
-        if (waiting == 0 || (waiting > 1 && !this->hasReservations(job, step)))
-            continue;
-        // A placement may have a lower rank when the goal is missed already.
-        const float rank = rankOfWaiting(job, waitingStep);
-        this->workDone.workersVisited += workers.size();
-        const Messages::Room& need = job.specification.steps[step].need;
-        const bool isFitting = std::any_of(workers.begin(), workers.end(), [&](const WorkerView* worker) {
-            return worker->profile.service == job.queue.service && need.fits(worker->roomFor(rank));
-        });
-        if (isFitting)
-            return true;
-    }
-    return false;
-}
-
-SteadyTime JobScheduler::nextFullPlacement(SteadyTime now, const Job& job) const
-{
-    SteadyTime next = SteadyTime::max();
-    for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
-        const bool isWaiting = job.steps[step].tasks.waiting() > 0;
-        if (isWaiting && !this->hasReservations(job, step))
-            return now + fullPlacementInterval;
-        // A wait is decided again even if no worker reports a change: its sidecars may have gone silent.
-        if (isWaiting && job.steps[step].rackWait)
-            next = std::min({ next, now + fullPlacementInterval, job.steps[step].rackWait->until });
-    }
-    return next;
-}
-
 std::map<Core::InstanceId, std::uint32_t> JobScheduler::tasksAtSidecar(const Job& job, std::uint32_t stepIndex) const
 {
     std::map<Core::InstanceId, std::uint32_t> tasks = job.steps[stepIndex].tasks.tasksAtSidecars();
@@ -195,27 +90,24 @@
     return request;
 }
 
-bool JobScheduler::placeStep(SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex)
+void JobScheduler::placeStep(SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex)
 {
     Step& step = job.steps[stepIndex];
-    const StepSpecification& specification = job.specification.steps[stepIndex];
     if (step.tasks.waiting() == 0)
-        return true;
-    for (std::uint32_t earlier : specification.dependencies) {
-        if (!job.steps[earlier].tasks.isDone())
-            return true;
-    }
+        return;
+    const std::uint32_t reservationsPerTask
+        = job.reservations.size() < maximumReservations ? this->settings.reservationsPerTask : 0;
     PlacementRequest request = this->placementRequest(now, job, stepIndex);
-    request.reservationsPerTask = this->hasReservations(job, stepIndex) ? 0 : this->settings.reservationsPerTask;
+    request.reservationsPerTask = step.reservations > 0 ? 0 : reservationsPerTask;
     if (request.farRuns.isEffective())
         this->decideRackWait(now, referenceSpeed, job, stepIndex, request);
     std::vector<Placement> placements
         = choosePlacements(this->workerTable, referenceSpeed, request, this->workDone.candidatesEvaluated);
-    if (placements.empty() && request.isNearOnly && !this->hasReservations(job, stepIndex)) {
+    if (placements.empty() && request.isNearOnly && step.reservations == 0) {
         // No room can be reserved near, for example because of a limit of tasks on a worker.
         step.rackWait.reset();
         request = this->placementRequest(now, job, stepIndex);
-        request.reservationsPerTask = this->settings.reservationsPerTask;
+        request.reservationsPerTask = reservationsPerTask;
         placements = choosePlacements(this->workerTable, referenceSpeed, request, this->workDone.candidatesEvaluated);
     }
     for (const Placement& placement : placements) {
@@ -224,12 +116,10 @@
         else
             this->orderRuns(now, job, stepIndex, placement, request);
     }
-    const bool isPlaced = step.tasks.waiting() == 0;
-    if (isPlaced) {
-        this->releaseReservations(job, stepIndex);
-        step.rackWait.reset();
-    }
-    return isPlaced;
+    if (step.tasks.waiting() > 0)
+        return;
+    this->releaseReservations(job, stepIndex);
+    step.rackWait.reset();
 }
 
 Messages::StartRuns JobScheduler::startOrder(
@@ -254,12 +144,15 @@
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.expiresAt) * 1e6));
     start.bornAt = worker.profile.bornAt;
+    if (!std::exchange(step.hasStarted, true))
+        job.startedSteps.push_back(stepIndex);
     while (step.tasks.waiting() > 0 && start.tasks.size() < count) {
         Task& task = step.tasks.takeWaiting();
         task.sidecar = worker.sidecar;
         task.order = start.order;
         task.isStarted = false;
         start.tasks.emplace_back(task.index, task.run);
+        ++job.orderedTasks;
     }
     this->lastSentAt[worker.sidecar] = now;
     job.hasBegun = true;
--- a/celeryswitch/Scheduling/JobSchedulerRackWait.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerRackWait.cpp
@@ -23,7 +23,7 @@
     SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex, PlacementRequest& request)
 {
     Step& step = job.steps[stepIndex];
-    const bool hasReservations = this->hasReservations(job, stepIndex);
+    const bool hasReservations = step.reservations > 0;
     // Without a wait, reservations mean that the step waits for room wherever it is.
     if (step.hasLeftRack || (hasReservations && !step.rackWait))
         return;
@@ -40,7 +40,8 @@
     const PlacementWaitDecision decision = this->settings.placementWait(query);
     if (decision.isWaiting) {
         if (!step.rackWait) {
-            step.rackWait.emplace().begunAt = now;
+            step.rackWait = std::make_unique<RackWait>();
+            step.rackWait->begunAt = now;
             this->metrics.rackWaitBegun();
             this->traceRackWait(now, job, "wait for the rack begins", decision, query);
         }
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -41,6 +41,7 @@
         worker.profile = member.worker;
         worker.load = {};
     }
+    this->isCapacityIndexStale = true;
     worker.isConnected = true;
     worker.isLinked = this->linked.count(sidecar) > 0;
     worker.isEvacuated = this->evacuatedDataCentres.count(worker.dataCentre) > 0;
@@ -53,7 +54,7 @@
     worker.lastReceivedAt = std::max(worker.lastReceivedAt, now);
     Messages::ClaimRuns claims;
     for (const auto& [id, job] : this->jobs) {
-        for (std::uint32_t step = 0; step < job.steps.size(); ++step) {
+        for (const std::uint32_t step : job.startedSteps) {
             job.steps[step].tasks.forEachOrdered([&, &id = id, &job = job](const Task& task) {
                 if (task.sidecar == sidecar)
                     claims.runs.push_back(
@@ -78,6 +79,7 @@
 void JobScheduler::updateReceived(SteadyTime now, const Core::InstanceId& sidecar, Messages::WorkerUpdate update)
 {
     WorkerView& worker = this->workerTable[sidecar];
+    this->isCapacityIndexStale = this->isCapacityIndexStale || !update.profile.empty();
     worker.incarnation = update.incarnation;
     worker.clockSample = update.clockSample;
     worker.lastReceivedAt = now;
@@ -176,6 +178,7 @@
     Task& task = *step.tasks.find(taskId.index);
     const WorkerView& worker = this->workerTable.at(task.sidecar);
     step.tasks.finish(task, job.specification.steps[taskId.step].tasksPerWorker > 0);
+    --job.orderedTasks;
     const FarRuns farRuns = this->farRuns(job.specification.steps[taskId.step]);
     const double factor = farRuns.factorOn(worker);
     const double runSeconds = static_cast<double>(report.runMicroseconds) / 1e6;
@@ -191,9 +194,11 @@
     this->modelOf(now, job.queue)
         .recordStep(job.specification.steps[taskId.step].declaredMilliseconds / 1000.0, step.longestSeconds,
             step.sumSeconds / static_cast<double>(step.tasks.count()));
-    const bool isComplete
-        = std::all_of(job.steps.begin(), job.steps.end(), [](const Step& each) { return each.tasks.isDone(); });
-    if (isComplete)
+    for (const std::uint32_t dependent : step.dependents) {
+        if (--job.steps[dependent].openDependencies == 0)
+            this->makePlaceable(job, dependent);
+    }
+    if (++job.doneSteps == job.steps.size())
         this->endJob(now, found, { AnswerKind::State, JobState::Completed, 0, {}, {} });
     else
         this->enqueue(this->jobs.at(id));
@@ -273,9 +278,10 @@
     task.isRestarting = false;
     task.expectedEnd = SteadyTime::max();
     // When all orders were returned without a start the job may again be refused as not run.
-    job.hasBegun = job.hasRun
-        || std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) { return step.tasks.hasOrdered(); });
+    --job.orderedTasks;
+    job.hasBegun = job.hasRun || job.orderedTasks > 0;
     this->noteDue(job);
+    this->makePlaceable(job, stepIndex);
     this->enqueue(job);
 }
 
@@ -284,7 +290,7 @@
     std::uint64_t runs = 0;
     std::uint64_t inDoubt = 0;
     for (auto& [id, job] : this->jobs) {
-        for (std::uint32_t stepIndex = 0; stepIndex < job.steps.size(); ++stepIndex) {
+        for (const std::uint32_t stepIndex : job.startedSteps) {
             std::vector<std::uint32_t> there;
             job.steps[stepIndex].tasks.forEachOrdered([&](const Task& each) {
                 if (each.sidecar == sidecar)
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -29,6 +29,7 @@
     this->lastSentAt[placement.sidecar] = now;
     job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex, placement.count,
         addSeconds(now, request.maximumWaitSeconds), request.rank, worker.profile.bornAt });
+    ++job.steps[stepIndex].reservations;
     this->noteDue(job);
     this->reservationJobs[reserve.reservation] = job.specification.id;
     job.trace.add(now, "room reserved",
@@ -78,12 +79,6 @@
         this->releaseReservations(*job, stepIndex);
 }
 
-bool JobScheduler::hasReservations(const Job& job, std::uint32_t stepIndex) const
-{
-    return std::any_of(job.reservations.begin(), job.reservations.end(),
-        [&](const Reservation& reservation) { return reservation.step == stepIndex; });
-}
-
 void JobScheduler::releaseReservations(Job& job, std::optional<std::uint32_t> stepIndex)
 {
     const auto isReleased
@@ -106,6 +101,7 @@
         if (!isDropped(reservation))
             return false;
         this->reservationJobs.erase(reservation.number);
+        --job.steps[reservation.step].reservations;
         return true;
     });
     if (dropped == 0)
--- a/celeryswitch/Scheduling/RefusalAdvice.cpp
+++ b/celeryswitch/Scheduling/RefusalAdvice.cpp
@@ -14,14 +14,6 @@
 
 }
 
-bool hasSuitableWorker(const WorkerTable& workers, const PlacementRequest& request)
-{
-    return workers.empty() || std::any_of(workers.begin(), workers.end(), [&](const auto& element) {
-        const WorkerView& worker = element.second;
-        return (worker.profile.workerId.empty() && !worker.isEvacuated) || worker.isSuitable(request);
-    });
-}
-
 Core::Duration retryDelay(double predictedWaitSeconds, std::uint64_t job)
 {
     const double base = std::clamp(predictedWaitSeconds, minimumRetrySeconds, maximumRetrySeconds);
--- a/celeryswitch/Scheduling/WorkerTable.cpp
+++ b/celeryswitch/Scheduling/WorkerTable.cpp
@@ -2,7 +2,9 @@
 
 #include "celeryswitch/Scheduling/SchedulerTime.h"
 #include <algorithm>
+#include <array>
 #include <limits>
+#include <queue>
 #include <tuple>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -38,6 +40,8 @@
 constexpr double contentionCost = 0.05;
 // Predicted wait, in seconds, from which on room is reserved.
 constexpr double minimumReservationWait = 1e-9;
+// Tasks of a step for which room is reserved at a time.
+constexpr std::uint32_t maximumReservedTasks = 2000;
 // Range of the hash-based tie-break by which jobs choose different ones of similar workers.
 constexpr double tieBreakCost = 0.02;
 
@@ -54,6 +58,8 @@
     double fixedCost = 0;
     double speed = 1;
     double waitSeconds = 0;
+    /// Place of its tasks among the placements, by whether they wait; -1 before there is one.
+    std::array<std::ptrdiff_t, 2> placements { -1, -1 };
 };
 
 // Predicted wait until a task fits, in seconds.
@@ -212,27 +218,52 @@
     return candidates.empty() ? silentCandidates : candidates;
 }
 
-// Candidate of the lowest cost for one more task, among those with a predicted wait in a range; nullptr if there is
-// none.
-Candidate* chooseCandidate(
-    std::vector<Candidate>& candidates, const PlacementRequest& request, double minimumWait, double maximumWait)
-{
-    Candidate* best = nullptr;
-    double bestCost = unbounded;
-    for (Candidate& candidate : candidates) {
+// Candidates by the cost of one more task, among those with a predicted wait in a range.
+class CandidateQueue {
+public:
+    CandidateQueue(
+        std::vector<Candidate>& candidates, const PlacementRequest& request, double minimumWait, double maximumWait)
+        : candidates(candidates)
+        , request(request)
+        , minimumWait(minimumWait)
+        , maximumWait(maximumWait)
+    {
+        for (std::size_t index = 0; index < candidates.size(); ++index)
+            this->add(index);
+    }
+    bool isEmpty() const { return this->queue.empty(); }
+    // The candidate of the lowest cost.
+    Candidate& best() const { return this->candidates[this->queue.top().second]; }
+    // Evaluates the candidate of the lowest cost again after tasks were assigned to it.
+    void update()
+    {
+        const std::size_t index = this->queue.top().second;
+        this->queue.pop();
+        this->add(index);
+    }
+
+private:
+    using Element = std::pair<double, std::size_t>;
+
+    void add(std::size_t index)
+    {
+        Candidate& candidate = this->candidates[index];
         if (candidate.assigned >= candidate.maximumTasks)
-            continue;
-        candidate.waitSeconds = predictWait(candidate, request.need);
-        if (candidate.waitSeconds > maximumWait || candidate.waitSeconds < minimumWait)
-            continue;
-        const double cost = costOf(candidate, request);
-        if (cost < bestCost) {
-            best = &candidate;
-            bestCost = cost;
-        }
+            return;
+        const double waitSeconds = predictWait(candidate, this->request.need);
+        if (waitSeconds > this->maximumWait || waitSeconds < this->minimumWait)
+            return;
+        candidate.waitSeconds = waitSeconds;
+        if (const double cost = costOf(candidate, this->request); cost < unbounded)
+            this->queue.emplace(cost, index);
     }
-    return best;
-}
+
+    std::vector<Candidate>& candidates;
+    const PlacementRequest& request;
+    double minimumWait;
+    double maximumWait;
+    std::priority_queue<Element, std::vector<Element>, std::greater<>> queue;
+};
 
 // Room that has to be released on some candidates together, and its rate.
 struct SharedQueue {
@@ -302,13 +333,13 @@
     const bool isWaiting = candidate.waitSeconds > 0;
     candidate.assigned += count;
     candidate.room -= request.need * count;
-    const auto existing = std::find_if(placements.begin(), placements.end(), [&](const Placement& placement) {
-        return placement.sidecar == candidate.worker->sidecar && (placement.waitSeconds > 0) == isWaiting;
-    });
-    if (existing == placements.end())
+    std::ptrdiff_t& place = candidate.placements[isWaiting ? 1 : 0];
+    if (place < 0) {
+        place = static_cast<std::ptrdiff_t>(placements.size());
         placements.push_back({ candidate.worker->sidecar, count, candidate.waitSeconds });
-    else
-        existing->count += count;
+    } else {
+        placements[static_cast<std::size_t>(place)].count += count;
+    }
 }
 
 }
@@ -359,28 +390,28 @@
     evaluated += workers.size();
     std::vector<Placement> placements;
     std::uint32_t remaining = request.count;
-    while (remaining > 0) {
-        Candidate* best = chooseCandidate(candidates, request, 0, 0);
-        evaluated += candidates.size();
-        if (!best)
-            break;
+    evaluated += candidates.size();
+    for (CandidateQueue free(candidates, request, 0, 0); remaining > 0 && !free.isEmpty(); free.update()) {
+        Candidate& best = free.best();
         // At most half of a worker's room is taken at a time, as other entries may order simultaneously.
-        const std::int64_t fitting = (request.need.countIn(best->room) + 1) / 2;
+        const std::int64_t fitting = (request.need.countIn(best.room) + 1) / 2;
         const auto count = static_cast<std::uint32_t>(std::min<std::int64_t>(
-            { remaining, best->maximumTasks - best->assigned, std::max<std::int64_t>(1, fitting) }));
+            { remaining, best.maximumTasks - best.assigned, std::max<std::int64_t>(1, fitting) }));
         remaining -= count;
-        assign(*best, count, request, placements);
+        assign(best, count, request, placements);
+        ++evaluated;
     }
     if (remaining == 0 || request.reservationsPerTask == 0)
         return placements;
     if (!request.isNearOnly && sharedWait(candidates, request, remaining) > request.maximumWaitSeconds)
         return {};
-    for (std::uint32_t units = remaining * request.reservationsPerTask; units > 0; --units) {
-        Candidate* best = chooseCandidate(candidates, request, minimumReservationWait, unbounded);
-        evaluated += candidates.size();
-        if (!best)
-            break;
-        assign(*best, 1, request, placements);
+    std::uint32_t units = std::min(remaining, maximumReservedTasks) * request.reservationsPerTask;
+    evaluated += candidates.size();
+    for (CandidateQueue busy(candidates, request, minimumReservationWait, unbounded); units > 0 && !busy.isEmpty();
+         busy.update()) {
+        --units;
+        assign(busy.best(), 1, request, placements);
+        ++evaluated;
     }
     return placements;
 }
