Let orders wait for the acknowledgement of those before

What callers saw: an entry over its memory, and the danger that it closes a sidecar's connection whose send queue is full. Cause: each order carries the content of its job, and nothing held orders back that a sidecar had not taken yet. Why this works: with 64 KB of unacknowledged orders a sidecar is no candidate; its next acknowledgement makes it one again.

--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -185,8 +185,8 @@
     WorkerView& worker = this->workerTable.at(placement.sidecar);
     Messages::StartRuns start = this->startOrder(now, job, stepIndex, worker, placement.count);
     start.rank = request.rank;
-    worker.uncountedOrders.push_back(
-        { start.sequence, start.need * static_cast<std::int64_t>(start.tasks.size()), now });
+    worker.addOrder({ start.sequence, start.need * static_cast<std::int64_t>(start.tasks.size()), now,
+        sizeof(Messages::StartRuns) + start.content.size() + start.tasks.size() * sizeof(start.tasks.front()) });
     this->recordOrder(now, job, worker, start, 0);
     this->actions.push_back(SendToSidecar { placement.sidecar, std::move(start) });
 }
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -50,7 +50,7 @@
     // A sample of the previous connection proves nothing if the sidecar's machine was restarted.
     worker.clockSample = 0;
     worker.clockEcho = 0;
-    worker.uncountedOrders.clear();
+    worker.countOrders(UINT64_MAX);
     worker.lastReceivedAt = std::max(worker.lastReceivedAt, now);
     Messages::ClaimRuns claims;
     for (const auto& [id, job] : this->jobs) {
@@ -95,8 +95,7 @@
     if (wasUsable && !worker.isUsable())
         this->forgetReservationsAt(sidecar);
     this->isFullPlacementDue = this->isFullPlacementDue || (!wasUsable && worker.isUsable());
-    while (!worker.uncountedOrders.empty() && worker.uncountedOrders.front().sequence <= update.handledSequence)
-        worker.uncountedOrders.pop_front();
+    worker.countOrders(update.handledSequence);
     this->isFirstEchoDue = this->isFirstEchoDue || worker.clockEcho == 0;
     for (const Messages::RunReport& report : update.reports) {
         if (report.state == RunState::Running && !this->findOrdered(sidecar, report.ordered))
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -25,7 +25,7 @@
     Room expectedUse = request.need * static_cast<std::int64_t>(placement.count);
     expectedUse.milliCores /= reserve.alternatives;
     expectedUse.memoryMegabytes /= reserve.alternatives;
-    worker.uncountedOrders.push_back({ reserve.sequence, expectedUse, now });
+    worker.addOrder({ reserve.sequence, expectedUse, now, sizeof(Messages::ReserveRoom) });
     this->lastSentAt[placement.sidecar] = now;
     job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex, placement.count,
         addSeconds(now, request.maximumWaitSeconds), request.rank, worker.profile.bornAt });
--- a/celeryswitch/Scheduling/WorkerTable.cpp
+++ b/celeryswitch/Scheduling/WorkerTable.cpp
@@ -40,6 +40,8 @@
 constexpr double contentionCost = 0.05;
 // Predicted wait, in seconds, from which on room is reserved.
 constexpr double minimumReservationWait = 1e-9;
+// Bytes of unacknowledged orders from which on a sidecar gets no more: they would pile up in both processes.
+constexpr std::size_t orderWindowBytes = 64 * 1024;
 // Tasks of a step for which room is reserved at a time.
 constexpr std::uint32_t maximumReservedTasks = 2000;
 // Range of the hash-based tie-break by which jobs choose different ones of similar workers.
@@ -108,7 +110,7 @@
 
 bool isEligible(const WorkerView& worker, const PlacementRequest& request)
 {
-    if (!worker.isUsable() || !worker.isSuitable(request))
+    if (!worker.isUsable() || worker.isOrderWindowFull() || !worker.isSuitable(request))
         return false;
     const auto probeAt = worker.lastReceivedAt + std::chrono::milliseconds(worker.load.probeWaitMilliseconds);
     return !worker.load.isOnProbation
@@ -146,6 +148,22 @@
 
 }
 
+void WorkerView::addOrder(const UncountedOrder& order)
+{
+    this->uncountedOrders.push_back(order);
+    this->uncountedBytes += order.bytes;
+}
+
+void WorkerView::countOrders(std::uint64_t handledSequence)
+{
+    while (!this->uncountedOrders.empty() && this->uncountedOrders.front().sequence <= handledSequence) {
+        this->uncountedBytes -= this->uncountedOrders.front().bytes;
+        this->uncountedOrders.pop_front();
+    }
+}
+
+bool WorkerView::isOrderWindowFull() const { return this->uncountedBytes >= orderWindowBytes; }
+
 Messages::Room WorkerView::roomFor(float rank) const
 {
     Messages::Room room = this->load.free;
--- a/celeryswitch/Scheduling/WorkerTable.h
+++ b/celeryswitch/Scheduling/WorkerTable.h
@@ -19,6 +19,8 @@
     /// Room that it is expected to use.
     Messages::Room room;
     Core::SteadyTime sentAt;
+    /// Size of its message.
+    std::size_t bytes = 0;
 };
 
 /// An entry's view of one worker, as reported by the worker's sidecar.
@@ -41,9 +43,15 @@
     /// Sequence number of the last order, and the room of those orders that `load` does not include yet.
     std::uint64_t lastSequence = 0;
     std::deque<UncountedOrder> uncountedOrders;
+    std::size_t uncountedBytes = 0;
     /// Number of the latest change that may have made room on the worker, see JobScheduler::noteChange.
     std::uint64_t lastChange = 0;
 
+    void addOrder(const UncountedOrder& order);
+    /// Forgets the orders up to a sequence number, which `load` includes now.
+    void countOrders(std::uint64_t handledSequence);
+    /// Whether as many orders as may be on their way at a time are not acknowledged.
+    bool isOrderWindowFull() const;
     /// Room left for a run of a rank after the runs queued before it; negative when it would have to wait.
     Messages::Room roomFor(float rank) const;
     /// Whether runs may be ordered on the worker.
