Bound the memory of open jobs

What callers saw: an entry over its memory by jobs that it had taken. Cause: the budget counted a request as received until its answer, and nothing counted what it had become; open jobs and their traces were not bounded. Why this works: a job is admitted with the memory of its records, and refused as not run when it does not fit; what it comes to need is counted as it comes, and has a part of the budget that new jobs can't take.

--- a/UnitTests/Http/ConnectionChoiceTest.cpp
+++ b/UnitTests/Http/ConnectionChoiceTest.cpp
@@ -123,9 +123,11 @@
 // Guards against limits under which callers take the memory or the descriptors that the process needs itself.
 TEST_CASE("limits follow from memory and descriptors", "[Http]")
 {
-    const ProcessLimits atMost { 0, 3500, 64, 256 };
+    const ProcessLimits atMost { .connections = 3500, .readinessConnections = 64, .handshakes = 256 };
     const ProcessLimits small = deriveLimits({ 120 << 20, 3075, 0 }, atMost);
     CHECK(small.receiveBudgetBytes == 15 << 20);
+    CHECK(small.jobBudgetBytes == 15 << 20);
+    CHECK(deriveLimits({ 120 << 20, 3075, 0, 1 << 20 }, atMost).jobBudgetBytes == 1 << 20);
     CHECK(small.connections == 1536);
     CHECK(small.handshakes == 120);
     const ProcessLimits few = deriveLimits({ 64 << 20, 512, 0 }, atMost);
--- a/UnitTests/Platform/BootFileTest.cpp
+++ b/UnitTests/Platform/BootFileTest.cpp
@@ -194,6 +194,7 @@
     check(sidecarSettings(file.value(), 1).allowance);
     check(stateSettings(file.value()).allowance);
     CHECK(load(settings + "[limits]\nreceive_budget_kb = 2048\n").value().allowance.receiveBudgetBytes == 2 << 20);
+    CHECK(load(settings + "[limits]\njob_budget_kb = 1024\n").value().allowance.jobBudgetBytes == 1 << 20);
     for (const char* odd : { "memory_mb = \"128\"", "memory_mb = -1", "memory_mb = 0", "memory_mb = 1e300" })
         CHECK(load(settings + "[limits]\n" + odd + "\n").value().allowance.memoryBytes == 0);
     CHECK(load(settings).value().allowance.memoryBytes == 0);
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -108,6 +108,8 @@
             [self = this->shared_from_this()](error_code failure, std::size_t) { self->written(failure); });
     }
 
+    void requestDecoded() override { this->hold(0); }
+
     void finish() override
     {
         this->isFinishing = true;
--- a/celeryswitch/Http/HttpSession.h
+++ b/celeryswitch/Http/HttpSession.h
@@ -51,6 +51,8 @@
         std::shared_ptr<ReceiveBudget> budget, Handlers handlers);
     /// Sends the response to the request in progress.
     virtual void respond(HttpResponse response) = 0;
+    /// The request in progress was taken apart and is not kept: its bytes do not count towards the budget any more.
+    virtual void requestDecoded() = 0;
     /// Ends the connection after the request in progress, or at once when there is none.
     virtual void finish() = 0;
     /// Whether the caller has closed or reset the connection, as far as this machine knows at the time of the call.
--- a/celeryswitch/Http/ProcessLimits.cpp
+++ b/celeryswitch/Http/ProcessLimits.cpp
@@ -25,6 +25,7 @@
     const std::size_t memory = allowance.memoryBytes > 0 ? allowance.memoryBytes : machineMemoryBytes();
     ProcessLimits limits = atMost;
     limits.receiveBudgetBytes = allowance.receiveBudgetBytes > 0 ? allowance.receiveBudgetBytes : memory / 8;
+    limits.jobBudgetBytes = allowance.jobBudgetBytes > 0 ? allowance.jobBudgetBytes : memory / 8;
     limits.connections = std::min(limits.connections, memory / 2 / connectionBytes);
     limits.handshakes = std::min(limits.handshakes, memory / 8 / handshakeBytes);
     if (allowance.descriptors > 0) {
--- a/celeryswitch/Scheduling/JobScheduler.cpp
+++ b/celeryswitch/Scheduling/JobScheduler.cpp
@@ -43,6 +43,7 @@
     : settings(std::move(settings))
     , log(log)
     , metrics(registry)
+    , jobBudget(this->settings.jobBudgetBytes)
 {
 }
 
@@ -232,8 +233,14 @@
     job.callerTimeout = callerTimeout;
     job.specification = std::move(submission.job);
     linkSteps(job);
+    job.admittedBytes = recordBytes(job);
+    if (!this->jobBudget.admits(job.admittedBytes)) {
+        this->refuseForMemory(request, job);
+        return;
+    }
+    this->jobBudget.addJob(job.admittedBytes);
     this->estimateJob(now, job);
-    job.trace.add(now, "job admitted",
+    this->trace(now, job, "job admitted",
         { { "job", Messages::jobText(id) }, { "queue", queue.name }, { "held_ms", toMilliseconds(now - arrivedAt) },
             { "patience_ms", toMilliseconds(callerTimeout) }, { "rank_class", Messages::rankClassOf(job.rank) },
             { "limit_ms", toMilliseconds(job.expiresAt - now) },
@@ -337,7 +344,7 @@
     }
     this->maintainSidecars(now);
     while (!this->outcomesByAge.empty() && this->outcomesByAge.front().first + this->settings.outcomeRetention < now) {
-        this->outcomes.erase(this->outcomesByAge.front().second);
+        this->jobBudget.change(JobBudget::outcomeBytes * this->outcomes.erase(this->outcomesByAge.front().second), 0);
         this->outcomesByAge.pop_front();
     }
     return std::exchange(this->actions, {});
@@ -409,10 +416,10 @@
         this->actions.push_back(SendToSidecar { sidecar, std::move(stop) });
     }
     this->logOutcome(now, job, answer);
-    if (answer.kind == AnswerKind::State) {
-        this->outcomes[id] = { answer, now };
-        this->outcomesByAge.emplace_back(now, id);
-    }
+    if (answer.kind == AnswerKind::State)
+        this->keepOutcome(now, id, answer);
+    this->jobBudget.change(job.addedBytes, 0);
+    this->jobBudget.removeJob(job.admittedBytes);
     this->sendAnswer(job.request, std::move(answer));
 }
 
--- a/celeryswitch/Scheduling/JobScheduler.h
+++ b/celeryswitch/Scheduling/JobScheduler.h
@@ -4,6 +4,7 @@
 #include "celeryswitch/Logging/Trace.h"
 #include "celeryswitch/Messages/StateMessages.h"
 #include "celeryswitch/Scheduling/CapacityIndex.h"
+#include "celeryswitch/Scheduling/JobBudget.h"
 #include "celeryswitch/Scheduling/JobTypes.h"
 #include "celeryswitch/Scheduling/QueueModel.h"
 #include "celeryswitch/Scheduling/SchedulerMetrics.h"
@@ -59,6 +60,8 @@
     /// Candidates and steps that a part of a decision (placing, refusing, ending jobs) looks at before it leaves the
     /// rest to the next decision. Jobs take turns: one of many steps does not keep others waiting.
     std::uint64_t decisionWorkLimit = 15'000;
+    /// Memory for the records of open jobs and for outcomes, in bytes. Jobs beyond it are refused as not run.
+    std::size_t jobBudgetBytes = 64 * 1024 * 1024;
     /// Retention period of the outcomes of ended jobs; a repeated request within it gets the same answer instead of a
     /// second run.
     Core::Duration outcomeRetention = std::chrono::seconds(10);
@@ -148,6 +151,8 @@
     std::size_t evacuatedDataCentreCount() const { return this->evacuatedDataCentres.size(); }
     /// All known workers.
     const WorkerTable& workers() const { return this->workerTable; }
+    /// Memory of the open jobs.
+    const JobBudget& budget() const { return this->jobBudget; }
     /// Work done so far.
     const SchedulerWork& work() const { return this->workDone; }
 
@@ -232,6 +237,9 @@
         /// Time of the first start order.
         Core::SteadyTime firstOrderAt;
         Logging::Trace trace;
+        /// Memory of its records when it was admitted, and of those that were added since, in bytes.
+        std::size_t admittedBytes = 0;
+        std::size_t addedBytes = 0;
     };
     struct Outcome {
         CallerAnswer answer;
@@ -295,7 +303,7 @@
     void decideRackWait(
         Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex, PlacementRequest& request);
     void traceRackWait(Core::SteadyTime now, Job& job, std::string_view message, const PlacementWaitDecision& decision,
-        const PlacementWaitQuery& query) const;
+        const PlacementWaitQuery& query);
     // How much longer a step's tasks run far from their data.
     FarRuns farRuns(const StepSpecification& step) const { return { step.dataRack, this->settings.farFactor }; }
     void placeStep(Core::SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex);
@@ -306,6 +314,16 @@
     // Assigns waiting tasks of a step to a sidecar and builds the order to start them.
     Messages::StartRuns startOrder(
         Core::SteadyTime now, Job& job, std::uint32_t stepIndex, WorkerView& worker, std::uint32_t count);
+    // Adds a record to the trace of a job.
+    void trace(
+        Core::SteadyTime now, Job& job, std::string_view message, std::initializer_list<Logging::LogField> fields);
+    // Memory of the records of a new job.
+    static std::size_t recordBytes(const Job& job);
+    // Counts records of a job that were added or removed.
+    void changeRecords(Job& job, std::size_t before, std::size_t after);
+    // Refuses a job that there is no memory for.
+    void refuseForMemory(RequestNumber request, const Job& job);
+    void keepOutcome(Core::SteadyTime now, const StepJobId& id, const CallerAnswer& answer);
     // Counts an order and adds it to the job's trace.
     void recordOrder(Core::SteadyTime now, Job& job, const WorkerView& worker, const Messages::StartRuns& start,
         double expectedWaitSeconds);
@@ -350,7 +368,7 @@
     // Refuses, as not run, jobs that have waited for room for too long.
     void refuseWaiting(Core::SteadyTime now);
     // Adds the room that was available to a refused job to its trace.
-    void traceAvailableRoom(Core::SteadyTime now, Job& job) const;
+    void traceAvailableRoom(Core::SteadyTime now, Job& job);
     // Logs and counts a job's outcome; the full trace is written for jobs without success, for late ones and for a
     // sample.
     void logOutcome(Core::SteadyTime now, Job& job, const CallerAnswer& answer);
@@ -368,6 +386,8 @@
     CapacityIndex capacityIndex;
     bool isCapacityIndexStale = true;
     Jobs jobs;
+    JobBudget jobBudget;
+    std::uint64_t refusedForMemory = 0;
     /// Jobs by the open requests of their callers.
     std::unordered_map<RequestNumber, StepJobId> jobsByRequest;
     std::uint64_t lastOrder = 0;
--- a/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerPlacing.cpp
@@ -93,7 +93,7 @@
 void JobScheduler::placeStep(SteadyTime now, double referenceSpeed, Job& job, std::uint32_t stepIndex)
 {
     Step& step = job.steps[stepIndex];
-    if (step.tasks.waiting() == 0)
+    if (step.tasks.waiting() == 0 || !this->jobBudget.hasRecords())
         return;
     const std::uint32_t reservationsPerTask
         = job.reservations.size() < maximumReservations ? this->settings.reservationsPerTask : 0;
@@ -144,8 +144,11 @@
     start.deadlineMicroseconds
         = std::max<std::int64_t>(1, static_cast<std::int64_t>(secondsUntil(now, job.expiresAt) * 1e6));
     start.bornAt = worker.profile.bornAt;
-    if (!std::exchange(step.hasStarted, true))
+    const std::size_t records = step.tasks.recordCount();
+    if (!std::exchange(step.hasStarted, true)) {
         job.startedSteps.push_back(stepIndex);
+        this->changeRecords(job, 0, JobBudget::stepBytes);
+    }
     while (step.tasks.waiting() > 0 && start.tasks.size() < count) {
         Task& task = step.tasks.takeWaiting();
         task.sidecar = worker.sidecar;
@@ -154,6 +157,7 @@
         start.tasks.emplace_back(task.index, task.run);
         ++job.orderedTasks;
     }
+    this->changeRecords(job, records * JobBudget::taskBytes, step.tasks.recordCount() * JobBudget::taskBytes);
     this->lastSentAt[worker.sidecar] = now;
     job.hasBegun = true;
     return start;
@@ -169,7 +173,7 @@
     const FarRuns farRuns = this->farRuns(job.specification.steps[start.step]);
     if (farRuns.isEffective())
         this->metrics.tasksPlaced(start.tasks.size(), farRuns.factorOn(worker) > 1);
-    job.trace.add(now, "tasks placed",
+    this->trace(now, job, "tasks placed",
         { { "job", Messages::jobText(job.specification.id) }, { "sidecar", worker.sidecar },
             { "worker", worker.profile.workerId }, { "order", start.order },
             { "first_task", start.tasks.front().first }, { "run", start.tasks.front().second },
--- a/celeryswitch/Scheduling/JobSchedulerRackWait.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerRackWait.cpp
@@ -62,9 +62,9 @@
 }
 
 void JobScheduler::traceRackWait(SteadyTime now, Job& job, std::string_view message,
-    const PlacementWaitDecision& decision, const PlacementWaitQuery& query) const
+    const PlacementWaitDecision& decision, const PlacementWaitQuery& query)
 {
-    job.trace.add(now, message,
+    this->trace(now, job, message,
         { { "job", Messages::jobText(job.specification.id) },
             { "reason", std::string(Core::enumName(decision.reason)) },
             { "near_wait_ms", loggedMilliseconds(query.places.nearWaitSeconds) },
--- a/celeryswitch/Scheduling/JobSchedulerReports.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReports.cpp
@@ -153,7 +153,7 @@
         this->completeTask(now, found, report);
         return;
     }
-    job.trace.add(now, "run ended without success",
+    this->trace(now, job, "run ended without success",
         { { "job", Messages::jobText(id.job) }, { "task", id.index }, { "run", report.run },
             { "order", report.ordered.order }, { "sidecar", sidecar },
             { "end", std::string(Core::enumName(report.end)) },
@@ -176,7 +176,9 @@
     const StepJobId id = found->first;
     Task& task = *step.tasks.find(taskId.index);
     const WorkerView& worker = this->workerTable.at(task.sidecar);
+    const std::size_t records = step.tasks.recordCount();
     step.tasks.finish(task, job.specification.steps[taskId.step].tasksPerWorker > 0);
+    this->changeRecords(job, records * JobBudget::taskBytes, step.tasks.recordCount() * JobBudget::taskBytes);
     --job.orderedTasks;
     const FarRuns farRuns = this->farRuns(job.specification.steps[taskId.step]);
     const double factor = farRuns.factorOn(worker);
@@ -190,6 +192,7 @@
     step.sumSeconds += seconds;
     if (!step.tasks.isDone())
         return;
+    this->changeRecords(job, JobBudget::stepBytes, 0);
     this->modelOf(now, job.queue)
         .recordStep(job.specification.steps[taskId.step].declaredMilliseconds / 1000.0, step.longestSeconds,
             step.sumSeconds / static_cast<double>(step.tasks.count()));
@@ -247,7 +250,7 @@
     if (isLate && isRestartInTime && remainingSeconds > restartedSeconds * minimumRestartGain) {
         this->restartElsewhere(now, job, id, task);
     } else if (isPastExpiry && !isRestartInTime) {
-        job.trace.add(now, "job can't end in time",
+        this->trace(now, job, "job can't end in time",
             { { "job", Messages::jobText(found->first) }, { "task", id.index }, { "percent", report.percent },
                 { "ran_ms", report.runMicroseconds / 1000 },
                 { "left_ms", static_cast<std::int64_t>(remainingSeconds * 1000) },
@@ -258,7 +261,7 @@
 
 void JobScheduler::restartElsewhere(SteadyTime now, Job& job, const TaskId& id, Task& task)
 {
-    job.trace.add(now, "run restarted elsewhere",
+    this->trace(now, job, "run restarted elsewhere",
         { { "job", Messages::jobText(id.job) }, { "task", id.index }, { "run", task.run }, { "sidecar", task.sidecar },
             { "waited_ms", toMilliseconds(now - job.arrivedAt) },
             { "expected_end_ms", toMilliseconds(task.expectedEnd - now) } });
@@ -301,13 +304,13 @@
                 // time until its sidecar has voided it, so that the task waits for the sidecar or for its job's end.
                 if (!task.isStarted) {
                     ++inDoubt;
-                    job.trace.add(now, "start in doubt",
+                    this->trace(now, job, "start in doubt",
                         { { "job", Messages::jobText(id) }, { "run", task.run }, { "order", task.order },
                             { "sidecar", sidecar } });
                     continue;
                 }
                 ++runs;
-                job.trace.add(now, "run lost",
+                this->trace(now, job, "run lost",
                     { { "job", Messages::jobText(id) }, { "run", task.run }, { "sidecar", sidecar },
                         { "reason", std::string(reason) } });
                 ++task.run;
--- a/celeryswitch/Scheduling/JobSchedulerReservations.cpp
+++ b/celeryswitch/Scheduling/JobSchedulerReservations.cpp
@@ -30,9 +30,10 @@
     job.reservations.push_back({ reserve.reservation, placement.sidecar, stepIndex, placement.count,
         addSeconds(now, request.maximumWaitSeconds), request.rank, worker.profile.bornAt });
     ++job.steps[stepIndex].reservations;
+    this->changeRecords(job, 0, JobBudget::reservationBytes);
     this->noteDue(job);
     this->reservationJobs[reserve.reservation] = job.specification.id;
-    job.trace.add(now, "room reserved",
+    this->trace(now, job, "room reserved",
         { { "job", Messages::jobText(job.specification.id) }, { "sidecar", placement.sidecar },
             { "reservation", reserve.reservation }, { "units", placement.count },
             { "expected_wait_ms", static_cast<std::int64_t>(placement.waitSeconds * 1000) },
@@ -106,6 +107,7 @@
     });
     if (dropped == 0)
         return;
+    this->changeRecords(job, dropped * JobBudget::reservationBytes, 0);
     job.placeInFullAt = {};
     this->noteDue(job);
 }
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -42,6 +42,12 @@
     return result;
 }
 
+SchedulerSettings withJobBudget(SchedulerSettings settings, const Http::ProcessLimits& limits)
+{
+    settings.jobBudgetBytes = limits.jobBudgetBytes;
+    return settings;
+}
+
 Http::HttpLimits limitsOf(const Configuration::RequestLimits& limits)
 {
     const Core::Duration idleTime = std::chrono::milliseconds(limits.idleMilliseconds);
@@ -60,9 +66,9 @@
     , log(log)
     , protocol(protocol)
     , transport(context, this->settings.authenticationKeys)
-    , scheduler(this->settings.scheduler, log, registry)
-    , limits(Http::deriveLimits(
-          this->settings.allowance, { 0, this->settings.connectionsLimit, maximumReadinessConnections, 0 }))
+    , limits(Http::deriveLimits(this->settings.allowance,
+          { .connections = this->settings.connectionsLimit, .readinessConnections = maximumReadinessConnections }))
+    , scheduler(withJobBudget(this->settings.scheduler, this->limits), log, registry)
     , receiveBudget(Http::makeBudget(this->limits.receiveBudgetBytes, log))
     , callers(context, limitsOf({}), this->limits.connections,
           { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
@@ -202,6 +208,8 @@
             LogLevel::Info, "request refused", { { "path", request.path }, { "detail", unknown->problem } });
         return this->respond(session, { AnswerKind::Malformed, {}, 0, {}, unknown->problem });
     }
+    // The records of the job are counted instead of the bytes that it was read from.
+    session->requestDecoded();
     const RequestNumber number = ++this->lastRequest;
     this->openRequests[number] = session;
     this->requestNumbers[session.get()] = number;
--- a/celeryswitch/Scheduling/SchedulingEntry.h
+++ b/celeryswitch/Scheduling/SchedulingEntry.h
@@ -101,8 +101,8 @@
     StallGuard stallGuard;
     OverloadGuard overloadGuard;
     DecisionPacer pacer;
-    JobScheduler scheduler;
     Http::ProcessLimits limits;
+    JobScheduler scheduler;
     std::shared_ptr<Http::ReceiveBudget> receiveBudget;
     Http::HttpServer callers;
     Http::HttpServer readiness;
--- a/celeryswitch/Scheduling/TaskTable.cpp
+++ b/celeryswitch/Scheduling/TaskTable.cpp
@@ -5,6 +5,13 @@
 
 namespace celeryswitch::Scheduling {
 
+namespace {
+
+// Places for records beyond those in use that are kept after a removal.
+constexpr std::size_t sparePlaces = 8;
+
+}
+
 std::uint32_t TaskTable::waiting() const
 {
     const std::size_t returned = this->progress ? this->progress->returned.size() : 0;
@@ -53,6 +60,10 @@
         return;
     std::erase_if(held.records, [](const Record& record) { return record.isFinished; });
     held.finishedRecords = 0;
+    if (this->isDone())
+        this->progress.reset();
+    else if (held.records.capacity() > sparePlaces + 2 * held.records.size())
+        held.records.shrink_to_fit();
 }
 
 Task* TaskTable::find(std::uint32_t index)
--- a/celeryswitch/State/ControlGateway.cpp
+++ b/celeryswitch/State/ControlGateway.cpp
@@ -38,7 +38,7 @@
     , log(log)
     , evacuableDataCentres(std::move(evacuableDataCentres))
     , onRequest(std::move(onRequest))
-    , processLimits(Http::deriveLimits(allowance, { 0, connectionsLimit, 0, 0 }))
+    , processLimits(Http::deriveLimits(allowance, { .connections = connectionsLimit }))
     , receiveBudget(Http::makeBudget(this->processLimits.receiveBudgetBytes, log))
     , server(context, limits, this->processLimits.connections,
           { [this](const Http::HttpSession::Pointer& session, Http::HttpRequest request) {
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -69,7 +69,7 @@
     {
         this->links.setConnectLimit(this->settings.connectLimit);
         this->links.setHandshakeLimit(
-            Http::deriveLimits(this->settings.allowance, { 0, 0, 0, handshakeLimit }).handshakes);
+            Http::deriveLimits(this->settings.allowance, { .handshakes = handshakeLimit }).handshakes);
         BOOST_OUTCOME_TRY(this->boundAddress, this->links.listen(this->settings.peerAddress));
         if (this->settings.initialReplicas.empty())
             this->settings.initialReplicas[this->settings.replicaName] = this->boundAddress;
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -58,7 +58,8 @@
               this->supervisor.callFinished(this->clock.steadyNow(), callId, std::move(result));
               this->step();
           })
-    , limits(Http::deriveLimits(this->settings.allowance, { 0, announcementConnectionLimit, 0, handshakeLimit }))
+    , limits(Http::deriveLimits(
+          this->settings.allowance, { .connections = announcementConnectionLimit, .handshakes = handshakeLimit }))
     , receiveBudget(Http::makeBudget(this->limits.receiveBudgetBytes, log))
     , announcements(context, announcementLimits, this->limits.connections,
           { [this](const Http::HttpSession::Pointer& session, const Http::HttpRequest& request) {
