Add crowds against handshakes, and of whole documents

Cause: three places where bytes or connections become something else had no play: listeners for other processes whose places are all taken, whole routing documents one after the other, and a single body of the largest size, which has to be served. Change: plays "handshakes" (a sidecar, a state replica), "documents" (a state replica) and "largest" (an entry), with crowd and bounds fixed here. What reads the usage of a process moves into a file of its own.

--- a/Soak/CrowdClients.cpp
+++ b/Soak/CrowdClients.cpp
@@ -18,6 +18,8 @@
 // Time between two requests of a client that is served.
 constexpr std::chrono::milliseconds requestInterval { 300 };
 constexpr std::chrono::milliseconds servedStep { 10 };
+// A silent crowd takes each place at once that becomes free.
+constexpr std::chrono::milliseconds silentStep { 1 };
 
 Core::SteadyTime now() { return Core::BootClock::now(); }
 
@@ -127,7 +129,7 @@
         const Core::SteadyTime time = now();
         for (Client& client : this->clients)
             this->turn(client, time);
-        std::this_thread::sleep_for(servedStep);
+        std::this_thread::sleep_for(this->request.empty() ? silentStep : servedStep);
     }
 }
 
@@ -135,6 +137,7 @@
 {
     if (client.descriptor < 0) {
         client.descriptor = beginToConnect(this->address);
+        client.isWaiting = this->request.empty();
         return;
     }
     if (client.isWaiting) {
--- a/Soak/CrowdClients.h
+++ b/Soak/CrowdClients.h
@@ -42,7 +42,8 @@
     std::vector<Client> clients;
 };
 
-/// Connections that each send one request at an interval, read its answer, and connect again when they are closed.
+/// Connections that each send one request at an interval, read its answer, and connect again when they are closed. With
+/// an empty request they are silent.
 class ServedCrowd {
 public:
     ServedCrowd(std::string address, std::string request, std::size_t count);
--- a/Soak/CrowdPlay.h
+++ b/Soak/CrowdPlay.h
@@ -25,6 +25,13 @@
     Unrouted,
     /// Connections that send as much as they can while the process is stopped.
     Frozen,
+    /// Silent connections to the listener for other processes, opened anew when they are closed, while the entry is
+    /// started again and connects.
+    Handshakes,
+    /// Whole valid routing documents of many queues, with rising versions.
+    Documents,
+    /// No crowd: a single job whose body has the largest size.
+    Largest,
     /// Several plays one after the other, each after the connections of the one before were closed.
     Repeated,
 };
@@ -43,7 +50,7 @@
 
 template <> struct EnumTable<Soak::CrowdPlay> {
     static constexpr std::string_view type = "CrowdPlay";
-    static constexpr std::array<std::pair<Soak::CrowdPlay, std::string_view>, 10> names { {
+    static constexpr std::array<std::pair<Soak::CrowdPlay, std::string_view>, 13> names { {
         { Soak::CrowdPlay::Stalled, "stalled" },
         { Soak::CrowdPlay::Fields, "fields" },
         { Soak::CrowdPlay::Tasks, "tasks" },
@@ -53,6 +60,9 @@
         { Soak::CrowdPlay::Reads, "reads" },
         { Soak::CrowdPlay::Unrouted, "unrouted" },
         { Soak::CrowdPlay::Frozen, "frozen" },
+        { Soak::CrowdPlay::Handshakes, "handshakes" },
+        { Soak::CrowdPlay::Documents, "documents" },
+        { Soak::CrowdPlay::Largest, "largest" },
         { Soak::CrowdPlay::Repeated, "repeated" },
     } };
 };
--- a/Soak/CrowdRun.cpp
+++ b/Soak/CrowdRun.cpp
@@ -1,12 +1,9 @@
 #include "Soak/CrowdRun.h"
 
+#include "Soak/ProcessUsage.h"
 #include "Soak/SoakWire.h"
-#include <arpa/inet.h>
 #include <csignal>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 
 namespace celeryswitch::Soak {
 
@@ -25,7 +22,9 @@
 constexpr std::size_t nestedClients = 4;
 constexpr std::size_t nestedBytes = 4'000'000;
 constexpr std::size_t readClients = 190;
-constexpr std::uint32_t readQueues = 4000;
+constexpr std::uint32_t manyQueues = 4000;
+constexpr std::size_t documentClients = 30;
+constexpr int entryStarts = 3;
 constexpr std::size_t unroutedClients = 500;
 constexpr std::size_t frozenClients = 400;
 constexpr std::size_t frozenBytes = 64 * 1024;
@@ -34,6 +33,9 @@
 constexpr std::chrono::milliseconds retryDelay { 100 };
 // Time that the processes have for what the crowd has sent before they are measured.
 constexpr std::chrono::seconds settleTime { 3 };
+// Ports at which the processes listen for each other.
+constexpr int statePeerPort = 18120;
+constexpr int sidecarPeerPort = 18121;
 const std::string processes[] = { "state-1", "sidecar-1", "entry-1" };
 
 Core::SteadyTime now() { return Core::BootClock::now(); }
@@ -43,54 +45,6 @@
     return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
 }
 
-// Kilobytes of the bytes that wait in the connections of a loopback address, received and unread or sent and not taken.
-std::size_t queuedKilobytes(const std::string& address)
-{
-    constexpr std::string_view listening = "0A";
-    in_addr number {};
-    ::inet_pton(AF_INET, address.substr(0, address.rfind(':')).c_str(), &number);
-    char local[9];
-    std::snprintf(local, sizeof local, "%08X", number.s_addr);
-    std::ifstream file("/proc/net/tcp");
-    std::size_t bytes = 0;
-    for (std::string line; std::getline(file, line);) {
-        // "number: address:port address:port state sent:received", all in hexadecimal digits.
-        std::istringstream row(line);
-        std::string place;
-        std::string own;
-        std::string other;
-        std::string state;
-        std::string queues;
-        row >> place >> own >> other >> state >> queues;
-        if (!own.starts_with(local) || state == listening)
-            continue;
-        const std::size_t colon = queues.find(':');
-        bytes += std::stoul(queues.substr(0, colon), nullptr, 16) + std::stoul(queues.substr(colon + 1), nullptr, 16);
-    }
-    return bytes / 1024;
-}
-
-// Kilobytes of a line of /proc/PID/status.
-std::size_t statusKilobytes(pid_t process, const std::string& key)
-{
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(file, line);) {
-        if (line.starts_with(key + ":"))
-            return std::stoul(line.substr(key.size() + 1));
-    }
-    return 0;
-}
-
-std::size_t openDescriptors(pid_t process)
-{
-    std::error_code error;
-    std::size_t count = 0;
-    for (auto entry = std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/fd", error);
-         entry != std::filesystem::directory_iterator(); entry.increment(error))
-        ++count;
-    return count;
-}
-
 CrowdLimits limitsOf(const CrowdSettings& settings)
 {
     switch (settings.play) {
@@ -197,13 +151,13 @@
         this->playJobs(jobOfSteps(needsRoom), jobClients);
         break;
     case CrowdPlay::Served: {
-        const Http::HttpRequest request = this->ordinaryRequest();
+        const Http::HttpRequest request = this->ordinaryRequest(this->settings.listener);
         const std::string line = this->settings.listener == "entry"
             ? "GET " + queuePrefix(0) + " HTTP/1.1\r\nHost: " + queueHost(0) + "\r\n"
             : request.method + " " + request.path + " HTTP/1.1\r\nHost: a\r\n";
         const ServedCrowd crowd(this->address(), withLength(line, request.body), servedClients);
         std::this_thread::sleep_for(settleTime);
-        this->checkAnswered();
+        this->checkAnswered(this->settings.listener);
         return;
     }
     case CrowdPlay::Nested:
@@ -215,6 +169,15 @@
     case CrowdPlay::Frozen:
         this->playFrozen();
         break;
+    case CrowdPlay::Handshakes:
+        this->playHandshakes();
+        return;
+    case CrowdPlay::Documents:
+        this->playDocuments();
+        break;
+    case CrowdPlay::Largest:
+        this->playLargest();
+        break;
     case CrowdPlay::Repeated:
         this->playRepeated();
         break;
@@ -222,15 +185,13 @@
         break;
     }
     this->measure();
-    this->checkAnswered();
+    this->checkAnswered(this->settings.listener);
 }
 
 void CrowdRun::playStalled()
 {
-    const bool isEntry = this->settings.listener == "entry";
     const bool isState = this->settings.listener == "state";
-    const std::string silent
-        = isEntry ? this->fleet.readinessAddress("entry-1") : withPort(this->address(), isState ? 18120 : 18121);
+    const std::string silent = this->settings.listener == "entry" ? this->address("readiness") : this->peerAddress();
     this->clients.add(silent, silentClients, {});
     const std::string head = this->requestHead();
     this->clients.add(this->address(), trailerClients,
@@ -279,7 +240,7 @@
 void CrowdRun::playReads()
 {
     const auto put = Http::httpCall(this->fleet.controlAddress("state-1"),
-        { "POST", "/v1/config/put", { { "Content-Type", "application/json" } }, writeDocument(2, { readQueues }) },
+        { "POST", "/v1/config/put", { { "Content-Type", "application/json" } }, writeDocument(2, { manyQueues }) },
         std::chrono::seconds(10));
     if (!put || put.value().statusCode != 200)
         this->violations.push_back("the large document is not taken");
@@ -312,15 +273,47 @@
     this->clients.add(this->address(), frozenClients, kind);
     // Entries listen for no other processes of the system.
     if (this->settings.listener == "entry")
-        this->clients.add(this->fleet.readinessAddress("entry-1"), frozenClients, kind);
+        this->clients.add(this->address("readiness"), frozenClients, kind);
     else
-        this->clients.add(
-            withPort(this->address(), this->settings.listener == "state" ? 18120 : 18121), frozenClients, kind);
+        this->clients.add(this->peerAddress(), frozenClients, kind);
     this->clients.sendAll();
     this->measure();
     this->fleet.signal(this->process(), SIGCONT);
 }
 
+void CrowdRun::playHandshakes()
+{
+    const ServedCrowd crowd(this->peerAddress(), {}, silentClients);
+    std::this_thread::sleep_for(settleTime);
+    for (int start = 0; start < entryStarts && this->violations.empty(); ++start) {
+        this->fleet.signal("entry-1", SIGKILL);
+        this->fleet.waitEnd("entry-1", startLimit);
+        if (!this->fleet.start("entry-1"))
+            this->violations.push_back("the entry does not start");
+        this->checkAnswered("entry");
+    }
+    this->checkAnswered(this->settings.listener);
+    this->measure();
+}
+
+void CrowdRun::playDocuments()
+{
+    for (std::uint64_t version = 2; version < 2 + documentClients; ++version)
+        this->clients.add(
+            this->address(), 1, { withLength(this->requestHead(), writeDocument(version, { manyQueues })), {}, 0 });
+    this->clients.sendAll();
+    std::this_thread::sleep_for(settleTime);
+}
+
+void CrowdRun::playLargest()
+{
+    Http::HttpRequest request = this->ordinaryRequest("entry");
+    request.body.resize(largestBodyBytes, ' ');
+    const auto response = Http::httpCall(this->address("entry"), request, std::chrono::seconds(3));
+    if (!response || response.value().statusCode != 200)
+        this->violations.push_back("a single job whose body has the largest size is not served");
+}
+
 void CrowdRun::playRepeated()
 {
     for (int round = 0; round < 2; ++round) {
@@ -353,7 +346,7 @@
         writeDocument(1, { 1 }) };
     while (now() < limit) {
         const auto response = Http::httpCall(this->fleet.controlAddress("state-1"), put, std::chrono::seconds(1));
-        if (response && response.value().statusCode == 200 && this->isAnswered())
+        if (response && response.value().statusCode == 200 && this->isAnswered(this->settings.listener))
             return true;
         std::this_thread::sleep_for(retryDelay);
     }
@@ -365,12 +358,16 @@
     return this->settings.listener == "readiness" ? "entry-1" : this->settings.listener + "-1";
 }
 
-std::string CrowdRun::address() const
+std::string CrowdRun::address(const std::string& listener) const
 {
-    if (this->settings.listener == "readiness")
+    if (listener == "readiness")
         return this->fleet.readinessAddress("entry-1");
-    return this->settings.listener == "entry" ? this->fleet.entryAddress("entry-1")
-                                              : this->fleet.controlAddress(this->process());
+    return listener == "entry" ? this->fleet.entryAddress("entry-1") : this->fleet.controlAddress(listener + "-1");
+}
+
+std::string CrowdRun::peerAddress() const
+{
+    return withPort(this->address(), this->settings.listener == "state" ? statePeerPort : sidecarPeerPort);
 }
 
 std::string CrowdRun::jobHead() const
@@ -384,18 +381,18 @@
 
 std::string CrowdRun::requestHead() const
 {
-    const Http::HttpRequest request = this->ordinaryRequest();
+    const Http::HttpRequest request = this->ordinaryRequest(this->settings.listener);
     const std::string path = this->settings.listener == "state" ? "/v1/config/put" : request.path;
     return "POST " + path + " HTTP/1.1\r\nHost: " + queueHost(0) + "\r\nContent-Type: application/json\r\n";
 }
 
-Http::HttpRequest CrowdRun::ordinaryRequest() const
+Http::HttpRequest CrowdRun::ordinaryRequest(const std::string& listener) const
 {
-    if (this->settings.listener == "state")
+    if (listener == "state")
         return { "GET", "/v1/config/get", {}, "" };
-    if (this->settings.listener == "readiness")
+    if (listener == "readiness")
         return { "GET", "/v1/ready", {}, "" };
-    if (this->settings.listener == "sidecar") {
+    if (listener == "sidecar") {
         Workers::WorkerAnnouncement announcement;
         announcement.workerId = "w-1-earlier";
         announcement.service = "loans";
@@ -436,17 +433,18 @@
         this->violations.push_back(name + ": " + std::to_string(descriptors) + " open descriptors are over the bound");
 }
 
-void CrowdRun::checkAnswered()
+void CrowdRun::checkAnswered(const std::string& listener)
 {
-    if (!this->isAnswered())
-        this->violations.push_back("no ordinary request is answered beside the crowd");
+    if (!this->isAnswered(listener))
+        this->violations.push_back("no ordinary request to the " + listener + " is answered beside the crowd");
 }
 
-bool CrowdRun::isAnswered()
+bool CrowdRun::isAnswered(const std::string& listener)
 {
     const auto limit = now() + answerLimit;
     while (now() < limit && this->fleet.isRunning(this->process())) {
-        const auto response = Http::httpCall(this->address(), this->ordinaryRequest(), std::chrono::seconds(3));
+        const auto response
+            = Http::httpCall(this->address(listener), this->ordinaryRequest(listener), std::chrono::seconds(3));
         if (response && response.value().statusCode == 200)
             return true;
         std::this_thread::sleep_for(retryDelay);
--- a/Soak/CrowdRun.h
+++ b/Soak/CrowdRun.h
@@ -44,15 +44,23 @@
     void playReads();
     void playUnrouted();
     void playFrozen();
+    void playHandshakes();
+    void playDocuments();
+    void playLargest();
     void playRepeated();
     void measure();
     void measure(const std::string& process);
-    void checkAnswered();
-    bool isAnswered();
+    void checkAnswered(const std::string& listener);
+    // Whether an ordinary request to a listener is answered.
+    bool isAnswered(const std::string& listener);
+    // Address of a listener.
+    std::string address(const std::string& listener) const;
     // Address and process of the listener under test.
-    std::string address() const;
+    std::string address() const { return this->address(this->settings.listener); }
     std::string process() const;
-    Http::HttpRequest ordinaryRequest() const;
+    // Address of the listener for other processes of the system, beside the listener under test.
+    std::string peerAddress() const;
+    Http::HttpRequest ordinaryRequest(const std::string& listener) const;
     // Request line and fields of a request with a body, up to the fields that frame the body.
     std::string requestHead() const;
     std::string jobHead() const;
--- a/Soak/Main.cpp
+++ b/Soak/Main.cpp
@@ -27,8 +27,8 @@
   --states=N       State replicas [default: 3].
   --crowd=LISTENER Instead: a crowd of clients outside the limits against an entry, a sidecar or a state replica, or the
                    readiness check of an entry.
-  --play=NAME      What the crowd does: stalled, fields, tasks, steps, served, nested, reads, unrouted, frozen, repeated
-                   [default: stalled].
+  --play=NAME      What the crowd does: stalled, fields, tasks, steps, served, nested, reads, unrouted, frozen,
+                   handshakes, documents, largest, repeated [default: stalled].
   --calm           No faults: the whole path on a calm day.
   --changes        Planned changes beside the faults: state replicas are replaced, limits change on open connections, and
                    workers return as another kind.
