Bound the memory of the values of a body

What callers saw: a state replica over its memory, which the platform then ends, by bodies that it refuses. Cause: a body was bounded by its bytes and not by what it becomes: a list in a list of four bytes takes some 140 bytes of memory, also in a field that nobody knows. Ruled out: reading known fields only, as they can hold as much. Why this works: parseJson counts the blocks of values and of the parser's stack, and refuses a body beyond a quarter of the process's memory; one is decoded at a time. Texts below a hundredth of the limit can't reach it and are read as before.

--- a/Program/PlatformCommand.cpp
+++ b/Program/PlatformCommand.cpp
@@ -191,10 +191,16 @@
     return server;
 }
 
+// Memory that the values of one body may take, in bytes.
+std::size_t valueBytesLimit(const Platform::BootFile& file)
+{
+    return Http::deriveLimits(file.allowance, {}).valueBytes;
+}
+
 CommandResult runEntry(const PlatformProcess& process)
 {
     const Core::SystemClock clock;
-    const Platform::ClientApi api;
+    const Platform::ClientApi api(valueBytesLimit(process.file));
     PlatformLoop& loop = process.loop;
     Scheduling::SchedulingEntry entry(loop.context, Platform::entrySettings(process.file, drawIncarnation()), clock,
         process.log, process.registry, api);
@@ -212,7 +218,7 @@
 CommandResult runSidecar(const PlatformProcess& process)
 {
     const Core::SystemClock clock;
-    const Platform::WorkerApi api;
+    const Platform::WorkerApi api(valueBytesLimit(process.file));
     PlatformLoop& loop = process.loop;
     Workers::WorkerSidecar sidecar(loop.context, Platform::sidecarSettings(process.file, drawIncarnation()), clock,
         process.log, process.registry, api);
@@ -254,7 +260,7 @@
 CommandResult runState(const PlatformProcess& process)
 {
     StructuredLog& log = process.log;
-    const Platform::OperatorApi api;
+    const Platform::OperatorApi api(valueBytesLimit(process.file));
     Core::Result<std::unique_ptr<State::StateProcess>> state
         = State::StateProcess::Builder()
               .setSettings(Platform::stateSettings(process.file))
--- a/celeryswitch/Entry/JobCodec.cpp
+++ b/celeryswitch/Entry/JobCodec.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/Entry/JobCodec.h"
 
+#include "celeryswitch/Core/BoundedJson.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <limits>
@@ -198,12 +199,12 @@
 
 ParsedSubmission parseSubmission(std::string_view body)
 {
-    boost::system::error_code error;
-    boost::json::parse_options options;
-    const boost::json::value value = boost::json::parse(body, error, {}, options);
-    if (error)
-        return FieldReader::makeProblem("", "is not valid JSON: " + error.message());
-    const boost::json::object* object = value.if_object();
+    const Core::Result<boost::json::value> value = Core::parseJson(body, Core::defaultJsonValueBytes);
+    if (!value)
+        return FieldReader::makeProblem("",
+            (value.error().is(Core::JsonError::TooLarge) ? "is too large: " : "is not valid JSON: ")
+                + value.error().detail());
+    const boost::json::object* object = value.value().if_object();
     if (!object)
         return FieldReader::makeProblem("", "must be a JSON object");
     return readSubmission(*object);
--- a/celeryswitch/Http/ProcessLimits.cpp
+++ b/celeryswitch/Http/ProcessLimits.cpp
@@ -26,6 +26,7 @@
     ProcessLimits limits = atMost;
     limits.receiveBudgetBytes = allowance.receiveBudgetBytes > 0 ? allowance.receiveBudgetBytes : memory / 8;
     limits.jobBudgetBytes = allowance.jobBudgetBytes > 0 ? allowance.jobBudgetBytes : memory / 8;
+    limits.valueBytes = memory / 4;
     limits.connections = std::min(limits.connections, memory / 2 / connectionBytes);
     limits.handshakes = std::min(limits.handshakes, memory / 8 / handshakeBytes);
     if (allowance.descriptors > 0) {
--- a/celeryswitch/Http/ProcessLimits.h
+++ b/celeryswitch/Http/ProcessLimits.h
@@ -22,6 +22,8 @@
     std::size_t receiveBudgetBytes = 0;
     /// Records of open jobs, in bytes.
     std::size_t jobBudgetBytes = 0;
+    /// Values that one body is decoded into, in bytes.
+    std::size_t valueBytes = 0;
     /// Connections of the main HTTP listener.
     std::size_t connections = 0;
     /// Connections of the readiness check.
@@ -33,9 +35,9 @@
 /// Receive buffer of each accepted connection. The system charges at most twice as much for it.
 inline constexpr int receiveBufferBytes = 16 * 1024;
 
-/// Derives the limits: an eighth of the memory for each of the two budgets, a half for the receive buffers and the
-/// objects of the connections. Three eighths of the descriptors are left for the process's own links, of which
-/// handshakes take a third.
+/// Derives the limits: an eighth of the memory for each of the two budgets, a quarter for the values of the body that is
+/// being decoded, a half for the receive buffers and the objects of the connections. Three eighths of the descriptors
+/// are left for the process's own links, of which handshakes take a third.
 ProcessLimits deriveLimits(const ProcessAllowance& allowance, const ProcessLimits& atMost);
 
 /// Memory of the machine, from /proc/meminfo.
