Share one text among the answers that hold the routing document

What callers saw: a state replica over its memory by operators that read the document and not their answers. Cause: each read was a request and a reply of its own, each answer a copy that stayed in memory while its connection was idle, and the system's send buffer grew to what the client left unread. Why this works: at most four reads are under way, callers who come meanwhile share the next one, passed on after the last of them came; all answers with the same document share one text, counted once; a session releases its answer; send buffers are 32 KB. The test of OperatorApi::encode reads the answer through bodyText, with the same expectation.

--- a/UnitTests/Http/HttpLimitsTest.cpp
+++ b/UnitTests/Http/HttpLimitsTest.cpp
@@ -1,4 +1,5 @@
 // Limits of connections: which of them apply to a request, and what happens to connections beyond them.
+#include "UnitTests/Core/AllocationCounter.h"
 #include "celeryswitch/Http/HttpServer.h"
 #include <array>
 #include <boost/asio.hpp>
@@ -239,6 +240,26 @@
     CHECK(budget->closedCount(Http::CloseReason::AnswerTime) == 0);
 }
 
+// Guards against answers that were sent and stay in memory, uncounted, for as long as their connections are idle.
+TEST_CASE("an idle connection takes no memory for the answer before", "[Http]")
+{
+    LimitedServer fixture({ 65'536, 16'384, 60s, 60s, 60s });
+    fixture.answerTail = std::string(1'000'000, 'a');
+    std::vector<boost::asio::ip::tcp::socket> callers;
+    std::vector<char> answer(fixture.answerTail.size());
+    const std::size_t before = allocatedBytes();
+    for (int number = 0; number < 4; ++number) {
+        callers.push_back(fixture.connect());
+        boost::asio::write(callers.back(), boost::asio::buffer(std::string("GET /q HTTP/1.1\r\nHost: a\r\n\r\n")));
+        bool isRead = false;
+        boost::asio::async_read(
+            callers.back(), boost::asio::buffer(answer), [&](const auto&, std::size_t) { isRead = true; });
+        fixture.run([&] { return isRead; });
+    }
+    CHECK(fixture.server.connectionCount() == 4);
+    CHECK(allocatedBytes() - before < fixture.answerTail.size());
+}
+
 // Guards against clients that ask for long answers, don't read them, and take the memory of the process.
 TEST_CASE("answers that are not read give way to others", "[Http]")
 {
--- a/UnitTests/Platform/OperatorCallsTest.cpp
+++ b/UnitTests/Platform/OperatorCallsTest.cpp
@@ -1,7 +1,9 @@
 #include "UnitTests/State/StateGroup.h"
 #include "celeryswitch/Http/HttpConnection.h"
 #include "platform/OperatorApi.h"
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace celeryswitch;
 using namespace celeryswitch::State;
@@ -98,6 +100,45 @@
         REQUIRE(group.call(name, { "POST", "/v1/config/put", {}, "{" }) == 400);
 }
 
+// Guards against readers that share an answer which is older than what was confirmed before they asked.
+TEST_CASE("readers who share an answer get no older document than was confirmed", "[Platform][threads]")
+{
+    const ServedGroup group;
+    group.waitForLeader();
+    REQUIRE(StateGroup::waitUntil([&] { return group.put("a", 1) == 200; }));
+    std::atomic<std::uint64_t> confirmed = 1;
+    std::atomic<int> answered = 0;
+    std::atomic<int> older = 0;
+    std::atomic<bool> isOver = false;
+    // More readers than reads that are under way at the same time, at one replica.
+    std::vector<std::thread> readers;
+    for (int number = 0; number < 16; ++number) {
+        readers.emplace_back([&] {
+            while (!isOver) {
+                const std::uint64_t before = confirmed;
+                const auto response = Http::httpCall(
+                    group.controls.at("b"), { "GET", "/v1/config/get", {}, "" }, std::chrono::seconds(3));
+                if (!response || response.value().statusCode != 200)
+                    continue;
+                ++answered;
+                const std::string& body = response.value().body;
+                const std::string key = "\"version\":";
+                older += std::strtoull(body.c_str() + body.find(key) + key.size(), nullptr, 10) < before ? 1 : 0;
+            }
+        });
+    }
+    for (std::uint64_t version = 2; version <= 30; ++version) {
+        if (group.put("a", version) == 200)
+            confirmed = version;
+    }
+    isOver = true;
+    for (std::thread& reader : readers)
+        reader.join();
+    CHECK(confirmed > 1);
+    CHECK(answered > 0);
+    CHECK(older == 0);
+}
+
 // Guards against stale reads and false confirmations once no majority is left.
 TEST_CASE("without a majority a replica confirms nothing to operators", "[Platform][threads]")
 {
--- a/UnitTests/Platform/WireTest.cpp
+++ b/UnitTests/Platform/WireTest.cpp
@@ -413,7 +413,8 @@
     REQUIRE(api.encode({ State::ControlOutcome::Acknowledged, "" }, request).statusCode == 200);
     REQUIRE(api.encode({ State::ControlOutcome::Invalid, "why" }, request).statusCode == 400);
     REQUIRE(api.encode({ State::ControlOutcome::Unavailable, "" }, request).statusCode == 503);
-    REQUIRE(api.encode({ State::ControlOutcome::Document, "{\"version\":7}" }, request).body == "{\"version\":7}");
+    const auto document = std::make_shared<const std::string>("{\"version\":7}");
+    REQUIRE(api.encode({ State::ControlOutcome::Document, "", document }, request).bodyText() == "{\"version\":7}");
 }
 
 // Guards against decoders that throw or crash on damaged bytes. Seeds 1 to CELERYSWITCH_FUZZ, 2000 by default.
--- a/celeryswitch/Http/HttpMessage.h
+++ b/celeryswitch/Http/HttpMessage.h
@@ -2,6 +2,7 @@
 
 #include "celeryswitch/Http/HttpHeaders.h"
 #include <cstdint>
+#include <memory>
 
 namespace celeryswitch::Http {
 
@@ -23,6 +24,10 @@
     std::uint16_t statusCode = 0;
     HttpHeaders headers;
     std::string body;
+    /// Body that several responses have in common, in place of `body`; who made it accounts for its memory.
+    std::shared_ptr<const std::string> sharedBody;
+
+    const std::string& bodyText() const { return this->sharedBody ? *this->sharedBody : this->body; }
 };
 
 /// Seconds of the Retry-After header; 0 when there is none.
--- a/celeryswitch/Http/HttpServer.cpp
+++ b/celeryswitch/Http/HttpServer.cpp
@@ -53,9 +53,11 @@
     this->acceptor.open(endpoint.protocol(), error);
     if (!error)
         this->acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
-    // Accepted connections inherit it.
+    // Accepted connections inherit the sizes of the buffers.
     if (!error)
         this->acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
+    if (!error)
+        this->acceptor.set_option(boost::asio::socket_base::send_buffer_size(sendBufferBytes), error);
     if (!error)
         this->acceptor.bind(endpoint, error);
     if (!error)
--- a/celeryswitch/Http/HttpSession.cpp
+++ b/celeryswitch/Http/HttpSession.cpp
@@ -87,7 +87,10 @@
         answer.headers.forEach(
             [this](std::string_view name, std::string_view value) { this->response.set(name, value); });
         this->response.keep_alive(this->isKeptAlive && !this->isFinishing && !this->isLeaving);
-        this->response.body() = std::move(answer.body);
+        this->answerBody = std::move(answer.body);
+        this->sharedBody = std::move(answer.sharedBody);
+        const std::string& body = this->sharedBody ? *this->sharedBody : this->answerBody;
+        this->response.body() = { body.data(), body.size() };
         this->response.prepare_payload();
         this->isAnswered = true;
         // The socket nearly always takes the whole; an asynchronous write would cost another turn of the event loop.
@@ -102,7 +105,7 @@
         this->enter(ConnectionPhase::Answering);
         this->progressAt = Timer::clock_type::now();
         this->expireAt(this->progressAt + this->limits.bodyTime);
-        if (!this->hold(this->response.body().size()))
+        if (!this->hold(Core::blockBytes(this->answerBody.capacity())))
             return;
         http::async_write(this->socket, *this->serializer,
             [self = this->shared_from_this()](error_code failure, std::size_t) { self->written(failure); });
@@ -376,6 +379,9 @@
         if (this->phase == ConnectionPhase::Closed)
             return;
         this->enter(ConnectionPhase::Idle);
+        // An assignment would keep the memory.
+        std::string().swap(this->answerBody);
+        this->sharedBody.reset();
         this->hold(0);
         if (error || !this->response.keep_alive()) {
             this->shutDown();
@@ -428,8 +434,12 @@
     std::size_t markedBytes = 0;
     Timer::time_point progressAt = Timer::clock_type::now();
     Timer::time_point bodyBeganAt {};
-    http::response<http::string_body> response;
-    std::optional<http::response_serializer<http::string_body>> serializer;
+    using ResponseBody = http::span_body<const char>;
+    // What `response` refers to.
+    std::string answerBody;
+    std::shared_ptr<const std::string> sharedBody;
+    http::response<ResponseBody> response;
+    std::optional<http::response_serializer<ResponseBody>> serializer;
     http::response<http::empty_body> interim;
     bool isBusy = false;
     bool isHeaderTimed = false;
--- a/celeryswitch/Http/ProcessLimits.h
+++ b/celeryswitch/Http/ProcessLimits.h
@@ -34,6 +34,8 @@
 
 /// Receive buffer of each accepted connection. The system charges at most twice as much for it.
 inline constexpr int receiveBufferBytes = 16 * 1024;
+/// Send buffer of each accepted connection, charged in the same way.
+inline constexpr int sendBufferBytes = 32 * 1024;
 
 /// Derives the limits: an eighth of the memory for each of the two budgets, a quarter for the values of the body that is
 /// being decoded, a half for the receive buffers and the objects of the connections. Three eighths of the descriptors
--- a/celeryswitch/State/ControlGateway.cpp
+++ b/celeryswitch/State/ControlGateway.cpp
@@ -1,5 +1,6 @@
 #include "celeryswitch/State/ControlGateway.h"
 
+#include "celeryswitch/Core/BlockBytes.h"
 #include "celeryswitch/Network/MessageCodec.h"
 
 namespace celeryswitch::State {
@@ -15,6 +16,8 @@
 constexpr std::chrono::milliseconds forwardLimit { 450 };
 constexpr std::chrono::milliseconds forwardConnectLimit { 200 };
 constexpr std::size_t connectionsLimit = 512;
+// Reads of the document that are under way at the same time. Each takes the memory of a document.
+constexpr std::size_t readsLimit = 4;
 constexpr Http::HttpLimits limits { 4 * 1024 * 1024, 16 * 1024, std::chrono::seconds(3), std::chrono::seconds(10),
     std::chrono::seconds(30) };
 
@@ -77,13 +80,13 @@
         const std::string problem = put->document.problem();
         if (problem.empty()) {
             const std::uint64_t version = put->document.version;
-            this->ask(session, std::move(request), "document put", version,
+            this->ask({ session, std::move(request) }, "document put", version,
                 Messages::PutRouting { "operator", Network::encodeMessage(put->document), std::move(put->source) });
             return;
         }
         decoded = UnreadableCall { problem };
     } else if (std::holds_alternative<GetDocument>(decoded)) {
-        this->ask(session, std::move(request), "document read", 0, Messages::QueryRouting {});
+        this->read({ session, std::move(request) });
         return;
     } else if (const auto* order = std::get_if<EvacuateDataCentre>(&decoded)) {
         this->evacuate(session, std::move(request), *order);
@@ -106,14 +109,21 @@
             { ControlOutcome::Unknown, isServed ? "no data centre is named \"" + order.dataCentre + "\"" : "" });
         return;
     }
-    this->ask(session, std::move(request), order.isEvacuated ? "evacuation start" : "evacuation end", 0,
+    this->ask({ session, std::move(request) }, order.isEvacuated ? "evacuation start" : "evacuation end", 0,
         Messages::SetEvacuation { "operator", order.dataCentre, order.isEvacuated });
 }
 
 void ControlGateway::abandoned(const Http::HttpSession::Pointer& session)
 {
     // Not answered. A call that was passed on already may still be carried out.
-    std::erase_if(this->waiting, [&](const auto& call) { return call.second.session == session; });
+    std::vector<std::uint64_t> abandonedCalls;
+    for (auto& [requestId, call] : this->waiting) {
+        std::erase_if(call.callers, [&](const Caller& caller) { return caller.session == session; });
+        if (call.callers.empty())
+            abandonedCalls.push_back(requestId);
+    }
+    for (const std::uint64_t requestId : abandonedCalls)
+        this->take(requestId);
 }
 
 void ControlGateway::refuse(
@@ -125,15 +135,45 @@
     session->respond(this->protocol.encode(refusal, request));
 }
 
-void ControlGateway::ask(const Http::HttpSession::Pointer& session, Http::HttpRequest request, std::string description,
-    std::uint64_t version, decltype(Messages::StateRequest::body) body)
+void ControlGateway::ask(
+    Caller caller, std::string description, std::uint64_t version, decltype(Messages::StateRequest::body) body)
 {
     const std::uint64_t requestId = ++this->lastRequest;
-    this->waiting[requestId] = { session, std::move(request), std::move(description), version, body };
-    if (!this->onRequest({ connection, { requestId, std::move(body) } })) {
-        this->answer(requestId, { ControlOutcome::Unavailable, "the replica is overloaded" });
+    this->waiting[requestId] = { { std::move(caller) }, std::move(description), version, body };
+    this->startTimer(requestId);
+    this->passOn(requestId, std::move(body));
+}
+
+void ControlGateway::read(Caller caller)
+{
+    if (this->delayedRead) {
+        this->waiting.at(*this->delayedRead).callers.push_back(std::move(caller));
         return;
     }
+    const std::uint64_t requestId = ++this->lastRequest;
+    this->waiting[requestId] = { { std::move(caller) }, "document read", 0, Messages::QueryRouting {} };
+    this->startTimer(requestId);
+    this->delayedRead = requestId;
+    this->passOnDelayedRead();
+}
+
+void ControlGateway::passOnDelayedRead()
+{
+    if (!this->delayedRead || this->reads.size() >= readsLimit)
+        return;
+    const std::uint64_t requestId = *std::exchange(this->delayedRead, std::nullopt);
+    this->reads.insert(requestId);
+    this->passOn(requestId, Messages::QueryRouting {});
+}
+
+void ControlGateway::passOn(std::uint64_t requestId, decltype(Messages::StateRequest::body) body)
+{
+    if (!this->onRequest({ connection, { requestId, std::move(body) } }))
+        this->answer(requestId, { ControlOutcome::Unavailable, "the replica is overloaded" });
+}
+
+void ControlGateway::startTimer(std::uint64_t requestId)
+{
     const auto timer = std::make_shared<boost::asio::steady_timer>(this->context, answerLimit);
     timer->async_wait([this, guard = std::weak_ptr<bool>(this->alive), requestId, timer](boost::system::error_code) {
         if (!guard.expired())
@@ -141,14 +181,39 @@
     });
 }
 
-void ControlGateway::reply(const Messages::StateReply& reply)
+ControlGateway::WaitingCalls::node_type ControlGateway::take(std::uint64_t requestId)
+{
+    WaitingCalls::node_type call = this->waiting.extract(requestId);
+    if (this->delayedRead == requestId)
+        this->delayedRead.reset();
+    if (this->reads.erase(requestId) > 0)
+        this->passOnDelayedRead();
+    return call;
+}
+
+std::shared_ptr<const std::string> ControlGateway::shareDocument(std::string source)
+{
+    if (std::shared_ptr<const std::string> latest = this->latestDocument.lock(); latest && *latest == source)
+        return latest;
+    const std::size_t bytes = Core::blockBytes(source.capacity());
+    const std::shared_ptr<const std::string> document(
+        new std::string(std::move(source)), [budget = this->receiveBudget, bytes](const std::string* text) {
+            delete text;
+            budget->change(bytes, 0);
+        });
+    this->receiveBudget->change(0, bytes);
+    this->latestDocument = document;
+    return document;
+}
+
+void ControlGateway::reply(Messages::StateReply reply)
 {
     ControlAnswer answer { ControlOutcome::Unavailable, reply.detail };
-    const auto* source = std::get_if<Messages::RoutingSource>(&reply.body);
+    auto* source = std::get_if<Messages::RoutingSource>(&reply.body);
     if (reply.refusal == StateRefusal::None && !source)
         answer = { ControlOutcome::Acknowledged, {} };
     else if (reply.refusal == StateRefusal::None && source->version > 0)
-        answer = { ControlOutcome::Document, source->source };
+        answer = { ControlOutcome::Document, {}, this->shareDocument(std::move(source->source)) };
     else if (reply.refusal == StateRefusal::None)
         answer.text = "there is no document yet";
     else if (reply.refusal == StateRefusal::InvalidChange)
@@ -180,21 +245,22 @@
                 reply.detail = leader;
             }
             reply.requestId = requestId;
-            this->reply(reply);
+            this->reply(std::move(reply));
         });
 }
 
 void ControlGateway::answer(std::uint64_t requestId, ControlAnswer answer)
 {
-    auto node = this->waiting.extract(requestId);
+    const WaitingCalls::node_type node = this->take(requestId);
     if (node.empty())
         return;
-    this->log.write(LogLevel::Info, node.mapped().description,
-        { { "path", node.mapped().request.path }, { "version", node.mapped().version },
-            { "outcome", std::string(Core::enumName(answer.outcome)) },
-            { "forwarded", node.mapped().isForwarded ? 1 : 0 },
-            { "detail", answer.outcome == ControlOutcome::Document ? std::string() : answer.text } });
-    node.mapped().session->respond(this->protocol.encode(answer, node.mapped().request));
+    const Waiting& call = node.mapped();
+    this->log.write(LogLevel::Info, call.description,
+        { { "path", call.callers.front().request.path }, { "version", call.version },
+            { "outcome", std::string(Core::enumName(answer.outcome)) }, { "forwarded", call.isForwarded ? 1 : 0 },
+            { "callers", static_cast<std::uint64_t>(call.callers.size()) }, { "detail", answer.text } });
+    for (const Caller& caller : call.callers)
+        caller.session->respond(this->protocol.encode(answer, caller.request));
 }
 
 void ControlGateway::stop()
@@ -203,6 +269,8 @@
     this->server.stop();
     this->leaderClient.stop();
     this->waiting.clear();
+    this->reads.clear();
+    this->delayedRead.reset();
 }
 
 }
--- a/celeryswitch/State/ControlGateway.h
+++ b/celeryswitch/State/ControlGateway.h
@@ -10,6 +10,7 @@
 #include "celeryswitch/State/StateCore.h"
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace celeryswitch::State {
@@ -35,17 +36,22 @@
     /// Starts listening on "address:port".
     Core::Result<std::string> listen(const std::string& address);
     /// Takes the replica's reply to a request.
-    void reply(const Messages::StateReply& reply);
+    void reply(Messages::StateReply reply);
     /// Stops listening and ends the connections.
     void stop();
     /// Updates the gauges of the operators' connections; on any thread.
     void collect(Metrics::MetricRegistry& registry) const { Http::collectBudget(*this->receiveBudget, registry); }
 
 private:
-    /// A call without a response.
-    struct Waiting {
+    /// An operator who waits for a response.
+    struct Caller {
         Http::HttpSession::Pointer session;
         Http::HttpRequest request;
+    };
+    /// A request to the replica without a reply.
+    struct Waiting {
+        /// More than one for a read that was delayed: all of them came before it was passed on.
+        std::vector<Caller> callers;
         /// What it asks, for the log.
         std::string description;
         /// Version of the document that it puts; 0 for other calls.
@@ -53,10 +59,23 @@
         StateClient::Body body;
         bool isForwarded = false;
     };
+    using WaitingCalls = std::map<std::uint64_t, Waiting>;
 
     void received(const Http::HttpSession::Pointer& session, Http::HttpRequest request);
-    void ask(const Http::HttpSession::Pointer& session, Http::HttpRequest request, std::string description,
-        std::uint64_t version, decltype(Messages::StateRequest::body) body);
+    void ask(
+        Caller caller, std::string description, std::uint64_t version, decltype(Messages::StateRequest::body) body);
+    // Reads the document. While several reads are under way, further callers share the next one.
+    void read(Caller caller);
+    // Passes the delayed read on when it is its turn.
+    void passOnDelayedRead();
+    // Passes a request on to the replica.
+    void passOn(std::uint64_t requestId, decltype(Messages::StateRequest::body) body);
+    // Answers a request as unavailable when its reply has not come in time.
+    void startTimer(std::uint64_t requestId);
+    // Removes a request; it may have been the read that others wait for.
+    WaitingCalls::node_type take(std::uint64_t requestId);
+    // The document of a reply, shared with the answers that hold the same one. It counts towards the budget once.
+    std::shared_ptr<const std::string> shareDocument(std::string source);
     void evacuate(
         const Http::HttpSession::Pointer& session, Http::HttpRequest request, const EvacuateDataCentre& order);
     void refuse(
@@ -80,7 +99,11 @@
     /// Port that every replica serves operators at.
     std::string port;
     std::uint64_t lastRequest = 0;
-    std::map<std::uint64_t, Waiting> waiting;
+    WaitingCalls waiting;
+    /// Reads under way, and the one that is delayed until one of them has ended.
+    std::set<std::uint64_t> reads;
+    std::optional<std::uint64_t> delayedRead;
+    std::weak_ptr<const std::string> latestDocument;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/celeryswitch/State/ControlProtocol.h
+++ b/celeryswitch/State/ControlProtocol.h
@@ -3,6 +3,7 @@
 #include "celeryswitch/Configuration/RoutingDocument.h"
 #include "celeryswitch/Core/EnumNames.h"
 #include "celeryswitch/Http/HttpMessage.h"
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -39,7 +40,7 @@
 /// What an operator's request comes to.
 enum class ControlOutcome : std::uint8_t {
     Acknowledged,
-    /// The document in force, in `text`.
+    /// The document in force, in `document`.
     Document,
     /// The request is wrong, for the reason in `text`.
     Invalid,
@@ -54,6 +55,8 @@
 struct ControlAnswer {
     ControlOutcome outcome = ControlOutcome::Unavailable;
     std::string text;
+    /// Shared by all answers that hold the same document.
+    std::shared_ptr<const std::string> document;
 };
 
 /// Translates between operators' HTTP requests and the requests of this library. Decides nothing.
--- a/celeryswitch/State/StateProcess.cpp
+++ b/celeryswitch/State/StateProcess.cpp
@@ -359,9 +359,9 @@
         boost::asio::post(this->context, [this] {
             this->isPeerWoken = false;
             this->outbound.drain([this](LinkOutput&& output) {
-                const auto* reply = std::get_if<ClientReply>(&output);
+                auto* reply = std::get_if<ClientReply>(&output);
                 if (reply && reply->connection == ControlGateway::connection)
-                    this->gateway->reply(reply->reply);
+                    this->gateway->reply(std::move(reply->reply));
                 else
                     this->links.send(std::move(output));
             });
