Derive the backlogs of listeners from the memory

What callers saw: memory of a machine used up by connections of a process that does not run, for example while it is frozen. Cause: the system keeps up to 4,096 connections for each listener, and receives what they send. Ruled out: a small receive buffer between processes, which slows replication between regions down. Why this works: the backlog of an HTTP listener is a sixteenth of the memory (520 connections with 260 MB, 64 at least), that of the listener for other processes the number of handshakes.

--- a/celeryswitch/Http/HttpServer.cpp
+++ b/celeryswitch/Http/HttpServer.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr int defaultBacklog = 512;
 constexpr std::chrono::milliseconds acceptRetryDelay { 100 };
 // Time between two looks for a place, and the time without a free place after which new connections are closed.
 constexpr std::chrono::milliseconds newcomerInterval { 100 };
@@ -35,6 +36,7 @@
     , budget(budget ? std::move(budget)
                     : std::make_shared<ReceiveBudget>(std::max(machineMemoryBytes() / 8, 4 * limits.bodyBytes)))
     , connectionsLimit(connectionsLimit)
+    , backlog(defaultBacklog)
     , handlers(std::move(handlers))
     , acceptor(context)
     , acceptTimer(context)
@@ -61,7 +63,7 @@
     if (!error)
         this->acceptor.bind(endpoint, error);
     if (!error)
-        this->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        this->acceptor.listen(this->backlog, error);
     if (error)
         return Core::Error(HttpServerError::ListenFailed, address + ": " + error.message());
     this->accept();
--- a/celeryswitch/Http/HttpServer.h
+++ b/celeryswitch/Http/HttpServer.h
@@ -36,6 +36,9 @@
     HttpServer(boost::asio::io_context& context, HttpLimits limits, std::size_t connectionsLimit, Handlers handlers,
         std::shared_ptr<ReceiveBudget> budget = nullptr);
 
+    /// Changes the number of connections that the system keeps until they are accepted; called before `listen`. What
+    /// they send is kept as well, also while the process does not run.
+    void setBacklog(std::size_t connections) { this->backlog = static_cast<int>(connections); }
     /// Starts listening on "address:port"; returns the bound "address:port".
     Core::Result<std::string> listen(const std::string& address);
     /// Limits of the requests whose header begins from now on, also on open connections. Idle connections are held to
@@ -82,6 +85,7 @@
     std::shared_ptr<HttpLimits> limits;
     std::shared_ptr<ReceiveBudget> budget;
     std::size_t connectionsLimit;
+    int backlog;
     Handlers handlers;
     boost::asio::ip::tcp::acceptor acceptor;
     Timer acceptTimer;
--- a/celeryswitch/Http/ProcessLimits.cpp
+++ b/celeryswitch/Http/ProcessLimits.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t handshakeBytes = 128 * 1024;
 constexpr std::size_t fewestConnections = 16;
 constexpr std::size_t fewestHandshakes = 16;
+constexpr std::size_t smallestBacklog = 64;
+constexpr std::size_t largestBacklog = 4096;
 constexpr std::size_t assumedMemoryBytes = 256 * 1024 * 1024;
 
 }
@@ -29,6 +31,7 @@
     limits.valueBytes = memory / 4;
     limits.connections = std::min(limits.connections, memory / 2 / connectionBytes);
     limits.handshakes = std::min(limits.handshakes, memory / 8 / handshakeBytes);
+    limits.backlog = std::clamp(memory / 16 / (2 * receiveBufferBytes), smallestBacklog, largestBacklog);
     if (allowance.descriptors > 0) {
         const std::size_t usable = allowance.descriptors - std::min(allowance.descriptors, reservedDescriptors);
         limits.connections = std::min(limits.connections, usable * 5 / 8);
--- a/celeryswitch/Http/ProcessLimits.h
+++ b/celeryswitch/Http/ProcessLimits.h
@@ -28,7 +28,9 @@
     std::size_t connections = 0;
     /// Connections of the readiness check.
     std::size_t readinessConnections = 0;
-    /// Connections of other processes whose handshake is not done.
+    /// Connections of each HTTP listener that wait to be accepted.
+    std::size_t backlog = 0;
+    /// Connections of other processes whose handshake is not done, and of those that wait to be accepted.
     std::size_t handshakes = 0;
 };
 
@@ -37,9 +39,10 @@
 /// Send buffer of each accepted connection, charged in the same way.
 inline constexpr int sendBufferBytes = 32 * 1024;
 
-/// Derives the limits: an eighth of the memory for each of the two budgets, a quarter for the values of the body that is
-/// being decoded, a half for the receive buffers and the objects of the connections. Three eighths of the descriptors
-/// are left for the process's own links, of which handshakes take a third.
+/// Derives the limits: an eighth of the memory for each of the two budgets, a quarter for the values of the body that
+/// is being decoded, a half for the receive buffers and the objects of the connections, a sixteenth for those that wait
+/// at a listener to be accepted. Three eighths of the descriptors are left for the process's own links, of which
+/// handshakes take a third.
 ProcessLimits deriveLimits(const ProcessAllowance& allowance, const ProcessLimits& atMost);
 
 /// Memory of the machine, from /proc/meminfo.
--- a/celeryswitch/Network/PeerTransport.cpp
+++ b/celeryswitch/Network/PeerTransport.cpp
@@ -53,7 +53,7 @@
         if (!error)
             this->acceptor.bind(endpoint, error);
         if (!error)
-            this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+            this->acceptor.listen(static_cast<int>(this->handshakeLimit), error);
         if (error)
             return Core::Error(TransportError::ListenFailed, address + ": " + error.message());
         this->onAccept = std::move(handler);
--- a/celeryswitch/Network/PeerTransport.h
+++ b/celeryswitch/Network/PeerTransport.h
@@ -44,8 +44,8 @@
     /// Changes the connect limit, which is 2 s by default. A machine that is down does not answer, and its operating
     /// system's next attempt comes after a second, so that a short limit finds it sooner once it is back.
     void setConnectLimit(std::chrono::milliseconds limit);
-    /// Changes the number of accepted connections whose handshake may be open, which is 256 by default; more are
-    /// closed.
+    /// Changes the number of accepted connections whose handshake may be open, which is 256 by default, and that of
+    /// connections that the system keeps until they are accepted; called before `listen`.
     void setHandshakeLimit(std::size_t limit);
     /// Binds the datagram socket to "address:port"; returns the bound "address:port".
     Core::Result<std::string> bindDatagram(const std::string& address, DatagramHandler onDatagram);
--- a/celeryswitch/Scheduling/SchedulingEntry.cpp
+++ b/celeryswitch/Scheduling/SchedulingEntry.cpp
@@ -121,6 +121,8 @@
 Core::Result<void> SchedulingEntry::start()
 {
     this->transport.setConnectLimit(this->settings.connectLimit);
+    this->callers.setBacklog(this->limits.backlog);
+    this->readiness.setBacklog(this->limits.backlog);
     BOOST_OUTCOME_TRY(this->callers.listen(this->settings.callerAddress));
     if (!this->settings.readinessAddress.empty()) {
         BOOST_OUTCOME_TRY(this->readiness.listen(this->settings.readinessAddress));
--- a/celeryswitch/State/ControlGateway.cpp
+++ b/celeryswitch/State/ControlGateway.cpp
@@ -70,6 +70,7 @@
 Core::Result<std::string> ControlGateway::listen(const std::string& address)
 {
     this->port = address.substr(std::min(address.size(), address.rfind(':') + 1));
+    this->server.setBacklog(this->processLimits.backlog);
     return this->server.listen(address);
 }
 
--- a/celeryswitch/State/PeerLinks.h
+++ b/celeryswitch/State/PeerLinks.h
@@ -30,7 +30,7 @@
 
     /// Changes the time to connect to another replica.
     void setConnectLimit(std::chrono::milliseconds limit) { this->transport.setConnectLimit(limit); }
-    /// Changes the number of accepted connections whose handshake may be open.
+    /// Changes the number of accepted connections whose handshake may be open; called before `listen`.
     void setHandshakeLimit(std::size_t limit) { this->transport.setHandshakeLimit(limit); }
     /// Listens; returns the bound address.
     Core::Result<std::string> listen(const std::string& address);
--- a/celeryswitch/Workers/WorkerSidecar.cpp
+++ b/celeryswitch/Workers/WorkerSidecar.cpp
@@ -105,6 +105,7 @@
     this->transport.setHandshakeLimit(this->limits.handshakes);
     BOOST_OUTCOME_TRY(this->transport.listen(this->settings.peerAddress,
         [this](Network::PeerConnectionPointer connection) { this->entries.add(std::move(connection)); }));
+    this->announcements.setBacklog(this->limits.backlog);
     BOOST_OUTCOME_TRY(this->announcements.listen(this->settings.announcementAddress));
     this->watcher.start();
     this->step();
