Let handshakes give way to newer ones

What callers saw: an entry that starts again beside silent connections to the state replica, or to the sidecars, serves nobody for 40 s. Cause: the places for open handshakes were held for two seconds by whoever came first; everybody else was closed at once. Why this works: the oldest handshake without an offer ends, or else the oldest one. A peer that has the key sends its offer with the connection and is done after a round trip.

--- a/UnitTests/Network/PeerTransportTest.cpp
+++ b/UnitTests/Network/PeerTransportTest.cpp
@@ -1,4 +1,5 @@
 #include "celeryswitch/Network/PeerTransport.h"
+#include "celeryswitch/Network/Handshake.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -22,8 +23,9 @@
     std::vector<PeerConnectionPointer> accepted;
     std::string address;
 
-    Pair()
+    explicit Pair(std::size_t handshakeLimit = 256)
     {
+        this->listener.setHandshakeLimit(handshakeLimit);
         const auto bound = this->listener.listen(
             "127.0.0.1:0", [this](PeerConnectionPointer connection) { this->accepted.push_back(connection); });
         REQUIRE(bound);
@@ -131,6 +133,29 @@
     REQUIRE(pair.connect());
 }
 
+// Guards against strangers that take every place for a handshake, so that no other process of the fleet connects.
+TEST_CASE("a peer with the key connects beside connections that do not finish the handshake", "[Network]")
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t limit = 4;
+    Pair pair(limit);
+    const std::uint16_t port = static_cast<std::uint16_t>(std::stoul(pair.address.substr(pair.address.rfind(':') + 1)));
+    const std::string offer = Network::Handshake(keys, std::string(Network::nonceBytes, 'n')).offer();
+    for (const std::string& sent : { std::string(), std::string("GET / HTTP/1.1\r\n"), offer }) {
+        INFO("strangers that send " << sent.size() << " bytes");
+        std::vector<tcp::socket> strangers;
+        for (std::size_t number = 0; number < 3 * limit; ++number) {
+            strangers.emplace_back(pair.context).connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+            boost::asio::write(strangers.back(), boost::asio::buffer(sent));
+            pair.context.restart();
+            pair.context.poll();
+        }
+        const PeerConnectionPointer connection = pair.connect();
+        REQUIRE(connection);
+    }
+    REQUIRE(pair.accepted.size() == 3);
+}
+
 // Guards against a connect that waits without end for a silent or missing peer.
 TEST_CASE("connecting to a silent or missing peer ends with an error", "[Network]")
 {
--- a/celeryswitch/Network/HandshakeSession.cpp
+++ b/celeryswitch/Network/HandshakeSession.cpp
@@ -26,7 +26,7 @@
     });
 }
 
-void HandshakeSession::accept(
+std::shared_ptr<HandshakeSession> HandshakeSession::accept(
     tcp::socket socket, const AuthenticationKeys& keys, RejectCounter rejected, DoneHandler onDone)
 {
     const auto session
@@ -35,6 +35,7 @@
     session->exchange(
         Handshake::offerBytes, [session](auto bytes) { return session->handshake.takeOffer(bytes); },
         [session] {
+            session->isOffered = true;
             session->exchange(
                 Handshake::proofBytes,
                 [session](auto bytes) -> Core::Result<std::string> {
@@ -43,6 +44,7 @@
                 },
                 [session] { session->succeed(); });
         });
+    return session;
 }
 
 HandshakeSession::HandshakeSession(
--- a/celeryswitch/Network/HandshakeSession.h
+++ b/celeryswitch/Network/HandshakeSession.h
@@ -15,13 +15,18 @@
     /// Connects to `endpoint` within `limit`. `onDone` is called once, from the event loop.
     static void connect(boost::asio::io_context& context, const boost::asio::ip::tcp::endpoint& endpoint,
         const AuthenticationKeys& keys, RejectCounter rejected, std::chrono::milliseconds limit, DoneHandler onDone);
-    /// Takes an accepted socket. `onDone` is called once, from the event loop.
-    static void accept(boost::asio::ip::tcp::socket socket, const AuthenticationKeys& keys, RejectCounter rejected,
-        DoneHandler onDone);
+    /// Takes an accepted socket. `onDone` is called once, from the event loop or by `giveUp`.
+    static std::shared_ptr<HandshakeSession> accept(boost::asio::ip::tcp::socket socket, const AuthenticationKeys& keys,
+        RejectCounter rejected, DoneHandler onDone);
 
     HandshakeSession(boost::asio::ip::tcp::socket socket, const AuthenticationKeys& keys, RejectCounter rejected,
         DoneHandler onDone);
 
+    /// Whether the peer's offer has been taken; a connection without one is silent or speaks another protocol.
+    bool hasOffer() const { return this->isOffered; }
+    /// Ends the handshake in favour of another one.
+    void giveUp() { this->fail({ TransportError::ConnectFailed, "too many handshakes" }); }
+
 private:
     // Takes the peer's message and returns this side's next one, empty when none follows.
     using Step = std::function<Core::Result<std::string>(std::string_view)>;
@@ -42,6 +47,7 @@
     DoneHandler onDone;
     std::string incoming;
     std::string outgoing;
+    bool isOffered = false;
 };
 
 }
--- a/celeryswitch/Network/PeerTransport.cpp
+++ b/celeryswitch/Network/PeerTransport.cpp
@@ -3,6 +3,7 @@
 #include "celeryswitch/Core/SocketAddress.h"
 #include "celeryswitch/Network/DatagramCodec.h"
 #include "celeryswitch/Network/HandshakeSession.h"
+#include <algorithm>
 #include <boost/asio/ip/udp.hpp>
 
 namespace celeryswitch::Network {
@@ -142,19 +143,34 @@
 
     void startHandshake(tcp::socket socket)
     {
-        if (this->handshakes >= this->handshakeLimit) {
-            this->rejected->fetch_add(1, std::memory_order_relaxed);
-            return;
-        }
-        ++this->handshakes;
-        HandshakeSession::accept(
-            std::move(socket), this->keys, this->rejected, [self = this->shared_from_this()](auto result) {
-                --self->handshakes;
+        if (this->handshakes.size() >= this->handshakeLimit)
+            this->giveUpHandshake();
+        const std::uint64_t number = ++this->lastHandshake;
+        this->handshakes[number] = HandshakeSession::accept(
+            std::move(socket), this->keys, this->rejected, [self = this->shared_from_this(), number](auto result) {
+                self->handshakes.erase(number);
                 if (result && self->onAccept)
                     self->onAccept(std::move(result).value());
             });
     }
 
+    // Ends the oldest handshake without an offer, or else the oldest one: that of a peer which has the key takes a
+    // round trip.
+    void giveUpHandshake()
+    {
+        this->rejected->fetch_add(1, std::memory_order_relaxed);
+        auto chosen = std::find_if(this->handshakes.begin(), this->handshakes.end(), [](const auto& entry) {
+            const auto session = entry.second.lock();
+            return !session || !session->hasOffer();
+        });
+        if (chosen == this->handshakes.end())
+            chosen = this->handshakes.begin();
+        const auto session = chosen->second.lock();
+        this->handshakes.erase(chosen);
+        if (session)
+            session->giveUp();
+    }
+
     void receive()
     {
         this->datagramSocket.async_receive_from(asio::buffer(this->datagramBuffer), this->datagramSender,
@@ -189,7 +205,9 @@
     std::array<char, DatagramCodec::headBytes + maximumDatagramBytes + 1> datagramBuffer {};
     AcceptHandler onAccept;
     DatagramHandler onDatagram;
-    std::size_t handshakes = 0;
+    // Open handshakes, in the order in which they began.
+    std::map<std::uint64_t, std::weak_ptr<HandshakeSession>> handshakes;
+    std::uint64_t lastHandshake = 0;
     std::uint64_t unsentDatagrams = 0;
     RejectCounter rejected = std::make_shared<std::atomic<std::uint64_t>>(0);
     bool isStopped = false;
