Look up the services of a document once

What callers saw: nothing yet; found in the search for loops over what a caller sent. One body of 2.2 MB holds the thread of a state replica that also talks to the other replicas. Cause: each queue of a document searched its service in the list of all services. Why this works: the names are collected once. The search by name, which nothing else used, goes.

--- a/celeryswitch/Configuration/RoutingDocument.cpp
+++ b/celeryswitch/Configuration/RoutingDocument.cpp
@@ -1,6 +1,7 @@
 #include "celeryswitch/Configuration/RoutingDocument.h"
 
 #include <set>
+#include <unordered_set>
 
 namespace celeryswitch::Configuration {
 
@@ -15,20 +16,14 @@
     return best;
 }
 
-const RoutedService* RoutingDocument::service(std::string_view name) const
-{
-    for (const RoutedService& candidate : this->services) {
-        if (candidate.name == name)
-            return &candidate;
-    }
-    return nullptr;
-}
-
 std::string RoutingDocument::problem() const
 {
+    std::unordered_set<std::string_view> known;
+    for (const RoutedService& service : this->services)
+        known.insert(service.name);
     std::set<std::pair<std::string_view, std::string_view>> places;
     for (const Queue& queue : this->queues) {
-        if (!this->service(queue.service))
+        if (known.count(queue.service) == 0)
             return "queue " + queue.name + " names the unknown service " + queue.service;
         if (!places.emplace(queue.host, queue.pathPrefix).second)
             return "queue " + queue.name + " has the host and prefix of another queue";
--- a/celeryswitch/Configuration/RoutingDocument.h
+++ b/celeryswitch/Configuration/RoutingDocument.h
@@ -75,8 +75,6 @@
 
     /// The queue that a request belongs to; null when there is none.
     const Queue* find(std::string_view host, std::string_view path) const;
-    /// A service by name; null when there is none.
-    const RoutedService* service(std::string_view name) const;
     /// What makes the document unusable, naming the part; empty when nothing does.
     std::string problem() const;
 
